--- /dev/null
+++ b/libs/core/test/names_test.cc
@@ -0,0 +1,58 @@
+#include "filbertstair/core/names.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/core/reason.h"
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::core {
+namespace {
+
+// Guards against a table with a missing, doubled or misspelt row, which would report a wrong reason
+// to callers.
+class NamesTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NamesTest);
+  CPPUNIT_TEST(testRoundTrip);
+  CPPUNIT_TEST(testUnknownName);
+  CPPUNIT_TEST(testEveryReasonHasAStatus);
+  CPPUNIT_TEST_SUITE_END();
+
+  template <typename E>
+  static auto CheckTable() -> void {
+    std::set<std::string_view> seen;
+    int expected = 0;
+    for (const auto& [value, name] : kNames<E>) {
+      CPPUNIT_ASSERT_EQUAL(expected++, static_cast<int>(value));
+      CPPUNIT_ASSERT(seen.insert(name).second);
+      CPPUNIT_ASSERT(Parse<E>(name) == value);
+      CPPUNIT_ASSERT(Name(value) == name);
+    }
+  }
+
+ public:
+  auto testRoundTrip() -> void {
+    CheckTable<Role>();
+    CheckTable<Outcome>();
+    CheckTable<CallClass>();
+    CheckTable<Scheme>();
+    CheckTable<Reason>();
+    CheckTable<RetryReason>();
+    CheckTable<Step>();
+  }
+
+  auto testUnknownName() -> void { CPPUNIT_ASSERT(!Parse<Role>("router")); }
+
+  auto testEveryReasonHasAStatus() -> void {
+    for (std::size_t i = 0; i < kNames<Reason>.size(); ++i) {
+      CPPUNIT_ASSERT(kNames<Reason>[i].first == kStatus[i].first);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NamesTest);
+
+}  // namespace
+}  // namespace filbertstair::core
