--- /dev/null
+++ b/libs/runtime/include/filbertstair/runtime/scheduler.h
@@ -0,0 +1,35 @@
+#ifndef FILBERTSTAIR_RUNTIME_SCHEDULER_H_
+#define FILBERTSTAIR_RUNTIME_SCHEDULER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/scheduler.hpp>
+#include <chrono>
+
+namespace filbertstair::runtime {
+
+// Round-robin fiber scheduler that waits for I/O inside the worker's io_context while no fiber is
+// ready.
+//
+// Completion handlers run only in the dispatcher's context, where no other fiber is active. The
+// dispatcher takes its turn in the ready queue like any fiber, so I/O is polled once per round and
+// busy fibers cannot starve it.
+class Scheduler final : public boost::fibers::algo::algorithm {
+ public:
+  explicit Scheduler(boost::asio::io_context& io) : io(io) {}
+
+  auto awakened(boost::fibers::context* ctx) noexcept -> void override;
+  auto pick_next() noexcept -> boost::fibers::context* override;
+  auto has_ready_fibers() const noexcept -> bool override;
+  auto suspend_until(const std::chrono::steady_clock::time_point& deadline) noexcept
+      -> void override;
+  auto notify() noexcept -> void override;
+
+ private:
+  boost::asio::io_context& io;
+  boost::fibers::scheduler::ready_queue_type ready;
+};
+
+}  // namespace filbertstair::runtime
+
+#endif  // FILBERTSTAIR_RUNTIME_SCHEDULER_H_
--- /dev/null
+++ b/libs/runtime/include/filbertstair/runtime/signal.h
@@ -0,0 +1,27 @@
+#ifndef FILBERTSTAIR_RUNTIME_SIGNAL_H_
+#define FILBERTSTAIR_RUNTIME_SIGNAL_H_
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <chrono>
+
+namespace filbertstair::runtime {
+
+// Wakes one waiting fiber, from any fiber of any worker. A notification without a waiter is kept,
+// and several of them count as one.
+class Signal {
+ public:
+  auto Notify() -> void;
+  auto Wait() -> void;
+  // Returns false if `deadline` passed without a notification.
+  auto WaitUntil(std::chrono::steady_clock::time_point deadline) -> bool;
+
+ private:
+  boost::fibers::mutex mutex;
+  boost::fibers::condition_variable changed;
+  bool notified = false;
+};
+
+}  // namespace filbertstair::runtime
+
+#endif  // FILBERTSTAIR_RUNTIME_SIGNAL_H_
--- /dev/null
+++ b/libs/runtime/src/pool.cc
@@ -0,0 +1,117 @@
+#include "filbertstair/runtime/pool.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+#include <deque>
+#include <exception>
+#include <mutex>
+#include <thread>
+
+#include "filbertstair/runtime/scheduler.h"
+#include "filbertstair/runtime/signal.h"
+
+namespace filbertstair::runtime {
+namespace detail {
+
+struct Worker {
+  std::size_t index = 0;
+  ErrorHandler on_error;
+  boost::asio::io_context io{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{io.get_executor()};
+  std::mutex mutex;
+  std::deque<Task> tasks;
+  bool stopping = false;
+  Signal posted;
+  std::thread thread;
+};
+
+}  // namespace detail
+
+namespace {
+
+// TLS handshakes, protobuf and Beast need more than Boost.Fiber's default of 64 KiB or less.
+constexpr std::size_t kStackBytes = std::size_t{128} * 1024;
+
+thread_local detail::Worker* current = nullptr;
+
+auto RunTask(const Task& task, const ErrorHandler& on_error) -> void {
+  try {
+    task();
+  } catch (const std::exception& error) {
+    on_error(error);
+  }
+}
+
+auto Launch(Task task) -> void {
+  boost::fibers::fiber(
+      boost::fibers::launch::post, std::allocator_arg, boost::fibers::default_stack(kStackBytes),
+      [task = std::move(task), worker = current] { RunTask(task, worker->on_error); })
+      .detach();
+}
+
+auto TakeTasks(detail::Worker& worker, bool& stopping) -> std::deque<Task> {
+  const std::lock_guard lock(worker.mutex);
+  stopping = worker.stopping;
+  return std::exchange(worker.tasks, {});
+}
+
+auto RunWorker(detail::Worker& worker) -> void {
+  current = &worker;
+  boost::fibers::use_scheduling_algorithm<Scheduler>(worker.io);
+  bool stopping = false;
+  while (!stopping) {
+    worker.posted.Wait();
+    for (auto& task : TakeTasks(worker, stopping)) Launch(std::move(task));
+  }
+}
+
+}  // namespace
+
+Pool::Pool(std::size_t workers, ErrorHandler on_error) {
+  for (std::size_t i = 0; i < workers; ++i) {
+    auto worker = std::make_unique<detail::Worker>();
+    worker->index = i;
+    worker->on_error = on_error;
+    worker->thread = std::thread([w = worker.get()] { RunWorker(*w); });
+    this->workers.push_back(std::move(worker));
+  }
+}
+
+Pool::~Pool() { this->Stop(); }
+
+auto Pool::Post(std::size_t index, Task task) -> void {
+  auto& worker = *this->workers.at(index % this->workers.size());
+  {
+    const std::lock_guard lock(worker.mutex);
+    worker.tasks.push_back(std::move(task));
+  }
+  worker.posted.Notify();
+}
+
+auto Pool::Stop() -> void {
+  for (auto& worker : this->workers) {
+    {
+      const std::lock_guard lock(worker->mutex);
+      worker->stopping = true;
+    }
+    worker->posted.Notify();
+  }
+  for (auto& worker : this->workers) {
+    if (worker->thread.joinable()) worker->thread.join();
+  }
+}
+
+auto Io() -> boost::asio::io_context& { return current->io; }
+
+auto WorkerIndex() -> std::size_t { return current->index; }
+
+auto Spawn(Task task) -> void { Launch(std::move(task)); }
+
+auto SleepFor(std::chrono::microseconds duration) -> void {
+  boost::this_fiber::sleep_for(duration);
+}
+
+}  // namespace filbertstair::runtime
