Add the net library: nghttp2 message streams and HTTP/1.1 by Beast

Cause: own processes need multiplexed streams with back pressure, callers and replicas speak HTTP/1.1. Change: Stream, Connection and ListenStreams over nghttp2 with manual window updates; ListenHttp and HttpExchange over Beast, with cut answers visible and callers that leave noticed. Pool::Stop parks the workers, because Boost.Fiber waits for fibers that still wait for I/O (both net tests hung on it before).

--- /dev/null
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -0,0 +1,61 @@
+#ifndef FILBERTSTAIR_NET_HTTP_CLIENT_H_
+#define FILBERTSTAIR_NET_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "filbertstair/net/http_server.h"
+
+namespace filbertstair::net {
+
+namespace detail {
+struct ClientConnection;
+}  // namespace detail
+
+// How far a request had come when its exchange failed.
+enum class Progress { not_sent, sent, answered };
+
+struct HttpAnswer {
+  int status = 0;
+  Headers headers;
+};
+
+// One HTTP/1.1 exchange with a server, with the answer's body read piece by piece as it arrives.
+// Belongs to the worker that created it.
+class HttpExchange {
+ public:
+  HttpExchange();
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  auto operator=(const HttpExchange&) -> HttpExchange& = delete;
+
+  // Connects, sends the request and reads the answer's head. Throws core::Error; GetProgress then
+  // tells whether the server may have seen the request.
+  auto Start(const std::string& address, const HttpRequest& request,
+             std::chrono::milliseconds connect_timeout, std::chrono::milliseconds head_timeout)
+      -> HttpAnswer;
+
+  // Returns the next piece of the body, or an empty string after its end. Throws core::Error if the
+  // body is cut short or nothing arrives in time.
+  auto Read(std::chrono::milliseconds timeout) -> std::string;
+
+  // Closes the connection. May be called from another fiber of the worker while Start or Read
+  // waits.
+  auto Cancel() -> void;
+
+  auto GetProgress() const -> Progress { return this->progress; }
+
+ private:
+  std::unique_ptr<detail::ClientConnection> connection;
+  Progress progress = Progress::not_sent;
+};
+
+// Runs a whole exchange and returns the body in `body`. Throws core::Error.
+auto Fetch(const std::string& address, const HttpRequest& request,
+           std::chrono::milliseconds timeout, std::string& body) -> HttpAnswer;
+
+}  // namespace filbertstair::net
+
+#endif  // FILBERTSTAIR_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -0,0 +1,99 @@
+#ifndef FILBERTSTAIR_NET_HTTP_SERVER_H_
+#define FILBERTSTAIR_NET_HTTP_SERVER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+// HTTP/1.1 towards callers and operators, by Boost.Beast on fibers.
+namespace filbertstair::net {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+// Returns the value of the first header called `name` (case-insensitive), or an empty view.
+auto FindHeader(const Headers& headers, std::string_view name) -> std::string_view;
+
+struct HttpRequest {
+  std::string method;
+  std::string target;
+  Headers headers;
+  std::string body;
+  std::string peer;
+};
+
+// Why a request could not be read.
+enum class RequestFault { none, malformed, header_too_large, body_too_large };
+
+namespace detail {
+struct HttpExchange;
+}  // namespace detail
+
+// The answer to one request. Used by the fiber that handles the request.
+class Responder {
+ public:
+  explicit Responder(detail::HttpExchange& exchange) : exchange(exchange) {}
+
+  // Sends a whole answer.
+  auto Respond(int status, const Headers& headers, std::string_view body) -> void;
+
+  // Begins a streamed answer. With a Content-Length header the body is sent as it is, else chunked.
+  // Throws core::Error (Step::respond), as the functions below, if the caller is gone.
+  auto Begin(int status, const Headers& headers) -> void;
+  auto Write(std::string_view data) -> void;
+  auto End() -> void;
+
+  // Closes the connection without ending the answer, so that the caller sees that it was cut.
+  auto Abort() -> void;
+
+  auto HasBegun() const -> bool;
+
+  // Calls `gone` once if the caller closes its connection while the request is handled. The
+  // callback runs on a fiber of the same worker.
+  auto OnCallerGone(std::function<void()> gone) -> void;
+
+ private:
+  detail::HttpExchange& exchange;
+};
+
+struct HttpLimits {
+  std::uint32_t max_header_bytes = 16u << 10;
+  std::uint64_t max_body_bytes = 8u << 20;
+  // Longest wait for the next request on a kept connection, and for each part of a request.
+  std::chrono::seconds idle = std::chrono::seconds(75);
+  std::chrono::seconds read = std::chrono::seconds(30);
+};
+
+struct HttpHandlers {
+  std::function<void(const HttpRequest&, Responder&)> request;
+  // Answers a request that could not be read. The connection is closed afterwards.
+  std::function<void(RequestFault, Responder&)> fault;
+  // Whether to answer with "Connection: close", as while draining.
+  std::function<bool()> closing;
+};
+
+// Handle on the connections of one worker's listener.
+class HttpListener {
+ public:
+  // Stops accepting and closes connections on which no request is being handled.
+  auto Drain() -> void;
+
+  struct State;
+  explicit HttpListener(std::shared_ptr<State> state) : state(std::move(state)) {}
+
+ private:
+  std::shared_ptr<State> state;
+};
+
+// Accepts connections on the caller's worker, one fiber each. Throws core::Error (Step::listen) if
+// the address can't be bound. Several workers may listen on one address.
+auto ListenHttp(const std::string& address, HttpLimits limits, HttpHandlers handlers)
+    -> HttpListener;
+
+}  // namespace filbertstair::net
+
+#endif  // FILBERTSTAIR_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/libs/net/src/h2.cc
@@ -0,0 +1,450 @@
+#include "filbertstair/net/h2.h"
+
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "acceptor.h"
+#include "filbertstair/core/error.h"
+#include "filbertstair/runtime/signal.h"
+
+namespace filbertstair::net {
+namespace detail {
+
+using Clock = std::chrono::steady_clock;
+
+// Bytes that Send queues on one stream before it suspends the sender.
+constexpr std::size_t kSendBuffer = std::size_t{256} * 1024;
+// Unread bytes that a peer may have in flight on one stream and on one connection. The latter is
+// larger, so that one slow reader does not stop the other streams.
+constexpr std::int32_t kStreamWindow = 1 << 20;
+constexpr std::int32_t kConnectionWindow = 64 << 20;
+constexpr std::size_t kReadChunk = std::size_t{64} * 1024;
+constexpr std::size_t kWriteBatch = std::size_t{64} * 1024;
+constexpr std::size_t kPrefix = 4;
+// Larger than the largest body plus its headers.
+constexpr std::size_t kMaxMessage = std::size_t{80} << 20;
+constexpr std::uint32_t kMaxStreams = 10'000;
+
+struct StreamState {
+  std::int32_t id = 0;
+  std::string path;
+  std::string peer;
+  // Sending side.
+  std::string outgoing;
+  std::size_t sent = 0;
+  bool finishing = false;
+  bool finished = false;
+  runtime::Signal writable;
+  // Receiving side.
+  std::string incoming;
+  std::size_t read = 0;
+  // Received bytes for which the peer's window has not been opened again.
+  std::size_t unconsumed = 0;
+  bool peer_finished = false;
+  runtime::Signal readable;
+  // Set when the stream no longer exists in the session.
+  bool closed = false;
+  std::string close_reason;
+};
+
+struct Session : std::enable_shared_from_this<Session> {
+  Session(Tcp::socket socket, std::string peer)
+      : socket(std::move(socket)), peer(std::move(peer)) {}
+  ~Session() { nghttp2_session_del(this->handle); }
+  Session(const Session&) = delete;
+  auto operator=(const Session&) -> Session& = delete;
+
+  Tcp::socket socket;
+  std::string peer;
+  nghttp2_session* handle = nullptr;
+  bool open = true;
+  StreamHandler handler;
+  std::unordered_map<std::int32_t, std::shared_ptr<StreamState>> streams;
+  runtime::Signal want_write;
+};
+
+namespace {
+
+auto CloseStream(StreamState& state, const std::string& reason) -> void {
+  if (state.closed) return;
+  state.closed = true;
+  state.close_reason = reason;
+  state.readable.Notify();
+  state.writable.Notify();
+}
+
+auto CloseSession(Session& session, const std::string& reason) -> void {
+  if (!session.open) return;
+  session.open = false;
+  boost::system::error_code ignored;
+  session.socket.shutdown(Tcp::socket::shutdown_both, ignored);
+  session.socket.close(ignored);
+  for (auto& [id, state] : session.streams) CloseStream(*state, reason);
+  session.streams.clear();
+  session.want_write.Notify();
+}
+
+auto OnDataSource(nghttp2_session*, std::int32_t, std::uint8_t* buffer, std::size_t length,
+                  std::uint32_t* flags, nghttp2_data_source* source, void*) -> ssize_t {
+  auto& state = *static_cast<StreamState*>(source->ptr);
+  const std::size_t count = std::min(length, state.outgoing.size() - state.sent);
+  std::memcpy(buffer, state.outgoing.data() + state.sent, count);
+  state.sent += count;
+  if (state.sent == state.outgoing.size()) {
+    state.outgoing.clear();
+    state.sent = 0;
+    if (state.finishing) {
+      *flags |= NGHTTP2_DATA_FLAG_EOF;
+      state.finished = true;
+    } else if (count == 0) {
+      return NGHTTP2_ERR_DEFERRED;
+    }
+  }
+  if (state.outgoing.size() - state.sent < kSendBuffer) state.writable.Notify();
+  return static_cast<ssize_t>(count);
+}
+
+auto OnBeginHeaders(nghttp2_session* handle, const nghttp2_frame* frame, void* user) -> int {
+  auto& session = *static_cast<Session*>(user);
+  if (frame->hd.type != NGHTTP2_HEADERS || frame->headers.cat != NGHTTP2_HCAT_REQUEST) return 0;
+  auto state = std::make_shared<StreamState>();
+  state->id = frame->hd.stream_id;
+  state->peer = session.peer;
+  session.streams[state->id] = state;
+  nghttp2_session_set_stream_user_data(handle, state->id, state.get());
+  return 0;
+}
+
+auto OnHeader(nghttp2_session* handle, const nghttp2_frame* frame, const std::uint8_t* name,
+              std::size_t name_size, const std::uint8_t* value, std::size_t value_size,
+              std::uint8_t, void*) -> int {
+  auto* state =
+      static_cast<StreamState*>(nghttp2_session_get_stream_user_data(handle, frame->hd.stream_id));
+  const std::string_view key(reinterpret_cast<const char*>(name), name_size);
+  if (state != nullptr && key == ":path") {
+    state->path.assign(reinterpret_cast<const char*>(value), value_size);
+  }
+  return 0;
+}
+
+auto Respond(nghttp2_session* handle, StreamState& state) -> void {
+  static const std::array<std::uint8_t, 8> name = {':', 's', 't', 'a', 't', 'u', 's', 0};
+  static const std::array<std::uint8_t, 4> value = {'2', '0', '0', 0};
+  const nghttp2_nv header{const_cast<std::uint8_t*>(name.data()),
+                          const_cast<std::uint8_t*>(value.data()), 7, 3, NGHTTP2_NV_FLAG_NONE};
+  nghttp2_data_provider provider{};
+  provider.source.ptr = &state;
+  provider.read_callback = OnDataSource;
+  nghttp2_submit_response(handle, state.id, &header, 1, &provider);
+}
+
+auto OnFrame(nghttp2_session* handle, const nghttp2_frame* frame, void* user) -> int {
+  auto& session = *static_cast<Session*>(user);
+  const auto found = session.streams.find(frame->hd.stream_id);
+  if (found == session.streams.end()) return 0;
+  const auto state = found->second;
+  if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+    Respond(handle, *state);
+    auto stream = std::make_shared<Stream>(session.shared_from_this(), state);
+    runtime::Spawn([handler = session.handler, stream] { handler(stream); });
+  }
+  const bool carries_end = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+  if (carries_end && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+    state->peer_finished = true;
+    state->readable.Notify();
+  }
+  return 0;
+}
+
+auto OnData(nghttp2_session* handle, std::uint8_t, std::int32_t id, const std::uint8_t* data,
+            std::size_t size, void* user) -> int {
+  auto& session = *static_cast<Session*>(user);
+  nghttp2_session_consume_connection(handle, size);
+  const auto found = session.streams.find(id);
+  if (found == session.streams.end()) return 0;
+  found->second->incoming.append(reinterpret_cast<const char*>(data), size);
+  found->second->unconsumed += size;
+  found->second->readable.Notify();
+  return 0;
+}
+
+auto OnStreamClose(nghttp2_session*, std::int32_t id, std::uint32_t code, void* user) -> int {
+  auto& session = *static_cast<Session*>(user);
+  const auto found = session.streams.find(id);
+  if (found == session.streams.end()) return 0;
+  const auto state = found->second;
+  session.streams.erase(found);
+  const bool clean = code == NGHTTP2_NO_ERROR && state->peer_finished;
+  CloseStream(*state, clean ? "stream ended" : "stream reset by peer");
+  return 0;
+}
+
+auto MakeCallbacks() -> nghttp2_session_callbacks* {
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, OnBeginHeaders);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, OnHeader);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, OnFrame);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, OnData);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, OnStreamClose);
+  return callbacks;
+}
+
+auto InitSession(Session& session, bool server) -> void {
+  static nghttp2_session_callbacks* const callbacks = MakeCallbacks();
+  nghttp2_option* option = nullptr;
+  nghttp2_option_new(&option);
+  nghttp2_option_set_no_auto_window_update(option, 1);
+  nghttp2_option_set_peer_max_concurrent_streams(option, kMaxStreams);
+  if (server) {
+    nghttp2_session_server_new2(&session.handle, callbacks, &session, option);
+  } else {
+    nghttp2_session_client_new2(&session.handle, callbacks, &session, option);
+  }
+  nghttp2_option_del(option);
+  const std::array<nghttp2_settings_entry, 2> settings = {
+      {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
+       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow}}};
+  nghttp2_submit_settings(session.handle, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+  nghttp2_session_set_local_window_size(session.handle, NGHTTP2_FLAG_NONE, 0, kConnectionWindow);
+}
+
+// Collects up to kWriteBatch bytes that the session wants to send.
+auto CollectOutput(Session& session, std::string& batch) -> void {
+  batch.clear();
+  while (batch.size() < kWriteBatch) {
+    const std::uint8_t* data = nullptr;
+    const ssize_t size = nghttp2_session_mem_send(session.handle, &data);
+    if (size <= 0) break;
+    batch.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(size));
+  }
+}
+
+auto WriteLoop(const std::shared_ptr<Session>& session) -> void {
+  std::string batch;
+  while (session->open) {
+    CollectOutput(*session, batch);
+    if (batch.empty()) {
+      session->want_write.Wait();
+      continue;
+    }
+    const auto result = runtime::Await([&](auto handler) {
+      boost::asio::async_write(session->socket, boost::asio::buffer(batch), std::move(handler));
+    });
+    if (result.error) CloseSession(*session, result.error.message());
+  }
+}
+
+auto ReadLoop(const std::shared_ptr<Session>& session) -> void {
+  std::vector<std::uint8_t> buffer(kReadChunk);
+  while (session->open) {
+    const auto result = runtime::Await([&](auto handler) {
+      session->socket.async_read_some(boost::asio::buffer(buffer), std::move(handler));
+    });
+    if (result.error) {
+      CloseSession(*session, result.error.message());
+      return;
+    }
+    if (!session->open) return;
+    const ssize_t used = nghttp2_session_mem_recv(session->handle, buffer.data(), result.size);
+    if (used < 0) {
+      CloseSession(*session, nghttp2_strerror(static_cast<int>(used)));
+      return;
+    }
+    session->want_write.Notify();
+  }
+}
+
+auto StartLoops(const std::shared_ptr<Session>& session) -> void {
+  runtime::Spawn([session] { WriteLoop(session); });
+  runtime::Spawn([session] { ReadLoop(session); });
+}
+
+auto PeerName(const Tcp::socket& socket) -> std::string {
+  boost::system::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  if (error) return "unknown";
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+// Takes the next whole message from the stream's input, if there is one.
+auto TakeMessage(StreamState& state) -> std::optional<std::string> {
+  const std::size_t available = state.incoming.size() - state.read;
+  if (available < kPrefix) return std::nullopt;
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < kPrefix; ++i) {
+    size = (size << 8) | static_cast<unsigned char>(state.incoming[state.read + i]);
+  }
+  if (size > kMaxMessage) {
+    throw core::Error(core::Step::decode, state.peer,
+                      "message of " + std::to_string(size) + " bytes");
+  }
+  if (available < kPrefix + size) return std::nullopt;
+  std::string message = state.incoming.substr(state.read + kPrefix, size);
+  state.read += kPrefix + size;
+  if (state.read == state.incoming.size()) {
+    state.incoming.clear();
+    state.read = 0;
+  }
+  return message;
+}
+
+// Opens the peer's window for everything received. Called only while a fiber receives, so that an
+// idle reader stops the sender; a message may be larger than the window.
+auto Consume(Session& session, StreamState& state) -> void {
+  if (state.closed || state.unconsumed == 0) return;
+  nghttp2_session_consume_stream(session.handle, state.id, state.unconsumed);
+  state.unconsumed = 0;
+  session.want_write.Notify();
+}
+
+}  // namespace
+}  // namespace detail
+
+Stream::Stream(std::shared_ptr<detail::Session> session, std::shared_ptr<detail::StreamState> state)
+    : session(std::move(session)), state(std::move(state)) {}
+
+Stream::~Stream() {
+  if (!this->state->closed && !(this->state->finishing && this->state->peer_finished)) {
+    this->Reset();
+  }
+}
+
+auto Stream::Send(std::string_view message) -> void {
+  auto& s = *this->state;
+  while (!s.closed && s.outgoing.size() - s.sent >= detail::kSendBuffer) s.writable.Wait();
+  if (s.closed) throw core::Error(core::Step::write, s.peer, s.close_reason);
+  const auto size = static_cast<std::uint32_t>(message.size());
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    s.outgoing.push_back(static_cast<char>((size >> shift) & 0xFF));
+  }
+  s.outgoing.append(message);
+  nghttp2_session_resume_data(this->session->handle, s.id);
+  this->session->want_write.Notify();
+}
+
+auto Stream::Finish() -> void {
+  if (this->state->closed || this->state->finishing) return;
+  this->state->finishing = true;
+  nghttp2_session_resume_data(this->session->handle, this->state->id);
+  this->session->want_write.Notify();
+}
+
+auto Stream::Receive() -> std::optional<std::string> {
+  return this->ReceiveUntil(detail::Clock::time_point::max());
+}
+
+auto Stream::ReceiveUntil(std::chrono::steady_clock::time_point deadline)
+    -> std::optional<std::string> {
+  auto& s = *this->state;
+  while (true) {
+    detail::Consume(*this->session, s);
+    if (auto message = detail::TakeMessage(s)) return message;
+    if (s.peer_finished) {
+      if (s.incoming.empty()) return std::nullopt;
+      throw core::Error(core::Step::read, s.peer, "stream ended inside a message");
+    }
+    if (s.closed) throw core::Error(core::Step::read, s.peer, s.close_reason);
+    if (deadline == detail::Clock::time_point::max()) {
+      s.readable.Wait();
+    } else if (!s.readable.WaitUntil(deadline) && s.incoming.empty() && !s.closed) {
+      throw core::Error(core::Step::read, s.peer, "timed out");
+    }
+  }
+}
+
+auto Stream::Reset() -> void {
+  if (this->state->closed) return;
+  if (this->session->open) {
+    nghttp2_submit_rst_stream(this->session->handle, NGHTTP2_FLAG_NONE, this->state->id,
+                              NGHTTP2_CANCEL);
+    this->session->want_write.Notify();
+  }
+  detail::CloseStream(*this->state, "stream reset");
+}
+
+auto Stream::Path() const -> const std::string& { return this->state->path; }
+
+auto Stream::Peer() const -> const std::string& { return this->state->peer; }
+
+Connection::Connection(std::shared_ptr<detail::Session> session) : session(std::move(session)) {}
+
+Connection::~Connection() { this->Close(); }
+
+auto Connection::Open(const std::string& path) -> std::shared_ptr<Stream> {
+  auto& session = *this->session;
+  if (!session.open) throw core::Error(core::Step::connect, session.peer, "connection is closed");
+  auto state = std::make_shared<detail::StreamState>();
+  state->path = path;
+  state->peer = session.peer;
+  const auto header = [](std::string_view name, std::string_view value) {
+    return nghttp2_nv{reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
+                      reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(),
+                      value.size(), NGHTTP2_NV_FLAG_NONE};
+  };
+  const std::array<nghttp2_nv, 4> headers = {header(":method", "POST"), header(":scheme", "http"),
+                                             header(":authority", session.peer),
+                                             header(":path", path)};
+  nghttp2_data_provider provider{};
+  provider.source.ptr = state.get();
+  provider.read_callback = detail::OnDataSource;
+  state->id = nghttp2_submit_request(session.handle, nullptr, headers.data(), headers.size(),
+                                     &provider, state.get());
+  if (state->id < 0) {
+    throw core::Error(core::Step::connect, session.peer, nghttp2_strerror(state->id));
+  }
+  session.streams[state->id] = state;
+  session.want_write.Notify();
+  return std::make_shared<Stream>(this->session, state);
+}
+
+auto Connection::IsOpen() const -> bool { return this->session->open; }
+
+auto Connection::Close() -> void { detail::CloseSession(*this->session, "connection closed"); }
+
+auto Connect(const std::string& address, std::chrono::milliseconds timeout)
+    -> std::shared_ptr<Connection> {
+  const auto endpoint = ParseAddress(address);
+  detail::Tcp::socket socket(runtime::Io());
+  boost::asio::steady_timer timer(runtime::Io(), timeout);
+  timer.async_wait([&socket](const boost::system::error_code& error) {
+    boost::system::error_code ignored;
+    if (!error) socket.close(ignored);
+  });
+  const auto result =
+      runtime::Await([&](auto handler) { socket.async_connect(endpoint, std::move(handler)); });
+  // A timer that expired at the same time has queued its handler, which refers to `socket`.
+  const bool expired = timer.cancel() == 0;
+  if (result.error || expired) {
+    if (expired) runtime::SleepFor(std::chrono::microseconds(1));
+    const bool timed_out = result.error == boost::asio::error::operation_aborted || !result.error;
+    throw core::Error(core::Step::connect, address,
+                      timed_out ? "timed out" : result.error.message());
+  }
+  boost::system::error_code ignored;
+  socket.set_option(detail::Tcp::no_delay(true), ignored);
+  auto session = std::make_shared<detail::Session>(std::move(socket), address);
+  detail::InitSession(*session, false);
+  detail::StartLoops(session);
+  return std::make_shared<Connection>(session);
+}
+
+auto ListenStreams(const std::string& address, StreamHandler handler) -> void {
+  const auto acceptor = detail::OpenAcceptor(address);
+  detail::AcceptLoop(acceptor, [handler = std::move(handler)](detail::Tcp::socket socket) {
+    const std::string peer = detail::PeerName(socket);
+    auto session = std::make_shared<detail::Session>(std::move(socket), peer);
+    session->handler = handler;
+    detail::InitSession(*session, true);
+    detail::StartLoops(session);
+  });
+}
+
+}  // namespace filbertstair::net
--- /dev/null
+++ b/libs/net/src/http_client.cc
@@ -0,0 +1,129 @@
+#include "filbertstair/net/http_client.h"
+
+#include <array>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/address.h"
+#include "filbertstair/runtime/await.h"
+#include "filbertstair/runtime/pool.h"
+
+namespace filbertstair::net {
+namespace detail {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kPiece = std::size_t{16} * 1024;
+
+struct ClientConnection {
+  std::string address;
+  beast::tcp_stream stream{runtime::Io()};
+  beast::flat_buffer buffer;
+  http::response_parser<http::buffer_body> parser;
+  std::array<char, kPiece> piece{};
+};
+
+}  // namespace detail
+
+namespace {
+
+namespace http = detail::http;
+
+auto Check(const boost::system::error_code& error, core::Step step, const std::string& peer)
+    -> void {
+  if (!error) return;
+  const bool timed_out = error == detail::beast::error::timeout;
+  throw core::Error(step, peer, timed_out ? "timed out" : error.message());
+}
+
+auto ToMessage(const HttpRequest& request, const std::string& address)
+    -> http::request<http::string_body> {
+  http::request<http::string_body> message;
+  message.method_string(request.method);
+  message.target(request.target);
+  message.version(11);
+  for (const auto& [name, value] : request.headers) message.insert(name, value);
+  message.set(http::field::host, address);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange() : connection(std::make_unique<detail::ClientConnection>()) {}
+
+HttpExchange::~HttpExchange() = default;
+
+auto HttpExchange::Start(const std::string& address, const HttpRequest& request,
+                         std::chrono::milliseconds connect_timeout,
+                         std::chrono::milliseconds head_timeout) -> HttpAnswer {
+  auto& c = *this->connection;
+  c.address = address;
+  const auto endpoint = ParseAddress(address);
+  c.stream.expires_after(connect_timeout);
+  auto result =
+      runtime::Await([&](auto handler) { c.stream.async_connect(endpoint, std::move(handler)); });
+  Check(result.error, core::Step::connect, address);
+  boost::system::error_code ignored;
+  c.stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+
+  const auto message = ToMessage(request, address);
+  this->progress = Progress::sent;
+  c.stream.expires_after(head_timeout);
+  result = runtime::Await(
+      [&](auto handler) { http::async_write(c.stream, message, std::move(handler)); });
+  Check(result.error, core::Step::write, address);
+  // A response to HEAD has no body whatever its Content-Length says.
+  c.parser.skip(request.method == "HEAD");
+  c.parser.body_limit(boost::none);
+  result = runtime::Await([&](auto handler) {
+    http::async_read_header(c.stream, c.buffer, c.parser, std::move(handler));
+  });
+  Check(result.error, core::Step::read, address);
+  this->progress = Progress::answered;
+
+  HttpAnswer answer;
+  answer.status = static_cast<int>(c.parser.get().result_int());
+  for (const auto& field : c.parser.get()) {
+    answer.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  return answer;
+}
+
+auto HttpExchange::Read(std::chrono::milliseconds timeout) -> std::string {
+  auto& c = *this->connection;
+  while (!c.parser.is_done()) {
+    auto& body = c.parser.get().body();
+    body.data = c.piece.data();
+    body.size = c.piece.size();
+    body.more = true;
+    c.stream.expires_after(timeout);
+    const auto result = runtime::Await([&](auto handler) {
+      http::async_read_some(c.stream, c.buffer, c.parser, std::move(handler));
+    });
+    if (result.error && result.error != http::error::need_buffer) {
+      Check(result.error, core::Step::read, c.address);
+    }
+    const std::size_t size = c.piece.size() - body.size;
+    if (size > 0) return {c.piece.data(), size};
+  }
+  return {};
+}
+
+auto HttpExchange::Cancel() -> void { this->connection->stream.close(); }
+
+auto Fetch(const std::string& address, const HttpRequest& request,
+           std::chrono::milliseconds timeout, std::string& body) -> HttpAnswer {
+  HttpExchange exchange;
+  auto answer = exchange.Start(address, request, timeout, timeout);
+  body.clear();
+  for (std::string piece = exchange.Read(timeout); !piece.empty(); piece = exchange.Read(timeout)) {
+    body += piece;
+  }
+  return answer;
+}
+
+}  // namespace filbertstair::net
--- /dev/null
+++ b/libs/net/src/http_server.cc
@@ -0,0 +1,263 @@
+#include "filbertstair/net/http_server.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <set>
+
+#include "acceptor.h"
+#include "filbertstair/core/error.h"
+
+namespace filbertstair::net {
+namespace detail {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// State that the fiber of a connection shares with the watcher for a caller that leaves.
+struct HttpExchange {
+  HttpExchange(beast::tcp_stream& stream, std::string peer, bool keep_alive)
+      : stream(stream), peer(std::move(peer)), keep_alive(keep_alive) {}
+
+  beast::tcp_stream& stream;
+  std::string peer;
+  bool keep_alive;
+  bool begun = false;
+  bool ended = false;
+  bool chunked = false;
+  bool aborted = false;
+  bool watching = false;
+};
+
+namespace {
+
+auto ThrowOnError(const HttpExchange& exchange, const boost::system::error_code& error) -> void {
+  if (error) throw core::Error(core::Step::respond, exchange.peer, error.message());
+}
+
+template <typename Buffers>
+auto WriteAll(HttpExchange& exchange, const Buffers& buffers) -> void {
+  const auto result = runtime::Await([&](auto handler) {
+    boost::asio::async_write(exchange.stream, buffers, std::move(handler));
+  });
+  ThrowOnError(exchange, result.error);
+}
+
+template <typename Message>
+auto SetHeaders(Message& message, const Headers& headers) -> void {
+  for (const auto& [name, value] : headers) message.insert(name, value);
+}
+
+auto ToRequest(http::request<http::string_body> message, const std::string& peer) -> HttpRequest {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  request.peer = peer;
+  return request;
+}
+
+auto Classify(const boost::system::error_code& error) -> RequestFault {
+  if (error == http::error::body_limit) return RequestFault::body_too_large;
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return RequestFault::header_too_large;
+  }
+  if (error.category() == http::make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream && error != http::error::partial_message) {
+    return RequestFault::malformed;
+  }
+  return RequestFault::none;
+}
+
+}  // namespace
+}  // namespace detail
+
+struct HttpListener::State {
+  HttpLimits limits;
+  HttpHandlers handlers;
+  std::shared_ptr<detail::Tcp::acceptor> acceptor;
+  // Connections on which no request is being handled.
+  std::set<detail::beast::tcp_stream*> idle;
+  bool draining = false;
+};
+
+namespace detail {
+namespace {
+
+auto ReadRequest(HttpListener::State& listener, beast::tcp_stream& stream,
+                 beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
+    -> boost::system::error_code {
+  parser.header_limit(listener.limits.max_header_bytes);
+  parser.body_limit(listener.limits.max_body_bytes);
+  listener.idle.insert(&stream);
+  stream.expires_after(listener.limits.idle);
+  auto result = runtime::Await(
+      [&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
+  listener.idle.erase(&stream);
+  if (result.error) return result.error;
+  if (parser.get()[http::field::expect] == "100-continue") {
+    const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    runtime::Await([&](auto handler) {
+      boost::asio::async_write(stream, boost::asio::buffer(interim), std::move(handler));
+    });
+  }
+  stream.expires_after(listener.limits.read);
+  result = runtime::Await(
+      [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+  stream.expires_never();
+  return result.error;
+}
+
+auto StopWatching(HttpExchange& exchange) -> void {
+  while (exchange.watching) {
+    boost::system::error_code ignored;
+    exchange.stream.socket().cancel(ignored);
+    runtime::SleepFor(std::chrono::microseconds(1));
+  }
+}
+
+auto HandleRequest(HttpListener::State& listener, HttpExchange& exchange,
+                   const HttpRequest& request) -> void {
+  Responder responder(exchange);
+  try {
+    listener.handlers.request(request, responder);
+  } catch (const core::Error& error) {
+    // The caller is gone, or the handler failed after the answer had begun.
+    exchange.aborted = true;
+  }
+  if (!exchange.ended) exchange.aborted = true;
+  StopWatching(exchange);
+}
+
+auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket)
+    -> void {
+  boost::system::error_code ignored;
+  const auto remote = socket.remote_endpoint(ignored);
+  const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  bool keep = true;
+  while (keep && !listener->draining) {
+    http::request_parser<http::string_body> parser;
+    const auto error = ReadRequest(*listener, stream, buffer, parser);
+    HttpExchange exchange(stream, peer, false);
+    if (error) {
+      const auto fault = Classify(error);
+      if (fault != RequestFault::none) {
+        Responder responder(exchange);
+        try {
+          listener->handlers.fault(fault, responder);
+        } catch (const core::Error&) {
+          break;
+        }
+      }
+      break;
+    }
+    exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.closing();
+    HandleRequest(*listener, exchange, ToRequest(parser.release(), peer));
+    keep = exchange.keep_alive && !exchange.aborted;
+  }
+  stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  stream.close();
+}
+
+}  // namespace
+}  // namespace detail
+
+auto FindHeader(const Headers& headers, std::string_view name) -> std::string_view {
+  for (const auto& [candidate, value] : headers) {
+    if (detail::beast::iequals(candidate, name)) return value;
+  }
+  return {};
+}
+
+auto Responder::Respond(int status, const Headers& headers, std::string_view body) -> void {
+  namespace http = detail::http;
+  http::response<http::string_body> message;
+  message.result(static_cast<unsigned>(status));
+  detail::SetHeaders(message, headers);
+  message.keep_alive(this->exchange.keep_alive);
+  message.body() = std::string(body);
+  message.prepare_payload();
+  this->exchange.begun = true;
+  const auto result = runtime::Await(
+      [&](auto handler) { http::async_write(this->exchange.stream, message, std::move(handler)); });
+  detail::ThrowOnError(this->exchange, result.error);
+  this->exchange.ended = true;
+}
+
+auto Responder::Begin(int status, const Headers& headers) -> void {
+  namespace http = detail::http;
+  http::response<http::empty_body> message;
+  message.result(static_cast<unsigned>(status));
+  detail::SetHeaders(message, headers);
+  this->exchange.chunked = FindHeader(headers, "Content-Length").empty();
+  if (this->exchange.chunked) message.chunked(true);
+  message.keep_alive(this->exchange.keep_alive);
+  this->exchange.begun = true;
+  http::response_serializer<http::empty_body> serializer(message);
+  const auto result = runtime::Await([&](auto handler) {
+    http::async_write_header(this->exchange.stream, serializer, std::move(handler));
+  });
+  detail::ThrowOnError(this->exchange, result.error);
+}
+
+auto Responder::Write(std::string_view data) -> void {
+  if (data.empty()) return;
+  const auto buffer = boost::asio::const_buffer(data.data(), data.size());
+  if (this->exchange.chunked) {
+    detail::WriteAll(this->exchange, detail::http::make_chunk(buffer));
+  } else {
+    detail::WriteAll(this->exchange, buffer);
+  }
+}
+
+auto Responder::End() -> void {
+  if (this->exchange.chunked) {
+    detail::WriteAll(this->exchange, detail::http::make_chunk_last());
+  }
+  this->exchange.ended = true;
+}
+
+auto Responder::Abort() -> void { this->exchange.aborted = true; }
+
+auto Responder::HasBegun() const -> bool { return this->exchange.begun; }
+
+auto Responder::OnCallerGone(std::function<void()> gone) -> void {
+  this->exchange.watching = true;
+  runtime::Spawn([exchange = &this->exchange, gone = std::move(gone)] {
+    auto& socket = exchange->stream.socket();
+    const auto result = runtime::Await([&](auto handler) {
+      socket.async_wait(detail::Tcp::socket::wait_read, std::move(handler));
+    });
+    boost::system::error_code error;
+    // Readable without data means that the caller closed; data is its next request.
+    const bool closed = !result.error && !exchange->ended && socket.available(error) == 0;
+    if (closed) gone();
+    exchange->watching = false;
+  });
+}
+
+auto HttpListener::Drain() -> void {
+  this->state->draining = true;
+  boost::system::error_code ignored;
+  this->state->acceptor->close(ignored);
+  for (auto* stream : this->state->idle) stream->cancel();
+}
+
+auto ListenHttp(const std::string& address, HttpLimits limits, HttpHandlers handlers)
+    -> HttpListener {
+  auto state = std::make_shared<HttpListener::State>();
+  state->limits = limits;
+  state->handlers = std::move(handlers);
+  state->acceptor = detail::OpenAcceptor(address);
+  detail::AcceptLoop(state->acceptor, [state](detail::Tcp::socket socket) {
+    detail::ServeConnection(state, std::move(socket));
+  });
+  return HttpListener(state);
+}
+
+}  // namespace filbertstair::net
--- /dev/null
+++ b/libs/net/test/http_server_test.cc
@@ -0,0 +1,145 @@
+#include "filbertstair/net/http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <future>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/http_client.h"
+#include "filbertstair/runtime/pool.h"
+#include "filbertstair/runtime/signal.h"
+#include "test_port.h"
+
+namespace filbertstair::net {
+namespace {
+
+using std::chrono::milliseconds;
+constexpr milliseconds kTimeout{5000};
+
+auto RunPair(const std::function<void(const HttpRequest&, Responder&)>& server,
+             const std::function<void(const std::string&)>& client) -> void {
+  const std::string address = FreeAddress();
+  std::promise<void> listening;
+  std::promise<std::string> done;
+  runtime::Pool pool(2, [&](const std::exception& error) { done.set_value(error.what()); });
+  pool.Post(0, [&] {
+    HttpLimits limits;
+    limits.max_body_bytes = 1000;
+    ListenHttp(address, limits,
+               {.request = server,
+                .fault =
+                    [](RequestFault fault, Responder& responder) {
+                      responder.Respond(fault == RequestFault::body_too_large ? 413 : 400, {}, "");
+                    },
+                .closing = [] { return false; }});
+    listening.set_value();
+  });
+  listening.get_future().get();
+  pool.Post(1, [&] {
+    client(address);
+    done.set_value("");
+  });
+  CPPUNIT_ASSERT_EQUAL(std::string(), done.get_future().get());
+  pool.Stop();
+}
+
+auto Get(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
+
+class HttpServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(testWholeAnswer);
+  CPPUNIT_TEST(testStreamedAnswerArrivesInPieces);
+  CPPUNIT_TEST(testCutAnswerIsAnError);
+  CPPUNIT_TEST(testOversizedBody);
+  CPPUNIT_TEST(testCallerGoneIsNoticed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testWholeAnswer() -> void {
+    RunPair(
+        [](const HttpRequest& request, Responder& responder) {
+          responder.Respond(201, {{"X-Target", request.target}}, request.body);
+        },
+        [](const std::string& address) {
+          std::string body;
+          const auto answer = Fetch(address, {"POST", "/a", {}, "hello", ""}, kTimeout, body);
+          CPPUNIT_ASSERT_EQUAL(201, answer.status);
+          CPPUNIT_ASSERT_EQUAL(std::string("hello"), body);
+          CPPUNIT_ASSERT(FindHeader(answer.headers, "x-target") == "/a");
+        });
+  }
+
+  // Guards against an answer that is held back until it is complete.
+  auto testStreamedAnswerArrivesInPieces() -> void {
+    runtime::Signal first_read;
+    RunPair(
+        [&](const HttpRequest&, Responder& responder) {
+          responder.Begin(200, {});
+          responder.Write("one");
+          first_read.Wait();
+          responder.Write("two");
+          responder.End();
+        },
+        [&](const std::string& address) {
+          HttpExchange exchange;
+          exchange.Start(address, Get("/"), kTimeout, kTimeout);
+          CPPUNIT_ASSERT_EQUAL(std::string("one"), exchange.Read(kTimeout));
+          first_read.Notify();
+          CPPUNIT_ASSERT_EQUAL(std::string("two"), exchange.Read(kTimeout));
+          CPPUNIT_ASSERT_EQUAL(std::string(), exchange.Read(kTimeout));
+        });
+  }
+
+  // Guards against a cut answer that looks complete, chunked or with a length.
+  auto testCutAnswerIsAnError() -> void {
+    RunPair(
+        [](const HttpRequest& request, Responder& responder) {
+          Headers headers;
+          if (request.target == "/length") headers.emplace_back("Content-Length", "100");
+          responder.Begin(200, headers);
+          responder.Write("part");
+          responder.Abort();
+        },
+        [](const std::string& address) {
+          std::string body;
+          CPPUNIT_ASSERT_THROW(Fetch(address, Get("/chunked"), kTimeout, body), core::Error);
+          CPPUNIT_ASSERT_THROW(Fetch(address, Get("/length"), kTimeout, body), core::Error);
+        });
+  }
+
+  auto testOversizedBody() -> void {
+    RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
+            [](const std::string& address) {
+              std::string body;
+              const HttpRequest request{"POST", "/", {}, std::string(1001, 'x'), ""};
+              CPPUNIT_ASSERT_EQUAL(413, Fetch(address, request, kTimeout, body).status);
+            });
+  }
+
+  // Guards against work that goes on for a caller that has left.
+  auto testCallerGoneIsNoticed() -> void {
+    runtime::Signal gone;
+    runtime::Signal begun;
+    std::promise<void> noticed;
+    RunPair(
+        [&](const HttpRequest&, Responder& responder) {
+          responder.OnCallerGone([&] { gone.Notify(); });
+          responder.Begin(200, {});
+          gone.Wait();
+          noticed.set_value();
+          responder.Abort();
+        },
+        [&](const std::string& address) {
+          {
+            HttpExchange exchange;
+            exchange.Start(address, Get("/"), kTimeout, kTimeout);
+          }
+          noticed.get_future().get();
+        });
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
+
+}  // namespace
+}  // namespace filbertstair::net
--- a/libs/runtime/src/pool.cc
+++ b/libs/runtime/src/pool.cc
@@ -1,5 +1,7 @@
 #include "filbertstair/runtime/pool.h"
 
+#include <unistd.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -7,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 #include <deque>
 #include <exception>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -25,7 +28,7 @@
   std::deque<Task> tasks;
   bool stopping = false;
   Signal posted;
-  std::thread thread;
+  std::promise<void> stopped;
 };
 
 }  // namespace detail
@@ -66,6 +69,10 @@
     worker.posted.Wait();
     for (auto& task : TakeTasks(worker, stopping)) Launch(std::move(task));
   }
+  // Boost.Fiber would wait here for every fiber to end, and some wait for I/O that never comes. The
+  // thread blocks instead, so that none of its fibers runs again.
+  worker.stopped.set_value();
+  while (true) pause();
 }
 
 }  // namespace
@@ -75,7 +82,7 @@
     auto worker = std::make_unique<detail::Worker>();
     worker->index = i;
     worker->on_error = on_error;
-    worker->thread = std::thread([w = worker.get()] { RunWorker(*w); });
+    std::thread([w = worker.get()] { RunWorker(*w); }).detach();
     this->workers.push_back(std::move(worker));
   }
 }
@@ -100,8 +107,11 @@
     worker->posted.Notify();
   }
   for (auto& worker : this->workers) {
-    if (worker->thread.joinable()) worker->thread.join();
+    worker->stopped.get_future().get();
+    // The parked thread still refers to its worker.
+    static_cast<void>(worker.release());
   }
+  this->workers.clear();
 }
 
 auto Io() -> boost::asio::io_context& { return current->io; }
