Add service documents and daemon settings

Cause: the routing, configuration and daemon code need parsed documents, name lookup and settings. Service gains the fields idempotency and max_lead, which the design page requires.

--- a/libs/document/include/filbertstair/document/service.h
+++ b/libs/document/include/filbertstair/document/service.h
@@ -25,8 +25,8 @@
   std::uint32_t max_slots = 16;
 };
 
-// Calls that must run at most once: those with this method ("*" for any) and path prefix, the path
-// being the one the replica sees.
+// Calls that must run at most once: those with this method ("*" for any) whose path, as the replica
+// sees it, begins with this text.
 struct OnceRule {
   std::string method = "*";
   std::string path = "/";
@@ -47,6 +47,15 @@
   std::uint32_t max_attempts = 3;
 };
 
+// Times of section 4.2 of the design page.
+struct Idempotency {
+  // From the issue of an idempotency key until it no longer protects.
+  core::Duration protect = std::chrono::minutes(10);
+  // Time for which an owner answers with outcome unknown after its start and after a change of
+  // owner.
+  core::Duration quiet = std::chrono::seconds(10);
+};
+
 // One service as its document describes it.
 struct Service {
   std::string name;
@@ -60,10 +69,14 @@
   std::vector<OnceRule> once;
   Timeouts timeouts;
   Retries retries;
+  Idempotency idempotency;
   std::uint64_t max_body_bytes = 8u << 20;
   // How far behind, in slot time per unit of weight, a workspace in another region must be before
   // an endpoint prefers its request to one from the endpoint's own region.
   core::Duration link_price = std::chrono::seconds(1);
+  // Lead of a workspace over the least level, in slot time per unit of weight, above which the
+  // rest is forgiven.
+  core::Duration max_lead = std::chrono::seconds(60);
 };
 
 }  // namespace filbertstair::document
--- /dev/null
+++ b/libs/settings/include/filbertstair/settings/settings.h
@@ -0,0 +1,100 @@
+#ifndef FILBERTSTAIR_SETTINGS_SETTINGS_H_
+#define FILBERTSTAIR_SETTINGS_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertstair/core/names.h"
+#include "filbertstair/core/types.h"
+#include "filbertstair/schema/problem.h"
+
+namespace filbertstair::settings {
+
+enum class LogLevel { debug, info, warning, error };
+enum class LogFormat { text, json };
+
+// An IP address and a TCP port.
+struct Address {
+  // Without brackets for IPv6.
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator==(const Address&) const -> bool = default;
+};
+
+// Settings of one daemon.
+struct Settings {
+  core::Role role = core::Role::entry;
+  std::string id;
+  std::string region;
+  std::string failure_domain;
+  std::uint32_t workers = 2;
+
+  // Listeners. Port 0 lets the system choose a port. `callers` is for an entry only.
+  Address callers;
+  Address peers;
+  Address admin;
+
+  // Entry: the platform's configuration service.
+  Address platform;
+  // Entries to connect to before the VM list is known.
+  std::vector<Address> seeds;
+
+  // Endpoint: the pool of its replica in the VM list, and the replica's address.
+  std::string pool;
+  Address replica;
+
+  LogLevel log_level = LogLevel::info;
+  LogFormat log_format = LogFormat::text;
+  // Longest time that a planned stop waits for requests in flight. The default is the default
+  // request timeout of a service, so that a planned stop interrupts no request.
+  core::Duration drain_grace = std::chrono::seconds(600);
+  // File to which the history of calls is written; empty for none.
+  std::string history;
+};
+
+// Largest settings file in bytes.
+inline constexpr std::size_t kMaxBytes = 1'000'000;
+
+using schema::Problem;
+
+struct ParseResult {
+  // Present if and only if there are no problems.
+  std::optional<Settings> settings;
+  std::vector<Problem> problems;
+};
+
+// Reads settings in the form that docs/settings.md describes. `file_name` occurs in problems only.
+// Reports all problems and throws nothing for any text.
+auto Parse(std::string_view text, const std::string& file_name) -> ParseResult;
+
+// Reads and parses a file. Throws core::Error with step `settings` and the path as peer if the file
+// cannot be read.
+auto ReadFile(const std::string& path) -> ParseResult;
+
+// Reads "127.0.0.1:8080" or "[::1]:8080".
+auto ParseAddress(std::string_view text) -> std::optional<Address>;
+
+auto FormatAddress(const Address& address) -> std::string;
+
+}  // namespace filbertstair::settings
+
+template <>
+inline constexpr filbertstair::core::NameTable<filbertstair::settings::LogLevel, 4>
+    filbertstair::core::kNames<filbertstair::settings::LogLevel>{
+        {{filbertstair::settings::LogLevel::debug, "debug"},
+         {filbertstair::settings::LogLevel::info, "info"},
+         {filbertstair::settings::LogLevel::warning, "warning"},
+         {filbertstair::settings::LogLevel::error, "error"}}};
+
+template <>
+inline constexpr filbertstair::core::NameTable<filbertstair::settings::LogFormat, 2>
+    filbertstair::core::kNames<filbertstair::settings::LogFormat>{
+        {{filbertstair::settings::LogFormat::text, "text"},
+         {filbertstair::settings::LogFormat::json, "json"}}};
+
+#endif  // FILBERTSTAIR_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/libs/settings/src/settings.cc
@@ -0,0 +1,154 @@
+#include "filbertstair/settings/settings.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/schema/read.h"
+
+namespace filbertstair::settings {
+namespace {
+
+using schema::Cursor;
+using schema::FieldRule;
+using std::chrono::hours;
+using std::chrono::seconds;
+
+enum class Port { fixed, any };
+
+auto IsFileName(std::string_view text) -> bool { return !text.empty() && text.size() <= 4096; }
+
+constexpr schema::TextRule kFileName{"a file name of 1 to 4096 bytes", IsFileName};
+
+auto IsIpAddress(const std::string& host) -> bool {
+  std::array<unsigned char, sizeof(in6_addr)> buffer{};
+  const auto family = host.find(':') == std::string::npos ? AF_INET : AF_INET6;
+  return inet_pton(family, host.c_str(), buffer.data()) == 1;
+}
+
+auto ReadAddress(const Cursor& cursor, Port port, Address& out) -> void {
+  const auto address =
+      cursor.value.kind == schema::Kind::scalar ? ParseAddress(cursor.value.text) : std::nullopt;
+  if (!address || (port == Port::fixed && address->port == 0)) {
+    const auto found = cursor.value.kind == schema::Kind::scalar
+                           ? '"' + cursor.value.text + '"'
+                           : std::string(core::Name(cursor.value.kind));
+    schema::Refuse(cursor, found,
+                   std::string("an IP address and a port from ") + (port == Port::any ? "0" : "1") +
+                       " to 65535, for example \"127.0.0.1:8080\" or \"[::1]:8080\"");
+    return;
+  }
+  out = *address;
+}
+
+auto ReadListen(const Cursor& cursor, core::Role role, Settings& out) -> void {
+  const auto read = [](Address& address) {
+    return [&address](const Cursor& field) { ReadAddress(field, Port::any, address); };
+  };
+  std::vector<FieldRule> rules{{"peers", true, read(out.peers)}, {"admin", true, read(out.admin)}};
+  if (role == core::Role::entry) rules.push_back({"callers", true, read(out.callers)});
+  schema::ReadMap(cursor, rules);
+}
+
+auto ReadLog(const Cursor& cursor, Settings& out) -> void {
+  schema::ReadMap(
+      cursor,
+      {{"level", false, [&](const Cursor& field) { schema::ReadEnum(field, out.log_level); }},
+       {"format", false, [&](const Cursor& field) { schema::ReadEnum(field, out.log_format); }}});
+}
+
+auto ReadSeeds(const Cursor& cursor, std::vector<Address>& out) -> void {
+  schema::ReadList(cursor, [&](const Cursor& item) {
+    Address address;
+    ReadAddress(item, Port::fixed, address);
+    out.push_back(std::move(address));
+  });
+}
+
+// Returns the role that the file states, or nothing if it states none or an unknown one.
+auto FindRole(const schema::Value& root) -> std::optional<core::Role> {
+  for (const auto& field : root.fields) {
+    if (field.name == "role") return core::Parse<core::Role>(field.value.text);
+  }
+  return std::nullopt;
+}
+
+// Reads all fields. Fields of the other role are unknown fields; if the role itself is missing or
+// wrong, the fields of both are accepted, so that only the role is reported.
+auto ReadSettings(const Cursor& cursor, Settings& out) -> void {
+  const auto role = FindRole(cursor.value);
+  const auto identifier = [](std::string& text) {
+    return [&text](const Cursor& field) { schema::ReadText(field, schema::kIdentifier, text); };
+  };
+  std::vector<FieldRule> rules{
+      {"role", true, [&](const Cursor& field) { schema::ReadEnum(field, out.role); }},
+      {"id", true, identifier(out.id)},
+      {"region", true, identifier(out.region)},
+      {"failure_domain", true, identifier(out.failure_domain)},
+      {"workers", false,
+       [&](const Cursor& field) { schema::ReadInteger(field, 1u, 64u, out.workers); }},
+      {"listen", true,
+       [&](const Cursor& field) { ReadListen(field, role.value_or(core::Role::entry), out); }},
+      {"seeds", false, [&](const Cursor& field) { ReadSeeds(field, out.seeds); }},
+      {"log", false, [&](const Cursor& field) { ReadLog(field, out); }},
+      {"drain_grace", false,
+       [&](const Cursor& field) {
+         schema::ReadDuration(field, seconds(0), hours(24), out.drain_grace);
+       }},
+      {"history", false,
+       [&](const Cursor& field) { schema::ReadText(field, kFileName, out.history); }}};
+  if (role != core::Role::endpoint) {
+    rules.push_back({"platform", role.has_value(),
+                     [&](const Cursor& field) { ReadAddress(field, Port::fixed, out.platform); }});
+  }
+  if (role != core::Role::entry) {
+    rules.push_back({"pool", role.has_value(), identifier(out.pool)});
+    rules.push_back({"replica", role.has_value(),
+                     [&](const Cursor& field) { ReadAddress(field, Port::fixed, out.replica); }});
+  }
+  schema::ReadMap(cursor, rules);
+}
+
+}  // namespace
+
+auto Parse(std::string_view text, const std::string& file_name) -> ParseResult {
+  schema::Report report{.file = file_name};
+  Settings settings;
+  if (const auto root = schema::Load(text, kMaxBytes, report)) {
+    ReadSettings({report, *root, ""}, settings);
+  }
+  ParseResult result;
+  if (report.problems.empty()) result.settings = std::move(settings);
+  result.problems = schema::Finish(std::move(report));
+  return result;
+}
+
+auto ReadFile(const std::string& path) -> ParseResult {
+  return Parse(schema::ReadFile(path, kMaxBytes, core::Step::settings), path);
+}
+
+auto ParseAddress(std::string_view text) -> std::optional<Address> {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  auto host = text.substr(0, colon);
+  const auto bracketed = host.size() >= 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) host = host.substr(1, host.size() - 2);
+  Address address{.host = std::string(host)};
+  if (bracketed != (host.find(':') != std::string_view::npos)) return std::nullopt;
+  const auto* end = text.data() + text.size();
+  const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, address.port);
+  if (error != std::errc() || rest != end || !IsIpAddress(address.host)) return std::nullopt;
+  return address;
+}
+
+auto FormatAddress(const Address& address) -> std::string {
+  const auto host =
+      address.host.find(':') == std::string::npos ? address.host : "[" + address.host + "]";
+  return host + ":" + std::to_string(address.port);
+}
+
+}  // namespace filbertstair::settings
