Add the admission library

Cause: the endpoint process needs one place that decides what runs. Change: slots, adaptive limit, demand table, grants, attempts and idempotency keys as free functions over plain structs, combined in admission.h.

--- /dev/null
+++ b/libs/admission/include/filbertstair/admission/admission.h
@@ -0,0 +1,124 @@
+#ifndef FILBERTSTAIR_ADMISSION_ADMISSION_H_
+#define FILBERTSTAIR_ADMISSION_ADMISSION_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "filbertstair/admission/attempts.h"
+#include "filbertstair/admission/demand.h"
+#include "filbertstair/admission/grants.h"
+#include "filbertstair/admission/keys.h"
+#include "filbertstair/admission/refusal.h"
+#include "filbertstair/admission/slots.h"
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::admission {
+
+struct Policy {
+  AttemptPolicy attempts;
+  KeyPolicy keys;
+};
+
+// Readings of both clocks of this process.
+struct Now {
+  core::Time steady{};
+  WallTime wall{};
+};
+
+// Everything an endpoint process decides admission from.
+struct Admission {
+  Slots slots;
+  GrantTable grants;
+  DemandTable demand;
+  AttemptTable attempts;
+  KeyTable keys;
+  // By service.
+  std::map<std::string, OwnerHistory> owners;
+  // Staged attempts in the order of their arrival, which is the order in which they start.
+  std::deque<core::AttemptId> staged;
+  // Keys of staged and running attempts.
+  std::map<core::AttemptId, KeyHash> attempt_keys;
+};
+
+// A Submit message.
+struct Submission {
+  core::AttemptId attempt;
+  // Incarnation of the endpoint process to which the entry addressed it.
+  core::Incarnation endpoint = 0;
+  // Grant redeemed by it, or 0.
+  GrantId grant = 0;
+  std::string service;
+  std::string workspace;
+  core::Time deadline{};
+  std::optional<Key> key;
+};
+
+enum class Verdict { run, staged, refused };
+
+struct Decision {
+  Verdict verdict = Verdict::refused;
+  // Set if refused.
+  std::optional<Refusal> refusal;
+};
+
+// Attempts that start and staged ones that were dropped because their deadline passed.
+struct Starts {
+  std::vector<core::AttemptId> started;
+  std::vector<core::AttemptId> expired;
+};
+
+// Returns the state of a process that has just started with empty memory.
+auto StartAdmission(core::Incarnation incarnation, std::uint32_t limit, const Now& now)
+    -> Admission;
+
+// Decides on a Submit. `run` takes a slot at once; `staged` waits for StartNext. Any grant that the
+// Submit names ends with it, whatever the verdict. If the Submit names a grant, its attempt's entry
+// must be the grant's.
+auto Submit(Admission& state, const Policy& policy, const Submission& submission, const Now& now)
+    -> Decision;
+
+// Starts staged attempts while slots are free. To be called after every Finish, Withdraw and change
+// of the limit.
+auto StartNext(Admission& state, const Now& now) -> Starts;
+
+// Ends a running attempt and frees its slot. Returns false if it was not running.
+auto Finish(Admission& state, const Policy& policy, const core::AttemptId& attempt,
+            core::Outcome outcome, const Now& now) -> bool;
+
+// Answers a Withdraw. A staged attempt is removed.
+auto Withdraw(Admission& state, const Policy& policy, const core::AttemptId& attempt,
+              core::Incarnation endpoint, const Now& now) -> AttemptStatus;
+
+// Issues a grant for the chosen candidate, or returns nothing if no grant may be issued or no entry
+// waits.
+auto Issue(Admission& state, const DemandKey& key, std::uint32_t allowance,
+           core::Duration time_to_live, const Now& now) -> std::optional<Grant>;
+
+// Refuses all further submissions. Staged and running attempts continue. Returns the outstanding
+// grants, which end.
+auto Drain(Admission& state) -> std::vector<Grant>;
+
+// Drops the demand and the grants of an entry whose control stream ended.
+auto CloseEntry(Admission& state, const std::string& entry, core::Incarnation incarnation)
+    -> std::vector<Grant>;
+
+// Expires grants and evicts old records. To be called a few times per second; returns the expired
+// grants.
+auto Expire(Admission& state, const Policy& policy, const Now& now) -> std::vector<Grant>;
+
+}  // namespace filbertstair::admission
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<admission::Verdict, 3> kNames<admission::Verdict>{{
+    {admission::Verdict::run, "run"},
+    {admission::Verdict::staged, "staged"},
+    {admission::Verdict::refused, "refused"},
+}};
+}  // namespace filbertstair::core
+
+#endif  // FILBERTSTAIR_ADMISSION_ADMISSION_H_
--- /dev/null
+++ b/libs/admission/include/filbertstair/admission/demand.h
@@ -0,0 +1,109 @@
+#ifndef FILBERTSTAIR_ADMISSION_DEMAND_H_
+#define FILBERTSTAIR_ADMISSION_DEMAND_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::admission {
+
+// Requests of one workspace for one service that wait at an entry, as announced by it.
+struct DemandItem {
+  std::string service;
+  std::string workspace;
+  std::uint32_t waiting = 0;
+};
+
+struct DemandKey {
+  std::string service;
+  std::string workspace;
+  // Region of the entries that announced the demand.
+  std::string region;
+
+  auto operator<=>(const DemandKey&) const = default;
+};
+
+// Demand of one entry for one service and workspace.
+struct DemandRow {
+  std::uint32_t waiting = 0;
+  // Outstanding grants for this row; at most `waiting` requests are asked for.
+  std::uint32_t granted = 0;
+  // Number of the table's grant that last went to this row.
+  std::uint64_t last_grant = 0;
+};
+
+struct DemandSource {
+  core::Incarnation incarnation = 0;
+  std::string region;
+  // Set when a grant to the entry expired: a frozen entry then costs one slot for one time to live
+  // and no more. Cleared by the entry's next message.
+  bool paused = false;
+  // Keys of the entry's rows.
+  std::set<DemandKey> keys;
+};
+
+// Requests waiting at the entries with a control stream to this process.
+struct DemandTable {
+  std::map<std::string, DemandSource> sources;
+  std::map<DemandKey, std::map<std::string, DemandRow>> rows;
+  std::uint64_t grants = 0;
+};
+
+// Service and workspace with requests waiting in one region. Refers to the table and is valid until
+// it changes.
+struct Candidate {
+  std::string_view service;
+  std::string_view workspace;
+  std::string_view region;
+  std::uint32_t waiting = 0;
+};
+
+// Records that an entry opened a control stream. Returns false, and changes nothing, if a newer
+// incarnation of the entry is known.
+auto OpenSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
+                const std::string& region) -> bool;
+
+// Drops the entry's demand when its control stream ends. Ignored if the table holds another
+// incarnation of the entry.
+auto CloseSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation)
+    -> void;
+
+// Replaces everything the entry announced before. Returns false, and changes nothing, if the table
+// holds no or another incarnation of the entry.
+auto ReplaceDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
+                   std::span<const DemandItem> items) -> bool;
+
+// Returns the services and workspaces for which a grant could be issued, for the caller to choose
+// from.
+auto Candidates(const DemandTable& table) -> std::vector<Candidate>;
+
+// Returns whether Candidates would return any.
+auto HasDemand(const DemandTable& table) -> bool;
+
+// Returns the entry to which the next grant for the service, workspace and region goes, or nothing
+// if none is waiting. Entries receive grants in proportion to their waiting requests.
+auto ChooseEntry(const DemandTable& table, const DemandKey& key) -> std::optional<std::string>;
+
+// Counts a grant issued to the entry.
+auto CountGrant(DemandTable& table, const DemandKey& key, const std::string& entry) -> void;
+
+// Counts the end of a grant. `answered` is true if the entry redeemed or returned it: the request
+// it was issued for then no longer waits.
+auto CountGrantEnd(DemandTable& table, const DemandKey& key, const std::string& entry,
+                   bool answered) -> void;
+
+// Stops and resumes asking an entry for requests; see DemandSource::paused. `incarnation` is that
+// of the entry; other incarnations are ignored.
+auto SetPaused(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
+               bool paused) -> void;
+
+}  // namespace filbertstair::admission
+
+#endif  // FILBERTSTAIR_ADMISSION_DEMAND_H_
--- /dev/null
+++ b/libs/admission/include/filbertstair/admission/grants.h
@@ -0,0 +1,83 @@
+#ifndef FILBERTSTAIR_ADMISSION_GRANTS_H_
+#define FILBERTSTAIR_ADMISSION_GRANTS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "filbertstair/admission/demand.h"
+#include "filbertstair/admission/refusal.h"
+#include "filbertstair/admission/slots.h"
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::admission {
+
+// Number of a grant, unique within the granter's incarnation. 0 names no grant.
+using GrantId = std::uint64_t;
+
+// Permission for one entry to submit one request of one workspace.
+struct Grant {
+  GrantId id = 0;
+  // Incarnation of the endpoint process that issued it.
+  core::Incarnation granter = 0;
+  std::string entry;
+  core::Incarnation entry_incarnation = 0;
+  DemandKey demand;
+  // On the granter's clock.
+  core::Time expires{};
+};
+
+// Grants that were neither redeemed nor returned and have not expired.
+struct GrantTable {
+  core::Incarnation incarnation = 0;
+  GrantId last = 0;
+  std::map<GrantId, Grant> outstanding;
+};
+
+// A Submit's or GrantReturn's claim to a grant.
+struct GrantClaim {
+  GrantId id = 0;
+  core::Incarnation granter = 0;
+  std::string entry;
+  core::Incarnation entry_incarnation = 0;
+  std::string service;
+  std::string workspace;
+};
+
+// Returns the time to live of a grant: four round trips, so that a delayed Submit still arrives in
+// time, and at least 500 ms, so that a busy entry process is not taken for a frozen one.
+auto GrantTimeToLive(core::Duration round_trip) -> core::Duration;
+
+// Issues a grant for a request that ChooseEntry found. The caller has checked MayGrant.
+auto IssueGrant(GrantTable& grants, Slots& slots, DemandTable& demand, const DemandKey& key,
+                const std::string& entry, core::Time expires) -> Grant;
+
+// Ends the claimed grant in favour of the submitted request, which the caller then starts or
+// stages. Refuses a claim to an unknown or expired grant (grant_expired), one that names another
+// granter or entry incarnation (stale_incarnation) and one for another entry, service or workspace
+// (internal_error, since a correct entry never sends it); all with status not_run. A refused claim
+// by the grant's own entry incarnation ends the grant too.
+auto RedeemGrant(GrantTable& grants, Slots& slots, DemandTable& demand, const GrantClaim& claim,
+                 core::Time now) -> std::optional<Refusal>;
+
+// Ends a grant that the entry does not need. Returns whether it was outstanding. The service and
+// workspace of the claim are not compared.
+auto ReturnGrant(GrantTable& grants, Slots& slots, DemandTable& demand, const GrantClaim& claim,
+                 core::Time now) -> bool;
+
+// Ends the expired grants, returns them, and pauses demand of the entries that let them expire.
+auto ExpireGrants(GrantTable& grants, Slots& slots, DemandTable& demand, core::Time now)
+    -> std::vector<Grant>;
+
+// Ends the grants of an entry whose control stream ended, and returns them.
+auto DropGrants(GrantTable& grants, Slots& slots, DemandTable& demand, const std::string& entry,
+                core::Incarnation entry_incarnation) -> std::vector<Grant>;
+
+// Returns the earliest expiry, or nothing if no grant is outstanding.
+auto NextExpiry(const GrantTable& grants) -> std::optional<core::Time>;
+
+}  // namespace filbertstair::admission
+
+#endif  // FILBERTSTAIR_ADMISSION_GRANTS_H_
--- /dev/null
+++ b/libs/admission/include/filbertstair/admission/refusal.h
@@ -0,0 +1,48 @@
+#ifndef FILBERTSTAIR_ADMISSION_REFUSAL_H_
+#define FILBERTSTAIR_ADMISSION_REFUSAL_H_
+
+#include "filbertstair/core/reason.h"
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::admission {
+
+// What an endpoint process knows about the execution of an attempt. `not_run` is a promise: the
+// attempt did not run and this process refuses it from then on.
+enum class AttemptStatus { not_run, running, ran, unknown };
+
+// Why a submission was refused. `status` describes the attempt; for key_repeated it describes the
+// first attempt that carried the key.
+struct Refusal {
+  core::Reason reason = core::Reason::internal_error;
+  AttemptStatus status = AttemptStatus::unknown;
+
+  auto operator==(const Refusal&) const -> bool = default;
+};
+
+// Returns the outcome that a caller may be told: a running attempt may still end either way.
+constexpr auto ToOutcome(AttemptStatus status) -> core::Outcome {
+  switch (status) {
+    case AttemptStatus::not_run:
+      return core::Outcome::not_run;
+    case AttemptStatus::ran:
+      return core::Outcome::ran;
+    case AttemptStatus::running:
+    case AttemptStatus::unknown:
+      break;
+  }
+  return core::Outcome::unknown;
+}
+
+}  // namespace filbertstair::admission
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<admission::AttemptStatus, 4> kNames<admission::AttemptStatus>{{
+    {admission::AttemptStatus::not_run, "not_run"},
+    {admission::AttemptStatus::running, "running"},
+    {admission::AttemptStatus::ran, "ran"},
+    {admission::AttemptStatus::unknown, "unknown"},
+}};
+}  // namespace filbertstair::core
+
+#endif  // FILBERTSTAIR_ADMISSION_REFUSAL_H_
--- /dev/null
+++ b/libs/admission/src/admission.cc
@@ -0,0 +1,159 @@
+#include "filbertstair/admission/admission.h"
+
+#include <algorithm>
+
+namespace filbertstair::admission {
+namespace {
+
+// Ends the record of the attempt's key, if it carries one.
+auto EndAttemptKey(Admission& state, const core::AttemptId& attempt, core::Outcome outcome)
+    -> void {
+  const auto key = state.attempt_keys.find(attempt);
+  if (key == state.attempt_keys.end()) return;
+  EndKey(state.keys, key->second, outcome);
+  state.attempt_keys.erase(key);
+}
+
+auto Refuse(const Refusal& refusal) -> Decision {
+  return {.verdict = Verdict::refused, .refusal = refusal};
+}
+
+// Redeems the grant that the submission names, or checks that there is room without one.
+auto CheckRoom(Admission& state, const Submission& submission, core::Time now)
+    -> std::optional<Refusal> {
+  if (submission.grant != 0) {
+    return RedeemGrant(state.grants, state.slots, state.demand,
+                       {.id = submission.grant,
+                        .granter = submission.endpoint,
+                        .entry = submission.attempt.entry,
+                        .entry_incarnation = submission.attempt.incarnation,
+                        .service = submission.service,
+                        .workspace = submission.workspace},
+                       now);
+  }
+  if (MayAdmitDirect(state.slots, HasDemand(state.demand))) return std::nullopt;
+  return Refusal{core::Reason::no_room, AttemptStatus::not_run};
+}
+
+auto CheckKey(Admission& state, const Policy& policy, const Submission& submission, WallTime now)
+    -> std::optional<Refusal> {
+  if (!submission.key) return std::nullopt;
+  auto refusal = AdmitKey(state.keys, state.owners[submission.service], policy.keys,
+                          submission.service, submission.workspace, *submission.key, now);
+  if (!refusal) {
+    state.attempt_keys[submission.attempt] =
+        HashKey(OwnerText(submission.service, submission.workspace, *submission.key));
+  }
+  return refusal;
+}
+
+}  // namespace
+
+auto StartAdmission(core::Incarnation incarnation, std::uint32_t limit, const Now& now)
+    -> Admission {
+  Admission state;
+  state.slots.limit = limit;
+  state.grants.incarnation = incarnation;
+  state.attempts.incarnation = incarnation;
+  state.keys.started = now.wall;
+  return state;
+}
+
+auto Submit(Admission& state, const Policy& policy, const Submission& submission, const Now& now)
+    -> Decision {
+  const auto& attempt = submission.attempt;
+  auto refusal = AdmitAttempt(state.attempts, policy.attempts, attempt, submission.endpoint,
+                              submission.deadline, now.steady);
+  const auto room =
+      refusal && submission.grant == 0 ? std::nullopt : CheckRoom(state, submission, now.steady);
+  if (refusal) return Refuse(*refusal);
+  refusal = room ? room : CheckKey(state, policy, submission, now.wall);
+  if (refusal) {
+    // The attempt itself never runs, whatever is known of an earlier one with its key.
+    RefuseAttempt(state.attempts, attempt, refusal->reason, now.steady);
+    return Refuse(*refusal);
+  }
+  if (state.staged.empty() && MayStart(state.slots)) {
+    StartAttempt(state.attempts, attempt, now.steady);
+    ++state.slots.running;
+    return {.verdict = Verdict::run};
+  }
+  state.staged.push_back(attempt);
+  ++state.slots.staged;
+  return {.verdict = Verdict::staged};
+}
+
+auto StartNext(Admission& state, const Now& now) -> Starts {
+  Starts starts;
+  while (!state.staged.empty() && MayStart(state.slots)) {
+    const auto attempt = state.staged.front();
+    state.staged.pop_front();
+    --state.slots.staged;
+    const auto* record = FindAttempt(state.attempts, attempt);
+    if (record != nullptr && record->deadline <= now.steady) {
+      RefuseAttempt(state.attempts, attempt, core::Reason::deadline_exceeded, now.steady);
+      EndAttemptKey(state, attempt, core::Outcome::not_run);
+      starts.expired.push_back(attempt);
+    } else if (StartAttempt(state.attempts, attempt, now.steady)) {
+      ++state.slots.running;
+      starts.started.push_back(attempt);
+    }
+  }
+  return starts;
+}
+
+auto Finish(Admission& state, const Policy& policy, const core::AttemptId& attempt,
+            core::Outcome outcome, const Now& now) -> bool {
+  if (!EndAttempt(state.attempts, attempt, outcome, now.steady)) return false;
+  --state.slots.running;
+  EndAttemptKey(state, attempt, outcome);
+  EvictAttempts(state.attempts, policy.attempts, now.steady);
+  return true;
+}
+
+auto Withdraw(Admission& state, const Policy& policy, const core::AttemptId& attempt,
+              core::Incarnation endpoint, const Now& now) -> AttemptStatus {
+  const auto status =
+      WithdrawAttempt(state.attempts, policy.attempts, attempt, endpoint, now.steady);
+  if (status == AttemptStatus::not_run && std::erase(state.staged, attempt) > 0) {
+    --state.slots.staged;
+    EndAttemptKey(state, attempt, core::Outcome::not_run);
+  }
+  return status;
+}
+
+auto Issue(Admission& state, const DemandKey& key, std::uint32_t allowance,
+           core::Duration time_to_live, const Now& now) -> std::optional<Grant> {
+  if (state.attempts.draining || !MayGrant(state.slots, allowance)) return std::nullopt;
+  const auto entry = ChooseEntry(state.demand, key);
+  if (!entry) return std::nullopt;
+  return IssueGrant(state.grants, state.slots, state.demand, key, *entry,
+                    now.steady + time_to_live);
+}
+
+auto Drain(Admission& state) -> std::vector<Grant> {
+  state.attempts.draining = true;
+  std::vector<Grant> ended;
+  while (!state.grants.outstanding.empty()) {
+    const auto& grant = state.grants.outstanding.begin()->second;
+    const auto dropped = DropGrants(state.grants, state.slots, state.demand,
+                                    std::string(grant.entry), grant.entry_incarnation);
+    ended.insert(ended.end(), dropped.begin(), dropped.end());
+  }
+  return ended;
+}
+
+auto CloseEntry(Admission& state, const std::string& entry, core::Incarnation incarnation)
+    -> std::vector<Grant> {
+  auto dropped = DropGrants(state.grants, state.slots, state.demand, entry, incarnation);
+  CloseSource(state.demand, entry, incarnation);
+  return dropped;
+}
+
+auto Expire(Admission& state, const Policy& policy, const Now& now) -> std::vector<Grant> {
+  EvictAttempts(state.attempts, policy.attempts, now.steady);
+  EvictKeys(state.keys, policy.keys, now.wall);
+  return ExpireGrants(state.grants, state.slots, state.demand, now.steady);
+}
+
+}  // namespace filbertstair::admission
--- /dev/null
+++ b/libs/admission/src/attempts.cc
@@ -0,0 +1,202 @@
+#include "filbertstair/admission/attempts.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace filbertstair::admission {
+namespace {
+
+using SourceKey = std::pair<std::string, core::Incarnation>;
+
+// Returns whether a message names another incarnation of this process.
+auto NamesOther(const AttemptTable& table, core::Incarnation endpoint) -> bool {
+#ifdef FILBERTSTAIR_BROKEN_incarnation_check
+  static_cast<void>(table);
+  static_cast<void>(endpoint);
+  return false;
+#else
+  return endpoint != table.incarnation;
+#endif
+}
+
+// Returns whether a newer incarnation of the entry is known.
+auto HasNewer(const AttemptTable& table, const SourceKey& key) -> bool {
+  const auto next = table.sources.upper_bound(key);
+  return next != table.sources.end() && next->first.first == key.first;
+}
+
+auto FindRecord(AttemptTable& table, const core::AttemptId& id) -> Attempt* {
+  const auto source = table.sources.find({id.entry, id.incarnation});
+  if (source == table.sources.end()) return nullptr;
+  const auto record = source->second.attempts.find(id.serial);
+  return record == source->second.attempts.end() ? nullptr : &record->second;
+}
+
+// Returns whether an attempt without a record may have had one.
+auto MayBeEvicted(const AttemptTable& table, const core::AttemptId& id) -> bool {
+  const SourceKey key{id.entry, id.incarnation};
+  const auto source = table.sources.find(key);
+  if (source != table.sources.end()) return id.serial < source->second.low_water;
+  return id.incarnation < table.low_water || HasNewer(table, key);
+}
+
+auto AddRecord(AttemptTable& table, const core::AttemptId& id, core::Time now) -> Attempt& {
+  auto& source = table.sources[{id.entry, id.incarnation}];
+  source.changed = now;
+  return source.attempts[id.serial];
+}
+
+auto EndRecord(AttemptTable& table, const core::AttemptId& id, Attempt& attempt,
+               AttemptStatus status, std::optional<core::Reason> refusal, core::Time now) -> void {
+  attempt.state = AttemptState::ended;
+  attempt.status = status;
+  attempt.refusal = refusal;
+  attempt.changed = now;
+  table.ended.emplace_back(now, id);
+}
+
+// Records an attempt that is refused before it was ever staged.
+auto AddRefusal(AttemptTable& table, const AttemptPolicy& policy, const core::AttemptId& id,
+                core::Reason reason, core::Time now) -> Refusal {
+  EndRecord(table, id, AddRecord(table, id, now), AttemptStatus::not_run, reason, now);
+  EvictAttempts(table, policy, now);
+  return {.reason = reason, .status = AttemptStatus::not_run};
+}
+
+auto StatusOf(const Attempt& attempt) -> AttemptStatus {
+  return attempt.state == AttemptState::ended ? attempt.status : AttemptStatus::running;
+}
+
+// Evicts one ended record.
+auto EvictRecord(AttemptTable& table, const core::AttemptId& id) -> void {
+  const auto source = table.sources.find({id.entry, id.incarnation});
+  if (source == table.sources.end()) return;
+  source->second.attempts.erase(id.serial);
+  source->second.low_water = std::max(source->second.low_water, id.serial + 1);
+  // An older incarnation of an entry is refused without its source; see MayBeEvicted.
+  if (source->second.attempts.empty() && HasNewer(table, source->first)) {
+    table.sources.erase(source);
+  }
+}
+
+auto IsIdle(const AttemptSource& source) -> bool {
+  return std::all_of(source.attempts.begin(), source.attempts.end(), [](const auto& attempt) {
+    return attempt.second.state == AttemptState::ended;
+  });
+}
+
+// Evicts the sources unused for longest. Evicts a sixteenth more than necessary, since each call
+// examines all of them.
+auto EvictSources(AttemptTable& table, const AttemptPolicy& policy) -> void {
+  std::vector<std::pair<core::Time, SourceKey>> idle;
+  for (const auto& [key, source] : table.sources) {
+    if (IsIdle(source)) idle.emplace_back(source.changed, key);
+  }
+  std::sort(idle.begin(), idle.end());
+  const auto keep = policy.max_sources - policy.max_sources / 16;
+  for (const auto& [changed, key] : idle) {
+    if (table.sources.size() <= keep) break;
+    table.sources.erase(key);
+    table.low_water = std::max(table.low_water, key.second + 1);
+  }
+}
+
+}  // namespace
+
+auto AdmitAttempt(AttemptTable& table, const AttemptPolicy& policy, const core::AttemptId& id,
+                  core::Incarnation endpoint, core::Time deadline, core::Time now)
+    -> std::optional<Refusal> {
+  if (NamesOther(table, endpoint)) {
+    return Refusal{core::Reason::stale_incarnation, AttemptStatus::unknown};
+  }
+#ifndef FILBERTSTAIR_BROKEN_duplicate_check
+  if (const auto* known = FindRecord(table, id); known != nullptr) {
+    return Refusal{known->refusal.value_or(core::Reason::duplicate_attempt), StatusOf(*known)};
+  }
+#endif
+  const auto older = HasNewer(table, {id.entry, id.incarnation});
+  if (MayBeEvicted(table, id)) {
+    const auto forgotten_source = older || !table.sources.contains({id.entry, id.incarnation});
+    return Refusal{
+        forgotten_source ? core::Reason::stale_incarnation : core::Reason::duplicate_attempt,
+        AttemptStatus::unknown};
+  }
+  if (older) return AddRefusal(table, policy, id, core::Reason::stale_incarnation, now);
+  if (table.draining) return AddRefusal(table, policy, id, core::Reason::draining, now);
+  if (deadline <= now) {
+    return AddRefusal(table, policy, id, core::Reason::deadline_exceeded, now);
+  }
+  auto& attempt = AddRecord(table, id, now);
+  attempt.state = AttemptState::staged;
+  attempt.deadline = deadline;
+  attempt.changed = now;
+  EvictAttempts(table, policy, now);
+  return std::nullopt;
+}
+
+auto StartAttempt(AttemptTable& table, const core::AttemptId& id, core::Time now) -> bool {
+  auto* attempt = FindRecord(table, id);
+  if (attempt == nullptr || attempt->state != AttemptState::staged) return false;
+  attempt->state = AttemptState::running;
+  attempt->changed = now;
+  return true;
+}
+
+auto RefuseAttempt(AttemptTable& table, const core::AttemptId& id, core::Reason reason,
+                   core::Time now) -> bool {
+  auto* attempt = FindRecord(table, id);
+  if (attempt == nullptr || attempt->state != AttemptState::staged) return false;
+  EndRecord(table, id, *attempt, AttemptStatus::not_run, reason, now);
+  return true;
+}
+
+auto EndAttempt(AttemptTable& table, const core::AttemptId& id, core::Outcome outcome,
+                core::Time now) -> bool {
+  auto* attempt = FindRecord(table, id);
+  if (attempt == nullptr || attempt->state != AttemptState::running) return false;
+  switch (outcome) {
+    case core::Outcome::not_run:
+      EndRecord(table, id, *attempt, AttemptStatus::not_run, core::Reason::engine_unreachable, now);
+      break;
+    case core::Outcome::ran:
+      EndRecord(table, id, *attempt, AttemptStatus::ran, std::nullopt, now);
+      break;
+    case core::Outcome::unknown:
+      EndRecord(table, id, *attempt, AttemptStatus::unknown, std::nullopt, now);
+      break;
+  }
+  return true;
+}
+
+auto WithdrawAttempt(AttemptTable& table, const AttemptPolicy& policy, const core::AttemptId& id,
+                     core::Incarnation endpoint, core::Time now) -> AttemptStatus {
+  if (NamesOther(table, endpoint)) return AttemptStatus::unknown;
+  if (const auto* known = FindRecord(table, id); known != nullptr) {
+    if (known->state != AttemptState::staged) return StatusOf(*known);
+    RefuseAttempt(table, id, core::Reason::withdrawn, now);
+    return AttemptStatus::not_run;
+  }
+  if (MayBeEvicted(table, id)) return AttemptStatus::unknown;
+#ifndef FILBERTSTAIR_BROKEN_withdraw_record
+  AddRefusal(table, policy, id, core::Reason::withdrawn, now);
+#endif
+  return AttemptStatus::not_run;
+}
+
+auto EvictAttempts(AttemptTable& table, const AttemptPolicy& policy, core::Time now) -> void {
+  while (!table.ended.empty() && (table.ended.size() > policy.max_records ||
+                                  now - table.ended.front().first >= policy.retention)) {
+    EvictRecord(table, table.ended.front().second);
+    table.ended.pop_front();
+  }
+  if (table.sources.size() > policy.max_sources) EvictSources(table, policy);
+}
+
+auto FindAttempt(const AttemptTable& table, const core::AttemptId& id) -> const Attempt* {
+  const auto source = table.sources.find({id.entry, id.incarnation});
+  if (source == table.sources.end()) return nullptr;
+  const auto record = source->second.attempts.find(id.serial);
+  return record == source->second.attempts.end() ? nullptr : &record->second;
+}
+
+}  // namespace filbertstair::admission
--- /dev/null
+++ b/libs/admission/src/limit.cc
@@ -0,0 +1,203 @@
+#include "filbertstair/admission/limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertstair::admission {
+namespace {
+
+// Pairs without which the spread of the gains is not known well enough for a decision.
+constexpr std::uint32_t kMinPairs = 4;
+// Least standard error assumed, so that a few gains that agree by chance decide nothing close.
+constexpr double kMinError = 0.02;
+// Share by which the mean number in flight may differ from the limit in a valid measurement.
+constexpr double kInFlightTolerance = 0.1;
+// Lagging load reports with waiting requests after which the limit is not raised.
+constexpr std::uint32_t kQueuedReports = 3;
+constexpr std::uint32_t kMaxRestDoublings = 4;
+
+auto ProbedLimit(const LimitPolicy& policy, const LimitState& state) -> std::uint32_t {
+  switch (state.probe) {
+    case Probe::up:
+      return std::min(policy.max_slots, state.limit + std::max(1U, state.limit / 4));
+    case Probe::down:
+      return std::max(policy.min_slots, state.limit - std::max(1U, state.limit / 5));
+    case Probe::none:
+      break;
+  }
+  return state.limit;
+}
+
+auto Target(const LimitPolicy& policy, const LimitState& state) -> std::uint32_t {
+  return state.probing ? ProbedLimit(policy, state) : state.limit;
+}
+
+auto StartWindow(LimitState& state, core::Time now) -> void {
+  state.window_start = now;
+  state.in_flight_since = now;
+  state.in_flight_time = 0;
+  state.work = 0;
+}
+
+auto StartProbe(LimitState& state, Probe probe) -> void {
+  state.probe = probe;
+  state.settling = state.settling || state.probing;
+  state.probing = false;
+  state.discarded = 0;
+  state.first_rate = 0;
+  state.pairs = 0;
+  state.gain_sum = 0;
+  state.gain_square_sum = 0;
+}
+
+auto Rest(const LimitPolicy& policy, LimitState& state, core::Time now) -> void {
+  StartProbe(state, Probe::none);
+  state.rest_until = now + policy.rest * (1U << std::min(state.idle_probes, kMaxRestDoublings));
+  ++state.idle_probes;
+}
+
+auto MayRaise(const LimitPolicy& policy, const LimitState& state) -> bool {
+  return state.limit < policy.max_slots && state.queued_reports < kQueuedReports;
+}
+
+// Goes on after a probe that changed nothing: a failed rise is followed by a probe downwards.
+auto Continue(const LimitPolicy& policy, LimitState& state, core::Time now) -> void {
+  if (state.probe == Probe::up && state.limit > policy.min_slots) {
+    StartProbe(state, Probe::down);
+  } else {
+    Rest(policy, state, now);
+  }
+}
+
+// Goes on after a change: the same direction again until it changes nothing.
+auto Change(const LimitPolicy& policy, LimitState& state, core::Time now) -> void {
+  const auto probe = state.probe;
+  state.limit = ProbedLimit(policy, state);
+  // The probed limit, now in force, was measured last or is one switch away.
+  state.settling = state.settling || !state.probing;
+  state.probing = false;
+  state.idle_probes = 0;
+  const auto at_bound =
+      probe == Probe::up ? !MayRaise(policy, state) : state.limit <= policy.min_slots;
+  if (at_bound) {
+    Rest(policy, state, now);
+  } else {
+    StartProbe(state, probe);
+  }
+}
+
+// Decides on the probe after a complete pair.
+auto Decide(const LimitPolicy& policy, LimitState& state, core::Time now) -> void {
+  if (state.pairs < std::min(kMinPairs, policy.max_pairs)) return;
+  const double n = state.pairs;
+  const auto mean = state.gain_sum / n;
+  const auto variance =
+      n > 1 ? std::max(0.0, (state.gain_square_sum - n * mean * mean) / (n - 1)) : 0.0;
+  const auto margin = policy.confidence * std::max(kMinError, std::sqrt(variance / n));
+  const auto worth_it = mean - margin > policy.min_gain;
+  const auto not_worth_it = mean + margin < policy.min_gain;
+  if ((state.probe == Probe::up && worth_it) || (state.probe == Probe::down && not_worth_it)) {
+    Change(policy, state, now);
+  } else if (worth_it || not_worth_it || state.pairs >= policy.max_pairs) {
+    Continue(policy, state, now);
+  }
+}
+
+// Adds a valid measurement to the current pair.
+auto AddMeasurement(const LimitPolicy& policy, LimitState& state, double rate, core::Time now)
+    -> void {
+  if (state.first_rate == 0) {
+    state.first_rate = rate;
+    state.probing = !state.probing;
+    state.settling = true;
+    return;
+  }
+  const auto probed = static_cast<double>(ProbedLimit(policy, state));
+  const auto limit = static_cast<double>(state.limit);
+  const auto probed_rate = state.probing ? rate : state.first_rate;
+  const auto limit_rate = state.probing ? state.first_rate : rate;
+  // Gain in throughput relative to the gain in requests in flight, both from the lower limit to the
+  // higher one.
+  const auto gain = state.probe == Probe::up
+                        ? (probed_rate / limit_rate - 1) / (probed / limit - 1)
+                        : (limit_rate / probed_rate - 1) / (limit / probed - 1);
+  ++state.pairs;
+  state.gain_sum += gain;
+  state.gain_square_sum += gain * gain;
+  // The next pair begins with the limit that this one ended with.
+  state.first_rate = 0;
+  Decide(policy, state, now);
+}
+
+}  // namespace
+
+auto StartLimit(const LimitPolicy& policy, core::Time now) -> LimitState {
+  LimitState state;
+  state.limit = policy.max_slots;
+  state.rest_until = now;
+  StartWindow(state, now);
+  return state;
+}
+
+auto ObserveInFlight(LimitState& state, std::uint32_t in_flight, core::Time now) -> void {
+  if (now > state.in_flight_since) {
+    state.in_flight_time +=
+        static_cast<double>((now - state.in_flight_since).count()) * state.in_flight;
+    state.in_flight_since = now;
+  }
+  state.in_flight = in_flight;
+}
+
+auto ObserveWork(LimitState& state, double work) -> void { state.work += work; }
+
+auto ObserveLoadReport(LimitState& state, std::uint32_t waiting) -> void {
+  state.queued_reports = waiting > 0 ? state.queued_reports + 1 : 0;
+}
+
+auto UpdateLimit(const LimitPolicy& policy, LimitState& state, core::Time now) -> std::uint32_t {
+  ObserveInFlight(state, state.in_flight, now);
+  const auto bounded = std::clamp(state.limit, policy.min_slots, policy.max_slots);
+  if (bounded != state.limit) {
+    state.limit = bounded;
+    StartProbe(state, Probe::none);
+    state.settling = true;
+    StartWindow(state, now);
+  }
+  if (policy.min_slots >= policy.max_slots) return state.limit;
+
+  if (state.probe == Probe::none) {
+    if (now < state.rest_until) return state.limit;
+    if (MayRaise(policy, state)) {
+      StartProbe(state, Probe::up);
+    } else if (state.limit > policy.min_slots) {
+      StartProbe(state, Probe::down);
+    } else {
+      return state.limit;
+    }
+    StartWindow(state, now);
+    return state.limit;
+  }
+
+  const auto elapsed = now - state.window_start;
+  if (elapsed < policy.window) return Target(policy, state);
+  const auto expired = elapsed >= policy.window * policy.max_discarded;
+  if (!state.settling && !expired && state.work < policy.min_work) return Target(policy, state);
+
+  const auto target = static_cast<double>(Target(policy, state));
+  const auto in_flight = state.in_flight_time / static_cast<double>(elapsed.count());
+  const auto saturated = std::abs(in_flight - target) <= kInFlightTolerance * target;
+  const auto rate = state.work / std::chrono::duration<double>(elapsed).count();
+  const auto valid = saturated && state.work >= policy.min_work && !state.settling;
+  if (valid) {
+    state.discarded = 0;
+    AddMeasurement(policy, state, rate, now);
+  } else if (state.settling && saturated) {
+    state.settling = false;
+  } else if (++state.discarded >= policy.max_discarded || expired) {
+    Rest(policy, state, now);
+  }
+  StartWindow(state, now);
+  return Target(policy, state);
+}
+
+}  // namespace filbertstair::admission
