Key demand by control stream and keep refusals of attempts

Cause: a control stream that ends after the entry has opened another one would have dropped the new demand, and a duplicate of an attempt refused for its key would have been answered with another status than the first. Change: sources name their control stream; attempt records keep the whole refusal.

--- a/libs/admission/include/filbertstair/admission/admission.h
+++ b/libs/admission/include/filbertstair/admission/admission.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSTAIR_ADMISSION_ADMISSION_H_
 #define FILBERTSTAIR_ADMISSION_ADMISSION_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -102,8 +103,16 @@
 // grants, which end.
 auto Drain(Admission& state) -> std::vector<Grant>;
 
-// Drops the demand and the grants of an entry whose control stream ended.
-auto CloseEntry(Admission& state, const std::string& entry, core::Incarnation incarnation)
+// Records that an entry opened a control stream. Demand and grants of its previous stream end,
+// since grants sent on that one may never have arrived. Returns the ended grants, or nothing if the
+// stream belongs to an incarnation older than the known one and is to be closed.
+auto OpenEntry(Admission& state, const std::string& entry, core::Incarnation incarnation,
+               std::uint64_t stream, const std::string& region)
+    -> std::optional<std::vector<Grant>>;
+
+// Drops the demand and the grants of an entry whose control stream ended, and returns the grants.
+// Ignored if the entry has since opened another stream.
+auto CloseEntry(Admission& state, const std::string& entry, std::uint64_t stream)
     -> std::vector<Grant>;
 
 // Expires grants and evicts old records. To be called a few times per second; returns the expired
--- a/libs/admission/include/filbertstair/admission/attempts.h
+++ b/libs/admission/include/filbertstair/admission/attempts.h
@@ -31,11 +31,9 @@
   AttemptState state = AttemptState::staged;
   // Meaningful once ended: not_run, ran or unknown.
   AttemptStatus status = AttemptStatus::unknown;
-  // Reason of a refusal with status not_run; repeated for duplicates.
-  std::optional<core::Reason> refusal;
+  // Answer to the Submit if it was refused; repeated for duplicates.
+  std::optional<Refusal> refusal;
   core::Time deadline{};
-  // Time of the last change of state.
-  core::Time changed{};
 };
 
 // Attempts of one incarnation of an entry.
@@ -61,7 +59,7 @@
 // Decides on a submitted attempt and records the decision. `endpoint` is the incarnation of this
 // process that the Submit names. Refuses, without a record, one that names another incarnation
 // (stale_incarnation, unknown). Refuses one that was decided before: withdrawn or refused ones with
-// their first reason and not_run, others with duplicate_attempt and what is known. Refuses one
+// their first refusal, others with duplicate_attempt and what is known. Refuses one
 // whose record may have been evicted (duplicate_attempt or stale_incarnation, unknown). Refuses
 // with not_run one that arrives while draining or past its deadline. Otherwise records the attempt
 // as staged and returns nothing; the caller then calls StartAttempt, or RefuseAttempt if a later
@@ -71,10 +69,11 @@
     -> std::optional<Refusal>;
 
 // Marks a staged attempt as running. Returns false if it is not staged.
-auto StartAttempt(AttemptTable& table, const core::AttemptId& id, core::Time now) -> bool;
+auto StartAttempt(AttemptTable& table, const core::AttemptId& id) -> bool;
 
-// Ends a staged attempt as not run. Returns false if it is not staged.
-auto RefuseAttempt(AttemptTable& table, const core::AttemptId& id, core::Reason reason,
+// Ends a staged attempt as not run. `refusal` is the answer to its Submit, whose status may concern
+// an earlier attempt with the same key. Returns false if the attempt is not staged.
+auto RefuseAttempt(AttemptTable& table, const core::AttemptId& id, const Refusal& refusal,
                    core::Time now) -> bool;
 
 // Ends a running attempt. `outcome` is not_run only if no byte of it reached the replica. Returns
--- a/libs/admission/include/filbertstair/admission/demand.h
+++ b/libs/admission/include/filbertstair/admission/demand.h
@@ -41,6 +41,8 @@
 
 struct DemandSource {
   core::Incarnation incarnation = 0;
+  // Number of the control stream, unique within this process.
+  std::uint64_t stream = 0;
   std::string region;
   // Set when a grant to the entry expired: a frozen entry then costs one slot for one time to live
   // and no more. Cleared by the entry's next message.
@@ -65,15 +67,14 @@
   std::uint32_t waiting = 0;
 };
 
-// Records that an entry opened a control stream. Returns false, and changes nothing, if a newer
-// incarnation of the entry is known.
+// Records that an entry opened a control stream; it replaces the entry's previous one. Returns
+// false, and changes nothing, if a newer incarnation of the entry is known.
 auto OpenSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
-                const std::string& region) -> bool;
+                std::uint64_t stream, const std::string& region) -> bool;
 
-// Drops the entry's demand when its control stream ends. Ignored if the table holds another
-// incarnation of the entry.
-auto CloseSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation)
-    -> void;
+// Drops the entry's demand when its control stream ends. Returns false, and changes nothing, if the
+// entry has since opened another one.
+auto CloseSource(DemandTable& table, const std::string& entry, std::uint64_t stream) -> bool;
 
 // Replaces everything the entry announced before. Returns false, and changes nothing, if the table
 // holds no or another incarnation of the entry.
--- a/libs/admission/src/admission.cc
+++ b/libs/admission/src/admission.cc
@@ -38,8 +38,11 @@
 auto CheckKey(Admission& state, const Policy& policy, const Submission& submission, WallTime now)
     -> std::optional<Refusal> {
   if (!submission.key) return std::nullopt;
-  auto refusal = AdmitKey(state.keys, state.owners[submission.service], policy.keys,
-                          submission.service, submission.workspace, *submission.key, now);
+  static const OwnerHistory kNoHistory;
+  const auto owners = state.owners.find(submission.service);
+  auto refusal =
+      AdmitKey(state.keys, owners == state.owners.end() ? kNoHistory : owners->second, policy.keys,
+               submission.service, submission.workspace, *submission.key, now);
   if (!refusal) {
     state.attempt_keys[submission.attempt] =
         HashKey(OwnerText(submission.service, submission.workspace, *submission.key));
@@ -70,17 +73,17 @@
   refusal = room ? room : CheckKey(state, policy, submission, now.wall);
   if (refusal) {
     // The attempt itself never runs, whatever is known of an earlier one with its key.
-    RefuseAttempt(state.attempts, attempt, refusal->reason, now.steady);
+    RefuseAttempt(state.attempts, attempt, *refusal, now.steady);
     return Refuse(*refusal);
   }
   if (state.staged.empty() && MayStart(state.slots)) {
-    StartAttempt(state.attempts, attempt, now.steady);
+    StartAttempt(state.attempts, attempt);
     ++state.slots.running;
-    return {.verdict = Verdict::run};
+    return {.verdict = Verdict::run, .refusal = {}};
   }
   state.staged.push_back(attempt);
   ++state.slots.staged;
-  return {.verdict = Verdict::staged};
+  return {.verdict = Verdict::staged, .refusal = {}};
 }
 
 auto StartNext(Admission& state, const Now& now) -> Starts {
@@ -91,10 +94,11 @@
     --state.slots.staged;
     const auto* record = FindAttempt(state.attempts, attempt);
     if (record != nullptr && record->deadline <= now.steady) {
-      RefuseAttempt(state.attempts, attempt, core::Reason::deadline_exceeded, now.steady);
+      RefuseAttempt(state.attempts, attempt,
+                    {core::Reason::deadline_exceeded, AttemptStatus::not_run}, now.steady);
       EndAttemptKey(state, attempt, core::Outcome::not_run);
       starts.expired.push_back(attempt);
-    } else if (StartAttempt(state.attempts, attempt, now.steady)) {
+    } else if (StartAttempt(state.attempts, attempt)) {
       ++state.slots.running;
       starts.started.push_back(attempt);
     }
@@ -143,11 +147,23 @@
   return ended;
 }
 
-auto CloseEntry(Admission& state, const std::string& entry, core::Incarnation incarnation)
+auto OpenEntry(Admission& state, const std::string& entry, core::Incarnation incarnation,
+               std::uint64_t stream, const std::string& region)
+    -> std::optional<std::vector<Grant>> {
+  const auto known = state.demand.sources.find(entry);
+  const auto previous =
+      known == state.demand.sources.end() ? incarnation : known->second.incarnation;
+  if (!OpenSource(state.demand, entry, incarnation, stream, region)) return std::nullopt;
+  return DropGrants(state.grants, state.slots, state.demand, entry, previous);
+}
+
+auto CloseEntry(Admission& state, const std::string& entry, std::uint64_t stream)
     -> std::vector<Grant> {
-  auto dropped = DropGrants(state.grants, state.slots, state.demand, entry, incarnation);
-  CloseSource(state.demand, entry, incarnation);
-  return dropped;
+  const auto known = state.demand.sources.find(entry);
+  if (known == state.demand.sources.end()) return {};
+  const auto incarnation = known->second.incarnation;
+  if (!CloseSource(state.demand, entry, stream)) return {};
+  return DropGrants(state.grants, state.slots, state.demand, entry, incarnation);
 }
 
 auto Expire(Admission& state, const Policy& policy, const Now& now) -> std::vector<Grant> {
--- a/libs/admission/src/attempts.cc
+++ b/libs/admission/src/attempts.cc
@@ -1,7 +1,6 @@
 #include "filbertstair/admission/attempts.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace filbertstair::admission {
 namespace {
@@ -47,20 +46,21 @@
 }
 
 auto EndRecord(AttemptTable& table, const core::AttemptId& id, Attempt& attempt,
-               AttemptStatus status, std::optional<core::Reason> refusal, core::Time now) -> void {
+               AttemptStatus status, const std::optional<Refusal>& refusal, core::Time now)
+    -> void {
   attempt.state = AttemptState::ended;
   attempt.status = status;
   attempt.refusal = refusal;
-  attempt.changed = now;
   table.ended.emplace_back(now, id);
 }
 
 // Records an attempt that is refused before it was ever staged.
 auto AddRefusal(AttemptTable& table, const AttemptPolicy& policy, const core::AttemptId& id,
                 core::Reason reason, core::Time now) -> Refusal {
-  EndRecord(table, id, AddRecord(table, id, now), AttemptStatus::not_run, reason, now);
+  const Refusal refusal{reason, AttemptStatus::not_run};
+  EndRecord(table, id, AddRecord(table, id, now), AttemptStatus::not_run, refusal, now);
   EvictAttempts(table, policy, now);
-  return {.reason = reason, .status = AttemptStatus::not_run};
+  return refusal;
 }
 
 auto StatusOf(const Attempt& attempt) -> AttemptStatus {
@@ -111,7 +111,7 @@
   }
 #ifndef FILBERTSTAIR_BROKEN_duplicate_check
   if (const auto* known = FindRecord(table, id); known != nullptr) {
-    return Refusal{known->refusal.value_or(core::Reason::duplicate_attempt), StatusOf(*known)};
+    return known->refusal.value_or(Refusal{core::Reason::duplicate_attempt, StatusOf(*known)});
   }
 #endif
   const auto older = HasNewer(table, {id.entry, id.incarnation});
@@ -129,24 +129,22 @@
   auto& attempt = AddRecord(table, id, now);
   attempt.state = AttemptState::staged;
   attempt.deadline = deadline;
-  attempt.changed = now;
   EvictAttempts(table, policy, now);
   return std::nullopt;
 }
 
-auto StartAttempt(AttemptTable& table, const core::AttemptId& id, core::Time now) -> bool {
+auto StartAttempt(AttemptTable& table, const core::AttemptId& id) -> bool {
   auto* attempt = FindRecord(table, id);
   if (attempt == nullptr || attempt->state != AttemptState::staged) return false;
   attempt->state = AttemptState::running;
-  attempt->changed = now;
   return true;
 }
 
-auto RefuseAttempt(AttemptTable& table, const core::AttemptId& id, core::Reason reason,
+auto RefuseAttempt(AttemptTable& table, const core::AttemptId& id, const Refusal& refusal,
                    core::Time now) -> bool {
   auto* attempt = FindRecord(table, id);
   if (attempt == nullptr || attempt->state != AttemptState::staged) return false;
-  EndRecord(table, id, *attempt, AttemptStatus::not_run, reason, now);
+  EndRecord(table, id, *attempt, AttemptStatus::not_run, refusal, now);
   return true;
 }
 
@@ -156,7 +154,8 @@
   if (attempt == nullptr || attempt->state != AttemptState::running) return false;
   switch (outcome) {
     case core::Outcome::not_run:
-      EndRecord(table, id, *attempt, AttemptStatus::not_run, core::Reason::engine_unreachable, now);
+      EndRecord(table, id, *attempt, AttemptStatus::not_run,
+                Refusal{core::Reason::engine_unreachable, AttemptStatus::not_run}, now);
       break;
     case core::Outcome::ran:
       EndRecord(table, id, *attempt, AttemptStatus::ran, std::nullopt, now);
@@ -173,7 +172,7 @@
   if (NamesOther(table, endpoint)) return AttemptStatus::unknown;
   if (const auto* known = FindRecord(table, id); known != nullptr) {
     if (known->state != AttemptState::staged) return StatusOf(*known);
-    RefuseAttempt(table, id, core::Reason::withdrawn, now);
+    RefuseAttempt(table, id, {core::Reason::withdrawn, AttemptStatus::not_run}, now);
     return AttemptStatus::not_run;
   }
   if (MayBeEvicted(table, id)) return AttemptStatus::unknown;
--- a/libs/admission/src/demand.cc
+++ b/libs/admission/src/demand.cc
@@ -43,19 +43,21 @@
 }  // namespace
 
 auto OpenSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
-                const std::string& region) -> bool {
+                std::uint64_t stream, const std::string& region) -> bool {
   const auto [source, added] = table.sources.try_emplace(entry);
   if (!added && source->second.incarnation > incarnation) return false;
   if (!added) DropRows(table, entry);
-  source->second = {.incarnation = incarnation, .region = region};
+  source->second = {
+      .incarnation = incarnation, .stream = stream, .region = region, .paused = false, .keys = {}};
   return true;
 }
 
-auto CloseSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation)
-    -> void {
-  if (FindSource(table, entry, incarnation) == nullptr) return;
+auto CloseSource(DemandTable& table, const std::string& entry, std::uint64_t stream) -> bool {
+  const auto source = table.sources.find(entry);
+  if (source == table.sources.end() || source->second.stream != stream) return false;
   DropRows(table, entry);
-  table.sources.erase(entry);
+  table.sources.erase(source);
+  return true;
 }
 
 auto ReplaceDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
--- a/libs/admission/src/limit.cc
+++ b/libs/admission/src/limit.cc
@@ -94,9 +94,10 @@
   const auto variance =
       n > 1 ? std::max(0.0, (state.gain_square_sum - n * mean * mean) / (n - 1)) : 0.0;
   const auto margin = policy.confidence * std::max(kMinError, std::sqrt(variance / n));
+  const auto may_change = state.probe == Probe::down || MayRaise(policy, state);
   const auto worth_it = mean - margin > policy.min_gain;
   const auto not_worth_it = mean + margin < policy.min_gain;
-  if ((state.probe == Probe::up && worth_it) || (state.probe == Probe::down && not_worth_it)) {
+  if (may_change && (state.probe == Probe::up ? worth_it : not_worth_it)) {
     Change(policy, state, now);
   } else if (worth_it || not_worth_it || state.pairs >= policy.max_pairs) {
     Continue(policy, state, now);
