Add the first version of the fair-share decisions

Cause: other libraries build on the interface of the share table. Change: charges, levels, picks and the exchange as free functions over ShareTable, with headers shares.h and exchange.h.

--- /dev/null
+++ b/libs/shares/include/filbertstair/shares/exchange.h
@@ -0,0 +1,80 @@
+#ifndef FILBERTSTAIR_SHARES_EXCHANGE_H_
+#define FILBERTSTAIR_SHARES_EXCHANGE_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "filbertstair/core/names.h"
+#include "filbertstair/shares/shares.h"
+
+namespace filbertstair::shares {
+
+// What one process sends to another: its own counters (endpoint to entry), all rows it knows (entry
+// to entry), or sums over the fleet (entry to endpoint).
+enum class Feed { own, rows, totals };
+}  // namespace filbertstair::shares
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<shares::Feed, 3> kNames<shares::Feed>{
+    {{shares::Feed::own, "own"}, {shares::Feed::rows, "rows"}, {shares::Feed::totals, "totals"}}};
+}  // namespace filbertstair::core
+
+namespace filbertstair::shares {
+
+// One workspace in a message. `source` and `incarnation` are those of the counter's owner for rows,
+// kNone and 0 for the sender's own counter.
+struct Update {
+  Workspace workspace = 0;
+  Source source = kNone;
+  Incarnation incarnation = 0;
+  // Counter of the source, or the fleet's total for Feed::totals.
+  Cost counter = 0;
+  // For Feed::totals, the part of the receiver's own counter within `counter`.
+  Cost contained = 0;
+};
+
+// What a peer was last sent about one workspace.
+struct Sent {
+  Cost total = -1;
+  std::uint64_t version = 0;
+  bool queued = false;
+};
+
+// State of the exchange with one peer. A new connection starts with a new Link.
+struct Link {
+  Feed feed = Feed::own;
+  // The peer as a source and its incarnation, for Feed::totals and to send it nothing of its own.
+  Source peer = kNone;
+  Incarnation incarnation = 0;
+  std::vector<Sent> sent;
+  // Rows that changed but did not fit the budget, and the table's version at the last selection.
+  std::vector<Workspace> backlog;
+  std::uint64_t scanned = 0;
+};
+
+// Encoded size of an update without the workspace's name: tags, lengths, workspace number and one
+// or two counters as varints. The name is sent once per connection.
+inline constexpr std::size_t kUpdateBytes = 20;
+
+// Returns the updates that carry the largest unreported changes and fit into `budget` bytes, and
+// marks them as sent. Takes time in proportion to the rows changed since the last call. Call
+// Advance first.
+auto SelectUpdates(const ShareTable& table, Link& link, std::size_t budget) -> std::vector<Update>;
+
+// Takes the counter of a source into account. Idempotent and independent of the order of calls.
+auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
+           Cost counter) -> void;
+
+// Takes a feeder's sum into account: the fleet's `total`, of which `contained` is this process's
+// own counter. The largest sum over all feeders counts.
+auto MergeTotal(ShareTable& table, Workspace workspace, Cost total, Cost contained) -> void;
+
+// Sums up the rows of incarnations of `source` below `incarnation`, once no counter of theirs can
+// arrive any more. A later counter of such an incarnation would be counted twice; the caller does
+// not merge it.
+auto Fold(ShareTable& table, Source source, Incarnation incarnation) -> void;
+
+}  // namespace filbertstair::shares
+
+#endif  // FILBERTSTAIR_SHARES_EXCHANGE_H_
--- /dev/null
+++ b/libs/shares/src/exchange.cc
@@ -0,0 +1,132 @@
+#include "filbertstair/shares/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "detail.h"
+
+namespace filbertstair::shares {
+namespace {
+
+// Part of a row's total that the peer itself reported in its current incarnation.
+auto Contained(const Row& row, const Link& link) -> Cost {
+  for (const Heard& heard : row.heard) {
+    if (heard.source == link.peer && heard.incarnation == link.incarnation) return heard.counter;
+  }
+  return 0;
+}
+
+// Sum of what a link may report about a row.
+auto Reportable(const Row& row, const Link& link) -> Cost {
+  if (link.feed == Feed::own) return row.own;
+  return Total(row) - Contained(row, link);
+}
+
+// Collects the rows that changed since the last selection.
+auto Scan(const ShareTable& table, Link& link) -> void {
+  if (link.sent.size() < table.rows.size()) link.sent.resize(table.rows.size());
+  for (Workspace w = table.newest; w != kNone; w = table.rows[w].older) {
+    if (table.rows[w].version <= link.scanned) break;
+    if (std::exchange(link.sent[w].queued, true)) continue;
+    link.backlog.push_back(w);
+  }
+  link.scanned = table.version;
+}
+
+// Appends the updates about one row.
+auto Append(const ShareTable& table, const Link& link, Workspace workspace,
+            std::vector<Update>& updates) -> void {
+  const Row& row = table.rows[workspace];
+  if (link.feed == Feed::totals) {
+    updates.push_back({workspace, kNone, 0, Total(row), Contained(row, link)});
+    return;
+  }
+  const std::uint64_t since = link.sent[workspace].version;
+  if (row.own_version > since) updates.push_back({workspace, kNone, 0, row.own, 0});
+  if (link.feed == Feed::own) return;
+  for (const Heard& heard : row.heard) {
+    if (heard.version > since && heard.source != link.peer) {
+      updates.push_back({workspace, heard.source, heard.incarnation, heard.counter, 0});
+    }
+  }
+}
+
+}  // namespace
+
+auto SelectUpdates(const ShareTable& table, Link& link, std::size_t budget) -> std::vector<Update> {
+  Scan(table, link);
+  std::vector<std::pair<Cost, Workspace>> changes;
+  changes.reserve(link.backlog.size());
+  for (const Workspace w : link.backlog) {
+    const Cost change = Reportable(table.rows[w], link) - std::max<Cost>(link.sent[w].total, 0);
+    if (change > 0) {
+      changes.emplace_back(change, w);
+    } else {
+      link.sent[w].queued = false;
+    }
+  }
+  const auto largest_first = [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second < b.second;
+  };
+  const std::size_t fitting = std::min(changes.size(), budget / kUpdateBytes);
+  std::ranges::partial_sort(changes, changes.begin() + static_cast<std::ptrdiff_t>(fitting),
+                            largest_first);
+  std::vector<Update> updates;
+  link.backlog.clear();
+  for (std::size_t i = 0; i < changes.size(); ++i) {
+    const Workspace w = changes[i].second;
+    const std::size_t before = updates.size();
+    Sent& sent = link.sent[w];
+    std::size_t bytes = 0;
+    if (i < fitting) {
+      Append(table, link, w, updates);
+      bytes = (updates.size() - before) * kUpdateBytes +
+              (sent.total < 0 ? table.rows[w].name.size() : 0);
+    }
+    if (i >= fitting || bytes > budget) {
+      updates.resize(before);
+      link.backlog.push_back(w);
+      continue;
+    }
+    budget -= bytes;
+    sent = {Reportable(table.rows[w], link), table.rows[w].version, false};
+  }
+  return updates;
+}
+
+auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
+           Cost counter) -> void {
+  Row& row = table.rows[workspace];
+  auto it = std::ranges::find_if(row.heard, [&](const Heard& heard) {
+    return heard.source == source && heard.incarnation == incarnation;
+  });
+  if (it == row.heard.end()) it = row.heard.insert(it, {source, incarnation, 0, 0});
+  if (counter <= it->counter) return;
+  row.heard_sum += counter - it->counter;
+  it->counter = counter;
+  detail::Touch(table, workspace);
+  it->version = row.version;
+}
+
+auto MergeTotal(ShareTable& table, Workspace workspace, Cost total, Cost contained) -> void {
+  Row& row = table.rows[workspace];
+  const Cost others = total - contained;
+  if (others <= row.others) return;
+  const Level before = LevelOf(table, workspace);
+  row.others = others;
+  if (table.learning) row.lift += before - LevelOf(table, workspace);
+  detail::Touch(table, workspace);
+}
+
+auto Fold(ShareTable& table, Source source, Incarnation incarnation) -> void {
+  for (Row& row : table.rows) {
+    std::erase_if(row.heard, [&](const Heard& heard) {
+      if (heard.source != source || heard.incarnation >= incarnation) return false;
+      row.heard_sum -= heard.counter;
+      row.past += heard.counter;
+      return true;
+    });
+  }
+}
+
+}  // namespace filbertstair::shares
--- /dev/null
+++ b/libs/shares/src/shares.cc
@@ -0,0 +1,235 @@
+#include "filbertstair/shares/shares.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <string>
+
+#include "detail.h"
+
+namespace filbertstair::shares {
+namespace {
+
+auto Intern(Names& names, std::string_view name) -> std::pair<std::uint32_t, bool> {
+  if (const auto it = names.find(name); it != names.end()) return {it->second, false};
+  const auto index = static_cast<std::uint32_t>(names.size());
+  names.emplace(name, index);
+  return {index, true};
+}
+
+// Raises the published counter to what the settings let it contain.
+auto Republish(ShareTable& table, Workspace workspace) -> void {
+  Row& row = table.rows[workspace];
+  const Cost value = table.settings.publish == Publish::granted ? row.charged : row.elapsed;
+  if (value <= row.own) return;
+  row.own = value;
+  detail::Touch(table, workspace);
+  row.own_version = row.version;
+}
+
+auto Remember(double& mean, double gain, Cost cost) -> void {
+  mean = mean <= 0 ? static_cast<double>(cost) : mean + gain * (static_cast<double>(cost) - mean);
+}
+
+auto UpdateMeans(ShareTable& table, const Charged& charge, Cost cost) -> void {
+  const double gain = table.settings.mean_gain;
+  auto& means = table.rows[charge.workspace].means;
+  auto it = std::ranges::find(means, charge.service, &Mean::service);
+  if (it == means.end()) it = means.insert(means.end(), {charge.service, 0});
+  Remember(it->cost, gain, cost);
+  Remember(table.service_means[charge.service], gain, cost);
+}
+
+auto LeastActive(ShareTable& table) -> Level {
+  if (!table.active.empty()) {
+    table.floor = std::numeric_limits<Level>::infinity();
+    for (const Workspace w : table.active) table.floor = std::min(table.floor, LevelOf(table, w));
+  }
+  return table.floor;
+}
+
+// Order of workspaces with equal levels; differs between processes and from pick to pick.
+auto TieBreak(const ShareTable& table, const Row& row) -> std::uint64_t {
+  const std::array<std::uint64_t, 2> key{row.hash, table.picks};
+  return XXH3_64bits_withSeed(key.data(), sizeof(key), table.salt);
+}
+
+}  // namespace
+
+namespace detail {
+
+auto Touch(ShareTable& table, Workspace workspace) -> void {
+  Row& row = table.rows[workspace];
+  row.version = ++table.version;
+  if (table.newest == workspace) return;
+  if (row.newer != kNone) table.rows[row.newer].older = row.older;
+  if (row.older != kNone) table.rows[row.older].newer = row.newer;
+  row.newer = kNone;
+  row.older = table.newest;
+  if (table.newest != kNone) table.rows[table.newest].newer = workspace;
+  table.newest = workspace;
+}
+
+}  // namespace detail
+
+auto InternWorkspace(ShareTable& table, std::string_view name) -> Workspace {
+  const auto [index, added] = Intern(table.workspaces, name);
+  if (added) {
+    Row row;
+    row.name = name;
+    row.hash = XXH3_64bits(name.data(), name.size());
+    table.rows.push_back(std::move(row));
+  }
+  return index;
+}
+
+auto InternService(ShareTable& table, std::string_view name) -> Service {
+  const auto [index, added] = Intern(table.services, name);
+  if (added) table.service_means.push_back(0);
+  return index;
+}
+
+auto InternSource(ShareTable& table, std::string_view name) -> Source {
+  const auto [index, added] = Intern(table.sources, name);
+  if (added) table.source_names.emplace_back(name);
+  return index;
+}
+
+auto Estimate(const ShareTable& table, Workspace workspace, Service service,
+              std::optional<Cost> hint) -> Cost {
+  const auto& means = table.rows[workspace].means;
+  const auto it = std::ranges::find(means, service, &Mean::service);
+  if (it != means.end()) return std::llround(it->cost);
+  const double mean = table.service_means[service];
+  const double fallback = mean > 0 ? mean : static_cast<double>(table.settings.default_cost);
+  if (!hint) return std::llround(fallback);
+  const double factor = table.settings.hint_factor;
+  return std::llround(std::clamp(static_cast<double>(*hint), fallback / factor, fallback * factor));
+}
+
+auto Charge(ShareTable& table, ChargeId id, Workspace workspace, Service service, Cost estimate)
+    -> void {
+  Charged charge;
+  charge.workspace = workspace;
+  charge.service = service;
+  charge.charged = std::max<Cost>(estimate, 0);
+  if (!table.charges.emplace(id, charge).second) return;
+  table.rows[workspace].charged += charge.charged;
+  Republish(table, workspace);
+}
+
+auto Start(ShareTable& table, ChargeId id, Time now) -> void {
+  const auto it = table.charges.find(id);
+  if (it != table.charges.end() && !it->second.started) it->second.started = now;
+}
+
+auto Advance(ShareTable& table, Time now) -> void {
+  const bool elapsed = table.settings.publish != Publish::settled;
+  for (auto& [id, charge] : table.charges) {
+    if (!charge.started) continue;
+    const Cost cost = (now - *charge.started).count();
+    Row& row = table.rows[charge.workspace];
+    if (elapsed && cost > charge.elapsed) {
+      row.elapsed += cost - charge.elapsed;
+      charge.elapsed = cost;
+    }
+    if (cost > charge.charged) {
+      row.charged += cost - charge.charged;
+      charge.charged = cost;
+    }
+    Republish(table, charge.workspace);
+  }
+}
+
+auto Settle(ShareTable& table, ChargeId id, Cost cost) -> void {
+  const auto it = table.charges.find(id);
+  if (it == table.charges.end()) return;
+  const struct Charged charge = it->second;
+  table.charges.erase(it);
+  Row& row = table.rows[charge.workspace];
+  cost = std::max(cost, charge.elapsed);
+  row.elapsed += cost - charge.elapsed;
+  row.charged += cost - charge.charged;
+  UpdateMeans(table, charge, cost);
+  Republish(table, charge.workspace);
+}
+
+auto Refund(ShareTable& table, ChargeId id) -> void {
+  const auto it = table.charges.find(id);
+  if (it == table.charges.end()) return;
+  table.rows[it->second.workspace].charged -= it->second.charged - it->second.elapsed;
+  table.charges.erase(it);
+}
+
+auto Total(const Row& row) -> Cost {
+  return row.own + std::max(row.others, row.heard_sum + row.past);
+}
+
+auto LevelOf(const ShareTable& table, Workspace workspace) -> Level {
+  const Row& row = table.rows[workspace];
+  const Cost others = std::max(row.others, row.heard_sum + row.past);
+  return static_cast<Level>(row.charged + others) / row.weight + row.lift;
+}
+
+auto Activate(ShareTable& table, Workspace workspace, double weight, Time now) -> void {
+  Row& row = table.rows[workspace];
+  const Level level = LevelOf(table, workspace);
+  if (weight > 0 && weight != row.weight) {
+    row.weight = weight;
+    row.lift += level - LevelOf(table, workspace);
+  }
+  if (row.position != kNone) return;
+  if (!row.idle_since || now - *row.idle_since > table.settings.linger) {
+    const Level least = LeastActive(table);
+    if (!row.idle_since || level < least) row.lift += least - level;
+  }
+  row.position = static_cast<std::uint32_t>(table.active.size());
+  table.active.push_back(workspace);
+}
+
+auto Deactivate(ShareTable& table, Workspace workspace, Time now) -> void {
+  Row& row = table.rows[workspace];
+  if (row.position == kNone) return;
+  if (table.active.size() == 1) table.floor = LevelOf(table, workspace);
+  row.idle_since = now;
+  table.rows[table.active.back()].position = row.position;
+  table.active[row.position] = table.active.back();
+  table.active.pop_back();
+  row.position = kNone;
+}
+
+auto Pick(ShareTable& table, const std::vector<Candidate>& candidates, Time now)
+    -> std::optional<std::size_t> {
+  Advance(table, now);
+  for (const Candidate& c : candidates) {
+    if (c.count > 0) Activate(table, c.workspace, c.weight, now);
+  }
+  const Level limit = LeastActive(table) + table.settings.max_lead;
+  std::optional<std::size_t> best;
+  Level best_level = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& c = candidates[i];
+    if (c.count == 0) continue;
+    Row& row = table.rows[c.workspace];
+    Level level = LevelOf(table, c.workspace);
+    if (level > limit) {
+      row.lift -= level - limit;
+      level = limit;
+    }
+    if (c.remote) level += table.settings.link_price;
+    if (best && level == best_level &&
+        TieBreak(table, row) >= TieBreak(table, table.rows[candidates[*best].workspace])) {
+      continue;
+    }
+    if (!best || level <= best_level) {
+      best = i;
+      best_level = level;
+    }
+  }
+  ++table.picks;
+  return best;
+}
+
+}  // namespace filbertstair::shares
