Add telemetry and routing

Cause: the roles need numbered log events, metrics, queues with bounds and retry rules. Change: telemetry over spdlog and prometheus-cpp with catalogues that tests compare; routing decides queue bounds, direct choice of an endpoint, and retries within a budget.

--- /dev/null
+++ b/libs/routing/test/choose_test.cc
@@ -0,0 +1,44 @@
+#include "filbertstair/routing/choose.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+namespace filbertstair::routing {
+namespace {
+
+class ChooseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChooseTest);
+  CPPUNIT_TEST(testOwnRegionFirst);
+  CPPUNIT_TEST(testOtherRegionRatherThanWaiting);
+  CPPUNIT_TEST(testUnusableAndTriedAreLeftOut);
+  CPPUNIT_TEST(testEqualEndpointsAreSpread);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testOwnRegionFirst() -> void {
+    const std::array<EndpointView, 2> views{{{"a", "south", true, 9}, {"b", "north", true, 1}}};
+    CPPUNIT_ASSERT(ChooseDirect(views, "north", 0, {}) == 1U);
+  }
+
+  // Guards against idle capacity in another region while a request waits.
+  auto testOtherRegionRatherThanWaiting() -> void {
+    const std::array<EndpointView, 2> views{{{"a", "south", true, 1}, {"b", "north", true, 0}}};
+    CPPUNIT_ASSERT(ChooseDirect(views, "north", 0, {}) == 0U);
+  }
+
+  auto testUnusableAndTriedAreLeftOut() -> void {
+    const std::array<EndpointView, 2> views{{{"a", "north", false, 5}, {"b", "north", true, 5}}};
+    CPPUNIT_ASSERT(!ChooseDirect(views, "north", 0, {"b"}));
+  }
+
+  auto testEqualEndpointsAreSpread() -> void {
+    const std::array<EndpointView, 2> views{{{"a", "north", true, 5}, {"b", "north", true, 5}}};
+    CPPUNIT_ASSERT(ChooseDirect(views, "north", 0, {}) != ChooseDirect(views, "north", 1, {}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChooseTest);
+
+}  // namespace
+}  // namespace filbertstair::routing
--- /dev/null
+++ b/libs/routing/test/queue_test.cc
@@ -0,0 +1,77 @@
+#include "filbertstair/routing/queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::routing {
+namespace {
+
+constexpr core::Time kNow{core::Duration(1000)};
+constexpr core::Time kLater{core::Duration(2000)};
+
+class QueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QueueTest);
+  CPPUNIT_TEST(testFirstInFirstOut);
+  CPPUNIT_TEST(testBoundCountsAllQueuesOfTheWorkspace);
+  CPPUNIT_TEST(testFloodLeavesOtherWorkspacesRoom);
+  CPPUNIT_TEST(testExpiredRequestsAreSkipped);
+  CPPUNIT_TEST(testOwnedRequestsAreTakenByTheirOwnerOnly);
+  CPPUNIT_TEST(testRemoveAfterTake);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testFirstInFirstOut() -> void {
+    QueueTable table;
+    const auto first = Enqueue(table, {"s", "w", ""}, 10, kLater).id;
+    const auto second = Enqueue(table, {"s", "w", ""}, 10, kLater).id;
+    CPPUNIT_ASSERT(Take(table, "s", "w", "e", kNow) == first);
+    CPPUNIT_ASSERT(Take(table, "s", "w", "e", kNow) == second);
+    CPPUNIT_ASSERT(!Take(table, "s", "w", "e", kNow));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table.waiting);
+  }
+
+  // Guards against a workspace that exceeds its bound by calls with idempotency keys.
+  auto testBoundCountsAllQueuesOfTheWorkspace() -> void {
+    QueueTable table;
+    Enqueue(table, {"s", "w", "a"}, 2, kLater);
+    Enqueue(table, {"s", "w", "b"}, 2, kLater);
+    CPPUNIT_ASSERT(Enqueue(table, {"s", "w", ""}, 2, kLater).refusal == core::Reason::queue_full);
+  }
+
+  auto testFloodLeavesOtherWorkspacesRoom() -> void {
+    QueueTable table;
+    for (int i = 0; i < 1000; ++i) Enqueue(table, {"s", "flood", ""}, 5, kLater);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, table.waiting);
+    CPPUNIT_ASSERT(!Enqueue(table, {"s", "small", ""}, 5, kLater).refusal);
+  }
+
+  // Guards against a grant that is spent on a request whose caller was already refused.
+  auto testExpiredRequestsAreSkipped() -> void {
+    QueueTable table;
+    Enqueue(table, {"s", "w", ""}, 10, kNow);
+    const auto alive = Enqueue(table, {"s", "w", ""}, 10, kLater).id;
+    CPPUNIT_ASSERT(Take(table, "s", "w", "e", kNow) == alive);
+  }
+
+  auto testOwnedRequestsAreTakenByTheirOwnerOnly() -> void {
+    QueueTable table;
+    const auto owned = Enqueue(table, {"s", "w", "b"}, 10, kLater).id;
+    CPPUNIT_ASSERT(!Take(table, "s", "w", "a", kNow));
+    CPPUNIT_ASSERT(WaitingFor(table, "a", {"s"}).empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, WaitingFor(table, "b", {"s"}).at(0).count);
+    CPPUNIT_ASSERT(WaitingFor(table, "b", {"t"}).empty());
+    CPPUNIT_ASSERT(Take(table, "s", "w", "b", kNow) == owned);
+  }
+
+  // Guards against a request that times out and uses a grant at the same time.
+  auto testRemoveAfterTake() -> void {
+    QueueTable table;
+    const auto id = Enqueue(table, {"s", "w", ""}, 10, kLater).id;
+    CPPUNIT_ASSERT(Take(table, "s", "w", "e", kNow) == id);
+    CPPUNIT_ASSERT(!Remove(table, {"s", "w", ""}, id));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
+
+}  // namespace
+}  // namespace filbertstair::routing
--- /dev/null
+++ b/libs/routing/test/retry_test.cc
@@ -0,0 +1,101 @@
+#include "filbertstair/routing/retry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::routing {
+namespace {
+
+using core::CallClass;
+using core::Outcome;
+using core::Reason;
+
+constexpr document::Retries kRules{0.1, 3};
+
+auto Decide(CallClass call_class, const Failure& failure, std::uint32_t attempts = 1)
+    -> RetryVerdict {
+  RetryTable table;
+  return DecideRetry(table, "s", "w", kRules, call_class, attempts, failure);
+}
+
+class RetryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RetryTest);
+  CPPUNIT_TEST(testOnceCallsNeedProof);
+  CPPUNIT_TEST(testNothingIsRepeatedAfterItRan);
+  CPPUNIT_TEST(testNothingIsRepeatedAfterTheAnswerBegan);
+  CPPUNIT_TEST(testFinalRefusalsAreNotRepeated);
+  CPPUNIT_TEST(testRetriesStayWithinTheBudget);
+  CPPUNIT_TEST(testBudgetsAreSeparate);
+  CPPUNIT_TEST(testBackoffIsBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a second run of a call that must run at most once.
+  auto testOnceCallsNeedProof() -> void {
+    const Failure unknown{Reason::connection_lost, Outcome::unknown, false};
+    const Failure not_run{Reason::connection_lost, Outcome::not_run, false};
+    CPPUNIT_ASSERT(Decide(CallClass::once, unknown) == RetryVerdict::not_allowed);
+    CPPUNIT_ASSERT(Decide(CallClass::once, not_run) == RetryVerdict::retry);
+    CPPUNIT_ASSERT(Decide(CallClass::repeatable, unknown) == RetryVerdict::retry);
+  }
+
+  auto testNothingIsRepeatedAfterItRan() -> void {
+    const Failure ran{Reason::connection_lost, Outcome::ran, false};
+    CPPUNIT_ASSERT(Decide(CallClass::once, ran) == RetryVerdict::not_allowed);
+    CPPUNIT_ASSERT(Decide(CallClass::repeatable, ran) == RetryVerdict::not_allowed);
+  }
+
+  // Guards against an answer composed of two runs.
+  auto testNothingIsRepeatedAfterTheAnswerBegan() -> void {
+    const Failure begun{Reason::connection_lost, Outcome::unknown, true};
+    CPPUNIT_ASSERT(Decide(CallClass::repeatable, begun) == RetryVerdict::not_allowed);
+  }
+
+  auto testFinalRefusalsAreNotRepeated() -> void {
+    for (const auto reason : {Reason::deadline_exceeded, Reason::key_repeated,
+                              Reason::key_history_lost, Reason::unknown_workspace}) {
+      CPPUNIT_ASSERT(Decide(CallClass::repeatable, {reason, Outcome::not_run, false}) ==
+                     RetryVerdict::not_allowed);
+    }
+  }
+
+  // Guards against retries that multiply the load during an outage: over many requests that all
+  // fail, retries stay at the budget's share of first attempts.
+  auto testRetriesStayWithinTheBudget() -> void {
+    RetryTable table;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+      RecordFirstAttempt(table, "s", "w", kRules);
+      for (std::uint32_t attempts = 1;; ++attempts) {
+        const Failure failure{Reason::endpoint_unreachable, Outcome::not_run, false};
+        const auto verdict =
+            DecideRetry(table, "s", "w", kRules, CallClass::repeatable, attempts, failure);
+        if (verdict != RetryVerdict::retry) break;
+        ++retries;
+      }
+    }
+    CPPUNIT_ASSERT(retries <= 100 + static_cast<int>(kInitialRetries));
+    CPPUNIT_ASSERT(retries >= 90);
+  }
+
+  auto testBudgetsAreSeparate() -> void {
+    RetryTable table;
+    const Failure failure{Reason::draining, Outcome::not_run, false};
+    while (DecideRetry(table, "s", "a", kRules, CallClass::once, 1, failure) ==
+           RetryVerdict::retry) {
+    }
+    CPPUNIT_ASSERT(DecideRetry(table, "s", "b", kRules, CallClass::once, 1, failure) ==
+                   RetryVerdict::retry);
+  }
+
+  auto testBackoffIsBounded() -> void {
+    CPPUNIT_ASSERT(Backoff(1, 0) == core::Duration(0));
+    for (std::uint32_t attempts = 1; attempts < 100; ++attempts) {
+      CPPUNIT_ASSERT(Backoff(attempts, 0.999) <= kBackoffMax);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RetryTest);
+
+}  // namespace
+}  // namespace filbertstair::routing
--- /dev/null
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -0,0 +1,112 @@
+#ifndef FILBERTSTAIR_TELEMETRY_METRICS_H_
+#define FILBERTSTAIR_TELEMETRY_METRICS_H_
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace filbertstair::telemetry {
+
+enum class MetricKind { counter, gauge, histogram };
+
+// Metrics of a daemon. docs/metrics.md lists them; a test compares the two.
+enum class Metric {
+  requests,
+  refusals,
+  retries,
+  queue_wait,
+  first_byte,
+  part_gap,
+  waiting,
+  slots,
+  running,
+  staged,
+  grants,
+  service_time,
+  control_sent,
+  control_received,
+  config_version,
+  config_age,
+  config_conflicts,
+  platform_calls,
+  members,
+};
+
+// Description of a metric. `label` is the name of its only label; empty for none.
+struct MetricInfo {
+  Metric metric;
+  MetricKind kind;
+  std::string_view name;
+  std::string_view label;
+  std::string_view help;
+};
+
+inline constexpr std::array<MetricInfo, 19> kMetrics{{
+    {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
+     "Requests answered, by outcome"},
+    {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
+     "Requests or submissions refused, by reason"},
+    {Metric::retries, MetricKind::counter, "filbertstair_retries_total", "reason",
+     "Requests submitted again, by reason"},
+    {Metric::queue_wait, MetricKind::histogram, "filbertstair_queue_wait_seconds", "",
+     "Time from arrival at the entry to admission"},
+    {Metric::first_byte, MetricKind::histogram, "filbertstair_first_byte_seconds", "",
+     "Time from arrival at the entry to the first part of the answer's body"},
+    {Metric::part_gap, MetricKind::histogram, "filbertstair_part_gap_seconds", "",
+     "Time between two parts of an answer's body"},
+    {Metric::waiting, MetricKind::gauge, "filbertstair_waiting_requests", "",
+     "Requests waiting in the entry's queues"},
+    {Metric::slots, MetricKind::gauge, "filbertstair_slots", "",
+     "Requests that the endpoint process lets run at once"},
+    {Metric::running, MetricKind::gauge, "filbertstair_running_requests", "",
+     "Requests running at the replica"},
+    {Metric::staged, MetricKind::gauge, "filbertstair_staged_requests", "",
+     "Admitted requests waiting for a slot"},
+    {Metric::grants, MetricKind::counter, "filbertstair_grants_total", "result",
+     "Grants, by result: issued, redeemed, returned or expired"},
+    {Metric::service_time, MetricKind::counter, "filbertstair_service_seconds_total", "workspace",
+     "Slot time given, by workspace"},
+    {Metric::control_sent, MetricKind::counter, "filbertstair_control_sent_bytes_total", "kind",
+     "Bytes of control messages sent, by kind"},
+    {Metric::control_received, MetricKind::counter, "filbertstair_control_received_bytes_total",
+     "kind", "Bytes of control messages received, by kind"},
+    {Metric::config_version, MetricKind::gauge, "filbertstair_config_version", "object",
+     "Version in force of each published object"},
+    {Metric::config_age, MetricKind::gauge, "filbertstair_config_contact_age_seconds", "",
+     "Time since some entry is known to have heard the platform"},
+    {Metric::config_conflicts, MetricKind::counter, "filbertstair_config_conflicts_total", "",
+     "Times that two contents with one version were seen"},
+    {Metric::platform_calls, MetricKind::counter, "filbertstair_platform_calls_total", "result",
+     "Calls to the platform, by result: ok or failed"},
+    {Metric::members, MetricKind::gauge, "filbertstair_members", "state",
+     "Known processes, by state"},
+}};
+
+namespace detail {
+struct MetricStore;
+}  // namespace detail
+
+// Metrics of one process. Thread-safe.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  auto operator=(const Metrics&) -> Metrics& = delete;
+
+  auto Count(Metric metric, std::string_view label = {}, double amount = 1) -> void;
+  auto Set(Metric metric, double value, std::string_view label = {}) -> void;
+  auto Observe(Metric metric, std::chrono::microseconds value) -> void;
+
+  // Text exposition format of Prometheus.
+  auto Render() const -> std::string;
+
+ private:
+  std::unique_ptr<detail::MetricStore> store;
+};
+
+}  // namespace filbertstair::telemetry
+
+#endif  // FILBERTSTAIR_TELEMETRY_METRICS_H_
