Add document differences and the operators' command line

Cause: operators need to check documents and settings and to compare documents before they publish them.

--- /dev/null
+++ b/libs/cli/src/check.cc
@@ -0,0 +1,136 @@
+#include "filbertstair/cli/check.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "filbertstair/document/names.h"
+#include "filbertstair/document/parse.h"
+#include "filbertstair/schema/value.h"
+#include "filbertstair/settings/settings.h"
+
+namespace filbertstair::cli {
+namespace {
+
+enum class FileKind { document, settings };
+
+// What was found in one file.
+struct FileResult {
+  FileKind kind = FileKind::document;
+  // Present for an accepted document.
+  std::optional<document::Service> service{};
+  std::vector<schema::Problem> problems{};
+};
+
+auto FindKind(std::string_view text) -> FileKind {
+  schema::Report ignored;
+  const auto root = schema::Load(text, document::kMaxBytes, ignored);
+  const auto is_settings =
+      root && std::any_of(root->items.begin(), root->items.end(),
+                          [](const auto& field) { return field.name == "role"; });
+  return is_settings ? FileKind::settings : FileKind::document;
+}
+
+// Throws core::Error if the file cannot be read.
+auto CheckFile(const std::string& file) -> FileResult {
+  static_assert(document::kMaxBytes == settings::kMaxBytes);
+  const auto text = schema::ReadFile(file, document::kMaxBytes, core::Step::read);
+  FileResult result{.kind = FindKind(text)};
+  if (result.kind == FileKind::settings) {
+    result.problems = settings::Parse(text, file).problems;
+  } else {
+    auto parsed = document::Parse(text, file);
+    result.service = std::move(parsed.service);
+    result.problems = std::move(parsed.problems);
+  }
+  return result;
+}
+
+auto AddFile(const std::string& file, const FileResult& result, Answer& answer) -> void {
+  boost::json::array problems;
+  for (const auto& problem : result.problems) {
+    answer.lines.push_back(schema::Describe(problem));
+    problems.emplace_back(ToJson(problem));
+  }
+  boost::json::object entry{{"file", file},
+                            {"kind", result.kind == FileKind::settings ? "settings" : "document"},
+                            {"accepted", result.problems.empty()},
+                            {"problems", std::move(problems)}};
+  if (result.service) {
+    entry["service"] = result.service->name;
+    entry["version"] = result.service->version;
+    answer.lines.push_back(file + ": document of service " + result.service->name + ", version " +
+                           std::to_string(result.service->version) + ", accepted");
+  } else if (result.problems.empty()) {
+    answer.lines.push_back(file + ": settings, accepted");
+  } else {
+    answer.exit = Exit::refused;
+  }
+  answer.json["files"].as_array().emplace_back(std::move(entry));
+}
+
+auto AddError(const core::Error& error, Answer& answer) -> void {
+  answer.exit = Exit::refused;
+  answer.lines.emplace_back(error.what());
+  answer.json["errors"].as_array().emplace_back(ToJson(error));
+}
+
+// Adds services that several of the files describe.
+auto AddDuplicates(const std::vector<std::pair<std::string, document::Service>>& services,
+                   Answer& answer) -> void {
+  std::map<std::string, std::string> first_files;
+  for (const auto& [file, service] : services) {
+    const auto [first, inserted] = first_files.emplace(service.name, file);
+    if (inserted) continue;
+    answer.exit = Exit::refused;
+    answer.lines.push_back("service " + service.name + " is described by " + first->second +
+                           " and by " + file);
+    answer.json["duplicates"].as_array().emplace_back(boost::json::object{
+        {"service", service.name}, {"files", boost::json::array{first->second, file}}});
+  }
+}
+
+// Adds names that several of the services claim.
+auto AddConflicts(const std::vector<std::pair<std::string, document::Service>>& services,
+                  Answer& answer) -> void {
+  std::vector<document::Service> all;
+  all.reserve(services.size());
+  for (const auto& [file, service] : services) all.push_back(service);
+  for (const auto& conflict : document::BuildIndex(all).conflicts) {
+    answer.exit = Exit::refused;
+    const auto scheme = std::string(core::Name(conflict.scheme));
+    answer.lines.push_back(scheme + " name \"" + conflict.name + "\" is claimed by services " +
+                           conflict.first + " and " + conflict.second);
+    answer.json["conflicts"].as_array().emplace_back(
+        boost::json::object{{"scheme", scheme},
+                            {"name", conflict.name},
+                            {"services", boost::json::array{conflict.first, conflict.second}}});
+  }
+}
+
+}  // namespace
+
+auto Check(const std::vector<std::string>& files) -> Answer {
+  Answer answer;
+  for (const auto* list : {"files", "errors", "duplicates", "conflicts"}) {
+    answer.json[list] = boost::json::array{};
+  }
+  std::vector<std::pair<std::string, document::Service>> services;
+  for (const auto& file : files) {
+    try {
+      auto result = CheckFile(file);
+      AddFile(file, result, answer);
+      if (result.service) services.emplace_back(file, std::move(*result.service));
+    } catch (const core::Error& error) {
+      AddError(error, answer);
+    }
+  }
+  AddDuplicates(services, answer);
+  AddConflicts(services, answer);
+  answer.json["accepted"] = answer.exit == Exit::done;
+  return answer;
+}
+
+}  // namespace filbertstair::cli
--- /dev/null
+++ b/libs/document/src/diff.cc
@@ -0,0 +1,116 @@
+#include "filbertstair/document/diff.h"
+
+#include <array>
+#include <charconv>
+#include <map>
+#include <string_view>
+#include <utility>
+
+#include "filbertstair/schema/duration.h"
+
+namespace filbertstair::document {
+namespace {
+
+using Fields = std::map<std::string, std::string>;
+
+auto Format(double number) -> std::string {
+  std::array<char, 32> buffer{};
+  const auto [end, error] = std::to_chars(buffer.data(), buffer.data() + buffer.size(), number);
+  return error == std::errc() ? std::string(buffer.data(), end) : "?";
+}
+
+// Fields that a document always has.
+auto Scalars(const Service& service) -> Fields {
+  return {
+      {"name", service.name},
+      {"version", std::to_string(service.version)},
+      {"timeouts.request", schema::FormatDuration(service.timeouts.request)},
+      {"timeouts.queue", schema::FormatDuration(service.timeouts.queue)},
+      {"timeouts.idle", schema::FormatDuration(service.timeouts.idle)},
+      {"retries.budget", Format(service.retries.budget)},
+      {"retries.max_attempts", std::to_string(service.retries.max_attempts)},
+      {"idempotency.protect", schema::FormatDuration(service.idempotency.protect)},
+      {"idempotency.quiet", schema::FormatDuration(service.idempotency.quiet)},
+      {"max_body_bytes", std::to_string(service.max_body_bytes)},
+      {"link_price", schema::FormatDuration(service.link_price)},
+      {"max_lead", schema::FormatDuration(service.max_lead)},
+  };
+}
+
+// Items of the lists with their own fields. Items without fields are names.
+auto Items(const Service& service) -> std::map<std::string, Fields> {
+  std::map<std::string, Fields> items;
+  const auto add_names = [&](std::string_view list, const std::vector<std::string>& names) {
+    for (const auto& name : names) items[std::string(list) + "[" + name + "]"] = {};
+  };
+  add_names("hosts", service.hosts);
+  add_names("paths", service.paths);
+  add_names("logical_names", service.logical_names);
+  add_names("models", service.models);
+  for (const auto& pool : service.pools) {
+    items["pools[" + pool.name + "]"] = {{"min_slots", std::to_string(pool.min_slots)},
+                                         {"max_slots", std::to_string(pool.max_slots)}};
+  }
+  for (const auto& workspace : service.workspaces) {
+    items["workspaces[" + workspace.id + "]"] = {
+        {"weight", Format(workspace.weight)},
+        {"max_waiting", std::to_string(workspace.max_waiting)}};
+  }
+  for (const auto& rule : service.once) items["once[" + rule.method + " " + rule.path + "]"] = {};
+  return items;
+}
+
+auto Join(const Fields& fields) -> std::string {
+  std::string text;
+  for (const auto& [name, value] : fields) {
+    if (!text.empty()) text += ", ";
+    text += name + " " + value;
+  }
+  return text;
+}
+
+// Adds the differences between two sets of fields that have the same names.
+auto CompareFields(const std::string& prefix, const Fields& before, const Fields& after,
+                   std::map<std::string, Change>& changes) -> void {
+  for (const auto& [name, value] : before) {
+    const auto& other = after.at(name);
+    if (value != other) {
+      changes[prefix + name] = {ChangeKind::changed, prefix + name, value, other};
+    }
+  }
+}
+
+}  // namespace
+
+auto Diff(const Service& before, const Service& after) -> std::vector<Change> {
+  std::map<std::string, Change> changes;
+  CompareFields("", Scalars(before), Scalars(after), changes);
+  const auto old_items = Items(before);
+  const auto new_items = Items(after);
+  for (const auto& [item, fields] : old_items) {
+    const auto other = new_items.find(item);
+    if (other == new_items.end()) {
+      changes[item] = {ChangeKind::removed, item, Join(fields), ""};
+    } else {
+      CompareFields(item + ".", fields, other->second, changes);
+    }
+  }
+  for (const auto& [item, fields] : new_items) {
+    if (!old_items.contains(item)) changes[item] = {ChangeKind::added, item, "", Join(fields)};
+  }
+  std::vector<Change> result;
+  result.reserve(changes.size());
+  for (auto& [field, change] : changes) result.push_back(std::move(change));
+  return result;
+}
+
+auto Describe(const Change& change) -> std::string {
+  if (change.kind == ChangeKind::changed) {
+    return change.field + ": " + change.before + " -> " + change.after;
+  }
+  const auto& value = change.kind == ChangeKind::added ? change.after : change.before;
+  return change.field + ": " + std::string(core::Name(change.kind)) +
+         (value.empty() ? "" : " (" + value + ")");
+}
+
+}  // namespace filbertstair::document
--- a/libs/document/src/names.cc
+++ b/libs/document/src/names.cc
@@ -68,6 +68,7 @@
 
 auto BuildIndex(const std::vector<Service>& services) -> IndexResult {
   std::vector<const Service*> sorted;
+  sorted.reserve(services.size());
   for (const auto& service : services) sorted.push_back(&service);
   std::stable_sort(sorted.begin(), sorted.end(),
                    [](const auto* a, const auto* b) { return a->name < b->name; });
--- a/libs/document/src/parse.cc
+++ b/libs/document/src/parse.cc
@@ -39,13 +39,15 @@
   return true;
 }
 
+// Characters besides letters and digits that stand for themselves in a URL path.
+constexpr std::string_view kPathPunctuation = "-._~!$&'()*+,=:@/";
+
 // Accepts texts that begin with '/' and hold only characters that stand for themselves in a URL
 // path, and no empty, "." or ".." segments. A final '/' is accepted.
 auto IsPath(std::string_view text) -> bool {
-  constexpr std::string_view kPunctuation = "-._~!$&'()*+,=:@/";
   if (text.empty() || text.size() > 255 || text.front() != '/') return false;
-  if (!std::all_of(text.begin(), text.end(), [&](char c) {
-        return IsLetterOrDigit(c) || kPunctuation.find(c) != std::string_view::npos;
+  if (!std::all_of(text.begin(), text.end(), [](char c) {
+        return IsLetterOrDigit(c) || kPathPunctuation.find(c) != std::string_view::npos;
       })) {
     return false;
   }
@@ -253,8 +255,8 @@
   if (cursor.value.kind != schema::Kind::map) return;
   const auto given = [&](std::string_view name) {
     return std::any_of(
-        cursor.value.fields.begin(), cursor.value.fields.end(),
-        [&](const auto& field) { return field.name == name && !field.value.items.empty(); });
+        cursor.value.items.begin(), cursor.value.items.end(),
+        [&](const auto& field) { return field.name == name && !field.items.empty(); });
   };
   if (!given("hosts") && !given("paths") && !given("logical_names")) {
     schema::Refuse(cursor, "no names", "at least one of hosts, paths and logical_names");
--- a/libs/schema/include/filbertstair/schema/value.h
+++ b/libs/schema/include/filbertstair/schema/value.h
@@ -15,8 +15,6 @@
 
 enum class Kind { null, scalar, list, map };
 
-struct Field;
-
 // A YAML value with the line at which it starts.
 struct Value {
   Kind kind = Kind::null;
@@ -25,15 +23,12 @@
   std::string text{};
   // True for a scalar in quotes or in block form, which is never a number.
   bool quoted = false;
+  // Items of a list, or fields of a map in the order of the file. A repeated name occurs
+  // repeatedly.
   std::vector<Value> items{};
-  // In the order of the file; a repeated name occurs repeatedly.
-  std::vector<Field> fields{};
-};
-
-struct Field {
-  std::string name;
-  int line = 0;
-  Value value;
+  // Name and line of the name, if this is a field of a map.
+  std::string name{};
+  int name_line = 0;
 };
 
 // Reads the one YAML document in `text`. Adds problems for text that is larger than `max_bytes`, is
--- a/libs/schema/src/read.cc
+++ b/libs/schema/src/read.cc
@@ -72,30 +72,31 @@
 
 auto ReadMap(const Cursor& cursor, const std::vector<FieldRule>& rules) -> void {
   std::vector<std::string_view> names;
+  names.reserve(rules.size());
   for (const auto& rule : rules) names.push_back(rule.name);
   if (cursor.value.kind != Kind::map) {
     Refuse(cursor, Found(cursor.value), "a map with the fields " + Join(names));
     return;
   }
   std::set<std::string_view> seen;
-  for (const auto& field : cursor.value.fields) {
+  for (const auto& field : cursor.value.items) {
     const auto path = ChildPath(cursor.path, field.name);
     const auto rule = std::find_if(rules.begin(), rules.end(), [&](const auto& candidate) {
       return candidate.name == field.name;
     });
     if (rule == rules.end()) {
-      Add(cursor.report, field.line, cursor.path, "unknown field \"" + field.name + '"',
+      Add(cursor.report, field.name_line, cursor.path, "unknown field \"" + field.name + '"',
           Join(names));
     } else if (!seen.insert(rule->name).second) {
-      Add(cursor.report, field.line, path, "the field a second time", "each field once");
+      Add(cursor.report, field.name_line, path, "the field a second time", "each field once");
     } else {
-      rule->read({cursor.report, field.value, path});
+      rule->read({cursor.report, field, path});
     }
   }
   for (const auto& rule : rules) {
     if (rule.required && !seen.contains(rule.name)) {
       Add(cursor.report, cursor.value.line, ChildPath(cursor.path, rule.name), "nothing",
-          "the field is required");
+          "a value, since the field is required");
     }
   }
 }
--- a/libs/schema/src/value.cc
+++ b/libs/schema/src/value.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/schema/value.h"
 
+#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
 #include <yaml-cpp/mark.h>
@@ -100,7 +101,9 @@
       }
       frame.key = std::move(value);
     } else {
-      frame.value.fields.push_back({frame.key->text, frame.key->line, std::move(value)});
+      value.name = std::move(frame.key->text);
+      value.name_line = frame.key->line;
+      frame.value.items.push_back(std::move(value));
       frame.key.reset();
     }
   }
@@ -142,8 +145,10 @@
     YAML::Parser parser(stream);
     while (parser.HandleNextDocument(builder)) {
     }
+  } catch (const YAML::DeepRecursion& error) {
+    Add(report, Line(error.mark), "", "lists or maps nested too deeply", "the documented fields");
   } catch (const YAML::Exception& error) {
-    Add(report, Line(error.mark), "", error.msg, "YAML");
+    Add(report, Line(error.mark), "", "malformed YAML: " + error.msg, "well-formed YAML");
   }
   if (report.problems.size() > before) return std::nullopt;
   return builder.Root();
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -71,8 +71,8 @@
 
 // Returns the role that the file states, or nothing if it states none or an unknown one.
 auto FindRole(const schema::Value& root) -> std::optional<core::Role> {
-  for (const auto& field : root.fields) {
-    if (field.name == "role") return core::Parse<core::Role>(field.value.text);
+  for (const auto& field : root.items) {
+    if (field.name == "role") return core::Parse<core::Role>(field.text);
   }
   return std::nullopt;
 }
