--- /dev/null
+++ b/libs/config/include/filbertstair/config/object.h
@@ -0,0 +1,58 @@
+#ifndef FILBERTSTAIR_CONFIG_OBJECT_H_
+#define FILBERTSTAIR_CONFIG_OBJECT_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "filbertstair/core/names.h"
+
+namespace filbertstair::config {
+
+// Kind of a published object, which selects its validator.
+enum class ObjectKind { document, vm_list };
+
+// Identifies a published object. A document and a VM list may carry the same name.
+struct ObjectKey {
+  ObjectKind kind = ObjectKind::document;
+  std::string name;
+
+  auto operator<=>(const ObjectKey&) const = default;
+};
+
+// Orders the contents of one object: by version, and by hash if two contents carry one version.
+struct Stamp {
+  std::uint64_t version = 0;
+  std::uint64_t hash = 0;
+
+  auto operator<=>(const Stamp&) const = default;
+};
+
+// One published object at one version. Immutable once made, so that tables, messages and the
+// requests that a version admitted share it without a copy.
+struct Object {
+  ObjectKey key;
+  Stamp stamp;
+  std::string content;
+};
+
+using ObjectPtr = std::shared_ptr<const Object>;
+
+// Returns the 64-bit xxHash of `content`.
+auto ContentHash(std::string_view content) -> std::uint64_t;
+
+// Makes an object and computes its hash. The receiver always computes the hash itself, so content
+// damaged on the way cannot pass as another one.
+auto MakeObject(ObjectKind kind, std::string name, std::uint64_t version, std::string content)
+    -> ObjectPtr;
+
+}  // namespace filbertstair::config
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<config::ObjectKind, 2> kNames<config::ObjectKind>{
+    {{config::ObjectKind::document, "document"}, {config::ObjectKind::vm_list, "vm_list"}}};
+}  // namespace filbertstair::core
+
+#endif  // FILBERTSTAIR_CONFIG_OBJECT_H_
