--- a/libs/config/include/filbertstair/config/fanout.h
+++ b/libs/config/include/filbertstair/config/fanout.h
@@ -15,6 +15,8 @@
 struct Peer {
   std::string id;
   std::string region;
+  // This process's own suspicion. A suspected peer is replaced by the next one in the order.
+  bool suspected = false;
 };
 
 struct FanoutRules {
@@ -29,7 +31,8 @@
 };
 
 // Returns the indices of the entries to which `self` opens links. The union over all entries is a
-// random graph that stays connected when a large part of the entries is frozen.
+// random graph. A sudden freeze of many entries can leave a few others without a link; they have new ones
+// once they suspect the frozen ones.
 auto PeerLinks(const std::string& self, std::span<const Peer> entries, const FanoutRules& rules)
     -> std::vector<std::size_t>;
 
--- a/libs/config/include/filbertstair/config/fetch.h
+++ b/libs/config/include/filbertstair/config/fetch.h
@@ -30,8 +30,9 @@
 auto BeginFetch(FetchTable& table, const DigestRow& row, const std::string& peer, core::Time now)
     -> bool;
 
-// Notes that the object arrived, from whichever peer, or that the peer has it no more.
-auto EndFetch(FetchTable& table, const ObjectKey& key) -> void;
+// Notes that the object arrived with `stamp`, from whichever peer. Ends the request unless it is
+// for a higher stamp.
+auto EndFetch(FetchTable& table, const ObjectKey& key, const Stamp& stamp) -> void;
 
 // Forgets the requests sent to a peer whose connection broke.
 auto EndFetches(FetchTable& table, const std::string& peer) -> void;
--- a/libs/config/include/filbertstair/config/start.h
+++ b/libs/config/include/filbertstair/config/start.h
@@ -11,87 +11,102 @@
 
 namespace filbertstair::config {
 
-// Phase of a cold start.
-//  asking_peers: digests of seeds are being collected.
-//  asking_platform: no peer had a configuration; the platform is being read.
-//  confirming: the platform answered; entries from its VM list are asked for newer versions,
-//  because
-//    the platform may be stale.
-//  ready: the configuration in force may be used; digests keep it up to date from here on.
-enum class StartPhase { asking_peers, asking_platform, confirming, ready };
+// Phase of an entry's cold start.
+//  asking_peers: the seeds are asked for their configuration.
+//  reading_list: no seed had one; the VM list is read from the platform.
+//  asking_listed: entries of that list are asked, because the platform may be stale and because
+//  only
+//    the elected entries should read the documents.
+//  reading_documents: no peer had a configuration; the documents are read from the platform.
+//  ready: the configuration in force may be used; digests keep it up to date.
+enum class StartPhase { asking_peers, reading_list, asking_listed, reading_documents, ready };
 
 struct StartRules {
-  // Peers asked in each of the two peer phases, and answers with a configuration that suffice.
+  // Peers asked at the same time, and answers with a configuration that suffice. Two answers make
+  // it unlikely that a single peer that was cut off until now gives an old version.
   std::size_t max_peers = 5;
   std::size_t enough_answers = 2;
-  // Longest time in each of the two peer phases.
+  // Longest time in each of the two phases that ask peers.
   core::Duration peer_wait = std::chrono::seconds(2);
-  // The first platform call of a process starts after its jitter times this, so that 1,200 entries
-  // that start together make 300 calls a second per object read.
-  core::Duration platform_spread = std::chrono::seconds(4);
-  // Time between failed platform calls: doubled per failure up to the maximum, times 0.5 to 1.
-  core::Duration platform_retry = std::chrono::seconds(2);
-  core::Duration platform_retry_max = std::chrono::seconds(30);
+  // The VM list is read after jitter times list_spread, the documents after jitter times
+  // document_spread per listed entry, or at once by elected entries. If 1,200 entries start
+  // together and none can reach another, they make 600 calls a second for the list and then 125 for
+  // each document.
+  core::Duration list_spread = std::chrono::seconds(2);
+  core::Duration document_spread = std::chrono::milliseconds(8);
+  // Time between failed platform calls, doubled per failure up to the maximum.
+  core::Duration retry = std::chrono::seconds(1);
+  core::Duration retry_max = std::chrono::seconds(30);
 };
 
 struct StartState {
   StartPhase phase = StartPhase::asking_peers;
-  core::Time phase_since{};
+  core::Time since{};
+  // Drawn once per process by the caller, in [0, 1).
   double jitter = 0;
   std::vector<std::string> seeds;
-  // Addresses asked in this phase, and how their answers stand.
-  std::vector<std::string> asked;
-  std::size_t answered = 0;
+  // Peers asked in this phase, how many of them answered or failed, and how many of them had a
+  // configuration.
+  std::size_t asked = 0;
+  std::size_t settled = 0;
   std::size_t with_configuration = 0;
-  // Whether a configuration is in force: a valid VM list and, if one is required, a document.
+  // Entries in the VM list that was read.
+  std::size_t listed = 0;
+  // Whether a valid VM list and at least one document are in force here.
   bool configured = false;
-  // Whether the configuration came from the platform alone and no peer has confirmed it.
-  bool unconfirmed = false;
-  std::uint32_t platform_failures = 0;
-  bool platform_call = false;
-  core::Time next_platform_call{};
+  // Whether no peer has confirmed the configuration: it comes from a platform that may be stale.
+  bool unconfirmed = true;
+  std::uint32_t failures = 0;
+  bool call_pending = false;
+  core::Time next_call{};
 };
 
-// What the caller does next. `ask` are addresses to connect to for a digest.
+// What the caller does next: addresses to ask for a complete digest and newer objects, and calls to
+// the platform.
 struct StartActions {
   std::vector<std::string> ask;
-  bool call_platform = false;
+  bool read_list = false;
+  bool read_documents = false;
 };
 
-// Starts. `seeds` are addresses from the settings, `jitter` in [0, 1) is drawn by the caller. Asks
-// up to max_peers seeds, beginning at the one that the jitter selects.
+// Starts by asking up to max_peers of `seeds`, addresses from the settings, beginning with the one
+// that `jitter` selects.
 auto Start(std::vector<std::string> seeds, double jitter, const StartRules& rules, core::Time now,
-           StartActions& actions) -> StartState;
+           StartState& state) -> StartActions;
 
-// Notes a peer's complete answer, after its objects have been offered. `has_configuration` tells
-// that the peer itself has a configuration, `configured` that this process now has one.
+// Notes that a peer answered and that the objects it sent have been offered. `has_configuration`
+// tells of the peer, `configured` of this process. Also called for objects that a peer pushes.
 auto PeerAnswered(StartState& state, bool has_configuration, bool configured,
-                  const StartRules& rules, core::Time now, StartActions& actions) -> void;
+                  const StartRules& rules, core::Time now) -> StartActions;
 
 // Notes that a peer cannot be reached or gave no answer.
-auto PeerFailed(StartState& state, const StartRules& rules, core::Time now, StartActions& actions)
-    -> void;
+auto PeerFailed(StartState& state, const StartRules& rules, core::Time now) -> StartActions;
+
+// Notes that the VM list has been read and offered. `listed` are the addresses of its live entries
+// without this process; `elected` tells that ShouldWatch elects this process.
+auto ListRead(StartState& state, const std::vector<std::string>& listed, bool elected,
+              const StartRules& rules, core::Time now) -> StartActions;
 
-// Notes that the platform's objects have been read and offered. `listed` are the addresses of live
-// entries in the VM list without this process.
-auto PlatformRead(StartState& state, bool configured, const std::vector<std::string>& listed,
-                  const StartRules& rules, core::Time now, StartActions& actions) -> void;
+// Notes that the documents have been read and offered.
+auto DocumentsRead(StartState& state, bool configured, const StartRules& rules, core::Time now)
+    -> void;
 
-// Notes that the platform call failed or returned nothing usable.
+// Notes that a platform call failed or that its content is invalid.
 auto PlatformReadFailed(StartState& state, const StartRules& rules, core::Time now) -> void;
 
-// Lets time pass: ends a peer phase at its limit and makes due platform calls.
-auto Tick(StartState& state, const StartRules& rules, core::Time now, StartActions& actions)
-    -> void;
+// Lets time pass: ends phases at their limit and makes the platform calls that are due. Called
+// several times a second until the phase is ready.
+auto Tick(StartState& state, const StartRules& rules, core::Time now) -> StartActions;
 
 }  // namespace filbertstair::config
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<config::StartPhase, 4> kNames<config::StartPhase>{
+inline constexpr NameTable<config::StartPhase, 5> kNames<config::StartPhase>{
     {{config::StartPhase::asking_peers, "asking_peers"},
-     {config::StartPhase::asking_platform, "asking_platform"},
-     {config::StartPhase::confirming, "confirming"},
+     {config::StartPhase::reading_list, "reading_list"},
+     {config::StartPhase::asking_listed, "asking_listed"},
+     {config::StartPhase::reading_documents, "reading_documents"},
      {config::StartPhase::ready, "ready"}}};
 }  // namespace filbertstair::core
 
--- a/libs/config/include/filbertstair/config/table.h
+++ b/libs/config/include/filbertstair/config/table.h
@@ -84,8 +84,9 @@
 struct Comparison {
   // What the peer has and this process should fetch from it.
   std::vector<DigestRow> to_request;
-  // What this process has and the peer lacks or has in an older version.
-  std::vector<ObjectPtr> to_send;
+  // What the peer lacks or has in an older version. The rows are sent, and the peer requests the
+  // contents it wants: it may have rejected them or be fetching them from another peer already.
+  std::vector<DigestRow> to_send;
   // Objects of which both sides hold different contents with one version: an alarm.
   std::vector<ObjectKey> conflicts;
   // The summaries differ, and the digest has not enough rows to tell why: reply with all rows.
--- a/libs/config/include/filbertstair/config/watch.h
+++ b/libs/config/include/filbertstair/config/watch.h
@@ -31,8 +31,10 @@
   // second, 12 % of the platform's 2,000.
   core::Duration elected_interval = std::chrono::milliseconds(200);
   core::Duration fallback_interval = std::chrono::seconds(5);
-  // Longest time between two calls after repeated failures.
-  core::Duration max_interval = std::chrono::seconds(60);
+  // Longest time between two calls after repeated failures, which double the interval. An elected
+  // entry must notice within the 5 s of a change that the platform is back.
+  core::Duration elected_interval_max = std::chrono::seconds(2);
+  core::Duration fallback_interval_max = std::chrono::seconds(60);
 };
 
 // What an entry knows of the fleet's contact with the platform.
@@ -43,7 +45,8 @@
   std::uint32_t failures = 0;
 };
 
-// Notes that the platform answered a call of this process.
+// Notes that the platform answered a call of this process. An answer older than the version in
+// force comes from a stale platform and counts as failed.
 auto PlatformAnswered(WatchState& state, core::Time now) -> void;
 
 // Notes that a call of this process failed or timed out.
--- /dev/null
+++ b/libs/config/test/table_test.cc
@@ -0,0 +1,148 @@
+#include "filbertstair/config/table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace filbertstair::config {
+namespace {
+
+const int kSeed = setenv("RC_PARAMS", "seed=7 max_success=500", 0);
+
+// Offer of one of three objects, with versions and contents so few that equal versions with equal
+// and different contents and invalid versions above and below the valid ones are all frequent.
+struct Event {
+  ObjectPtr object;
+  Validity validity;
+};
+
+auto Events() -> std::vector<Event> {
+  std::vector<Event> events;
+  for (const auto pick : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3 * 5 * 3))) {
+    const auto content = std::to_string(pick / 15);
+    // Validity depends on the content alone, as every process runs the same validator.
+    const bool invalid = pick % 5 == 3 && content != "0";
+    events.push_back({MakeObject(ObjectKind::document, std::to_string(pick % 3),
+                                 1 + static_cast<std::uint64_t>(pick % 5), content),
+                      invalid ? Validity{{"unknown field"}} : Validity{}});
+  }
+  return events;
+}
+
+auto Apply(const std::vector<Event>& events) -> ConfigTable {
+  ConfigTable table;
+  for (const auto& [object, validity] : events) Offer(table, object, validity, core::Time{});
+  return table;
+}
+
+auto SameState(const ConfigTable& a, const ConfigTable& b) -> bool {
+  return std::equal(a.slots.begin(), a.slots.end(), b.slots.begin(), b.slots.end(),
+                    [](const auto& x, const auto& y) {
+                      const auto stamp = [](const Slot& slot) {
+                        return slot.current ? slot.current->stamp : Stamp{};
+                      };
+                      return x.first == y.first && stamp(x.second) == stamp(y.second) &&
+                             x.second.rejected == y.second.rejected;
+                    });
+}
+
+// Guards against a return to an older version, nodes that settle on different contents, invalid
+// objects that take effect or are fetched again and again, and digests that miss a difference.
+class TableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TableTest);
+  CPPUNIT_TEST(testDecisions);
+  CPPUNIT_TEST(testNeverReverts);
+  CPPUNIT_TEST(testOrderDoesNotMatter);
+  CPPUNIT_TEST(testComparisonFindsEveryDifference);
+  CPPUNIT_TEST(testRejectedIsNotRequested);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testDecisions() -> void {
+    ConfigTable table;
+    const auto low = MakeObject(ObjectKind::document, "chat", 2, "a");
+    const auto high = MakeObject(ObjectKind::document, "chat", 2, "b");
+    const auto& [lost, won] =
+        std::minmax(low, high, [](const auto& a, const auto& b) { return a->stamp < b->stamp; });
+    const auto offer = [&](const ObjectPtr& object, const Validity& validity = {}) {
+      return Offer(table, object, validity, core::Time{});
+    };
+    CPPUNIT_ASSERT(offer(lost).decision == Decision::accepted);
+    CPPUNIT_ASSERT(offer(lost).decision == Decision::same);
+    const auto first = offer(won);
+    CPPUNIT_ASSERT(first.decision == Decision::conflict_won && first.alarm);
+    const auto second = offer(lost);
+    CPPUNIT_ASSERT(second.decision == Decision::conflict_lost && second.alarm);
+    const auto bad = MakeObject(ObjectKind::document, "chat", 3, "c");
+    CPPUNIT_ASSERT(offer(bad, {{"no pools"}}).decision == Decision::invalid);
+    const auto old = MakeObject(ObjectKind::document, "chat", 1, "d");
+    CPPUNIT_ASSERT(offer(old).decision == Decision::older);
+    CPPUNIT_ASSERT(Find(table, low->key) == won);
+  }
+
+  auto testNeverReverts() -> void {
+    CPPUNIT_ASSERT(rc::check("the stamp in force never falls", [] {
+      ConfigTable table;
+      for (const auto& [object, validity] : Events()) {
+        const auto before = Find(table, object->key);
+        Offer(table, object, validity, core::Time{});
+        const auto after = Find(table, object->key);
+        // RC_ASSERT evaluates both sides of ||.
+        const bool kept = !before || (after && after->stamp >= before->stamp);
+        RC_ASSERT(kept);
+        RC_ASSERT(validity.problems.empty() || after == before);
+      }
+    }));
+  }
+
+  auto testOrderDoesNotMatter() -> void {
+    CPPUNIT_ASSERT(rc::check("equal offers in any order and number give equal state", [] {
+      auto events = Events();
+      const auto first = Apply(events);
+      std::reverse(events.begin(), events.end());
+      const auto again = events;
+      events.insert(events.end(), again.begin(), again.end());
+      RC_ASSERT(SameState(first, Apply(events)));
+    }));
+  }
+
+  auto testComparisonFindsEveryDifference() -> void {
+    CPPUNIT_ASSERT(rc::check("what both sides request makes them equal", [] {
+      auto a = Apply(Events());
+      auto b = Apply(Events());
+      const auto pull = [](ConfigTable& to, const ConfigTable& from) {
+        const auto result = Compare(to, MakeDigest(from, DigestScope::all));
+        const auto reverse = Compare(from, MakeDigest(to, DigestScope::all));
+        for (const auto& row : reverse.to_send) {
+          RC_ASSERT(std::count(result.to_request.begin(), result.to_request.end(), row) == 1);
+        }
+        for (const auto& row : result.to_request) Offer(to, Find(from, row.key), {}, core::Time{});
+      };
+      RC_ASSERT(Compare(a, MakeDigest(b, DigestScope::summary)).rows_wanted ==
+                (MakeDigest(a, DigestScope::all).rows != MakeDigest(b, DigestScope::all).rows));
+      pull(a, b);
+      pull(b, a);
+      RC_ASSERT(MakeDigest(a, DigestScope::all).rows == MakeDigest(b, DigestScope::all).rows);
+    }));
+  }
+
+  auto testRejectedIsNotRequested() -> void {
+    ConfigTable peer;
+    const auto object = MakeObject(ObjectKind::document, "chat", 2, "a");
+    Offer(peer, object, {}, core::Time{});
+    const auto news = MakeDigest(peer, object->key);
+    ConfigTable table;
+    const auto before = Compare(table, news);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, before.to_request.size());
+    CPPUNIT_ASSERT(!before.rows_wanted);
+    Offer(table, object, {{"no pools"}}, core::Time{});
+    CPPUNIT_ASSERT(Compare(table, news).to_request.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableTest);
+
+}  // namespace
+}  // namespace filbertstair::config
--- a/libs/membership/include/filbertstair/membership/table.h
+++ b/libs/membership/include/filbertstair/membership/table.h
@@ -46,6 +46,9 @@
   // A longer gap between two evaluations means that this process itself was paused. The silence of
   // its peers is then counted from the end of the pause.
   core::Duration max_pause = std::chrono::milliseconds(1500);
+  // Time for which the incarnation of an unlisted, unconnected peer is kept, so that a process that
+  // was frozen for less is still recognised as old when its id is listed again.
+  core::Duration forget_after = std::chrono::hours(1);
 };
 
 // VM list, links, suspicion and drain state. Plain data; its lock has rank 20.
@@ -75,20 +78,20 @@
 auto SetPools(MemberTable& table, std::set<std::string> pools) -> std::vector<Change>;
 
 // Whether a message came from the newest known incarnation of its sender.
-enum class Word { current, stale };
+enum class Freshness { current, stale };
 
 // Notes a message from `peer`. A message from an older incarnation changes nothing; one that says
 // draining stays in force for its incarnation.
 auto Heard(MemberTable& table, const std::string& peer, core::Incarnation incarnation,
-           bool draining, core::Time now) -> Word;
+           bool draining, core::Time now) -> Freshness;
 
 // Notes that the connection with `incarnation` of `peer` broke, or with 0 that an attempt to
 // connect failed.
 auto LinkDown(MemberTable& table, const std::string& peer, core::Incarnation incarnation,
               core::Time now) -> void;
 
-// Updates suspicion from silence and forgets members that are neither listed nor connected. Returns
-// the changes of suspicion. Call several times per suspect_after_down.
+// Updates suspicion from silence and forgets unlisted members after forget_after. Returns the
+// changes of suspicion. Call several times per suspect_after_down.
 auto Evaluate(MemberTable& table, core::Time now) -> std::vector<Change>;
 
 // State of a member. Without any VM list, a peer that was heard counts as listed.
@@ -112,8 +115,8 @@
      {membership::MemberState::suspected, "suspected"},
      {membership::MemberState::gone, "gone"}}};
 template <>
-inline constexpr NameTable<membership::Word, 2> kNames<membership::Word>{
-    {{membership::Word::current, "current"}, {membership::Word::stale, "stale"}}};
+inline constexpr NameTable<membership::Freshness, 2> kNames<membership::Freshness>{
+    {{membership::Freshness::current, "current"}, {membership::Freshness::stale, "stale"}}};
 }  // namespace filbertstair::core
 
 #endif  // FILBERTSTAIR_MEMBERSHIP_TABLE_H_
--- a/libs/membership/include/filbertstair/membership/view.h
+++ b/libs/membership/include/filbertstair/membership/view.h
@@ -12,17 +12,21 @@
 // failed entry would leave an endpoint idle.
 inline constexpr std::size_t kMinCopies = 3;
 
-// Returns how many entries link to each endpoint, so that an entry has up to 0.6 * max_links links
-// on average; the rest is room for the spread of the hash. `current` is the value in use, or 0: it
-// is kept while the average stays between 0.3 and 0.75 * max_links, so that a fleet whose size
-// varies about a limit does not relink again and again. At least kMinCopies, at most `entries`.
+// Value of `copies` with which every entry links to every endpoint.
+inline constexpr std::size_t kAllCopies = static_cast<std::size_t>(-1);
+
+// Returns how many entries link to each endpoint: kAllCopies if there are at most `max_links`
+// endpoints, else so many that an entry has up to 0.6 * max_links links on average; the rest is
+// room for the spread of the hash. At least kMinCopies. `current` is the value in use, or 0: it is
+// kept while the average stays between 0.3 and 0.75 * max_links, so that a fleet whose size varies
+// about a limit does not relink again and again.
 auto Copies(std::size_t entries, std::size_t endpoints, std::size_t max_links, std::size_t current)
     -> std::size_t;
 
-// Returns the indices, in order, of the endpoints to which entry `self` links: all if they are at
-// most `max_links`, else those for which `self` is among the first `copies` entries by rendezvous
-// hashing. Links beyond `max_links` are dropped as long as the endpoint keeps kMinCopies others.
-// `entries` contains `self`. A change of one entry or endpoint changes only links of its own.
+// Returns the indices, in order, of the endpoints to which entry `self` links: those for which it
+// is among the first `copies` entries by rendezvous hashing. Links beyond `max_links` are dropped
+// as long as the endpoint keeps kMinCopies others. `entries` contains `self`. A change of one entry
+// or endpoint changes only links of its own.
 auto View(const std::string& self, std::span<const std::string> entries,
           std::span<const std::string> endpoints, std::size_t copies, std::size_t max_links)
     -> std::vector<std::size_t>;
--- a/libs/membership/include/filbertstair/membership/vm_list.h
+++ b/libs/membership/include/filbertstair/membership/vm_list.h
@@ -13,7 +13,7 @@
 struct ParsedVmList {
   // The list, if there are no problems.
   std::optional<VmList> list;
-  // All problems found, each as "file:line: message".
+  // All problems found, each as "file: field: message".
   std::vector<std::string> problems;
 };
 
--- /dev/null
+++ b/libs/membership/src/view.cc
@@ -0,0 +1,75 @@
+#include "filbertstair/membership/view.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace filbertstair::membership {
+namespace {
+
+// Shares of max_links that the average number of links may use.
+constexpr double kTargetLoad = 0.6;
+constexpr double kMinLoad = 0.3;
+constexpr double kMaxLoad = 0.75;
+
+// Rank of `self` among `entries` for `endpoint`, or `limit` if it is not lower. The order is that
+// of core::RendezvousOrder, but the search ends once `limit` better entries are found: on average
+// after some tens of 1,200, which makes a view of 10,000 endpoints affordable at each change.
+auto Rank(const std::string& self, std::span<const std::string> entries,
+          const std::string& endpoint, std::size_t limit) -> std::size_t {
+  const auto seed = XXH64(endpoint.data(), endpoint.size(), 0);
+  const auto own = XXH64(self.data(), self.size(), seed);
+  std::size_t rank = 0;
+  for (const auto& entry : entries) {
+    const auto score = XXH64(entry.data(), entry.size(), seed);
+    if (score > own || (score == own && entry < self)) ++rank;
+    if (rank >= limit) break;
+  }
+  return rank;
+}
+
+}  // namespace
+
+auto Copies(std::size_t entries, std::size_t endpoints, std::size_t max_links, std::size_t current)
+    -> std::size_t {
+  if (entries == 0) return kAllCopies;
+  const bool few = endpoints <= max_links;
+  if (few && (current == 0 || current == kAllCopies)) return kAllCopies;
+  const auto capacity = static_cast<double>(max_links) * static_cast<double>(entries);
+  const auto load = static_cast<double>(current) * static_cast<double>(endpoints) / capacity;
+  const bool usable = current >= kMinCopies && current < entries;
+  if (usable && load >= kMinLoad && load <= kMaxLoad) return current;
+  if (few) return kAllCopies;
+  return std::max(kMinCopies, static_cast<std::size_t>(kTargetLoad * capacity /
+                                                       static_cast<double>(endpoints)));
+}
+
+auto View(const std::string& self, std::span<const std::string> entries,
+          std::span<const std::string> endpoints, std::size_t copies, std::size_t max_links)
+    -> std::vector<std::size_t> {
+  std::vector<std::size_t> links;
+  if (copies == kAllCopies) {
+    for (std::size_t i = 0; i < endpoints.size(); ++i) links.push_back(i);
+    return links;
+  }
+  const auto limit = std::max(copies, kMinCopies);
+  // Rank of this entry for the endpoint, and the endpoint.
+  std::vector<std::pair<std::size_t, std::size_t>> ranked;
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    const auto rank = Rank(self, entries, endpoints[i], limit);
+    if (rank < limit) ranked.emplace_back(rank, i);
+  }
+  std::stable_sort(ranked.begin(), ranked.end(), [&](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first < b.first : endpoints[a.second] < endpoints[b.second];
+  });
+  for (const auto& [rank, i] : ranked) {
+    if (links.size() >= max_links && rank >= kMinCopies) break;
+    links.push_back(i);
+  }
+  std::sort(links.begin(), links.end());
+  return links;
+}
+
+}  // namespace filbertstair::membership
--- /dev/null
+++ b/libs/membership/test/table_test.cc
@@ -0,0 +1,210 @@
+#include "filbertstair/membership/table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+
+namespace filbertstair::membership {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const int kSeed = setenv("RC_PARAMS", "seed=7 max_success=500", 0);
+constexpr core::Time kStart{};
+
+// List in which "e" is an endpoint of pool "chat" with `state`; without `state` it is missing.
+auto List(std::uint64_t revision, std::optional<VmState> state) -> VmList {
+  VmList list{.revision = revision, .vms = {}};
+  list.vms.push_back(
+      {.id = "other", .address = "", .region = "north", .failure_domain = "", .pool = ""});
+  if (state) {
+    list.vms.push_back({"e", core::Role::endpoint, "127.0.0.1:1", "north", "", "chat", *state});
+  }
+  return list;
+}
+
+using Event = std::function<void(MemberTable&)>;
+
+// Lists and messages as every node may receive them, in few distinct values. All at one time, as
+// the order of arrival is what varies. The state in a list depends on its revision alone.
+auto Events() -> std::vector<Event> {
+  std::vector<Event> events;
+  for (const auto pick : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 16))) {
+    if (pick < 8) {
+      std::optional<VmState> state;
+      if (pick % 4 != 3) state = pick % 4 == 1 ? VmState::leaving : VmState::live;
+      events.emplace_back([list = List(static_cast<std::uint64_t>(pick) + 1, state)](auto& t) {
+        Observe(t, list);
+      });
+    } else {
+      const auto incarnation = static_cast<core::Incarnation>(pick / 2);
+      events.emplace_back([=](auto& t) { Heard(t, "e", incarnation, pick % 2 == 1, kStart); });
+    }
+  }
+  return events;
+}
+
+// Guards against new work for a leaving endpoint, against a process that wakes with old facts and
+// reverts newer ones, and against suspicion that counts as proof of absence.
+class TableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TableTest);
+  CPPUNIT_TEST(testAnySignMeansLeaving);
+  CPPUNIT_TEST(testOldIncarnationCannotRevert);
+  CPPUNIT_TEST(testOrderDoesNotMatter);
+  CPPUNIT_TEST(testLeavingStaysUntilNewerFact);
+  CPPUNIT_TEST(testSuspicionFromSilenceOnly);
+  CPPUNIT_TEST(testSuspicionIsNeverGone);
+  CPPUNIT_TEST(testOwnPauseIsNotSilence);
+  CPPUNIT_TEST(testMembersAndForgetting);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testAnySignMeansLeaving() -> void {
+    MemberTable listed;
+    Observe(listed, List(1, VmState::live));
+    SetPools(listed, {"chat"});
+    CPPUNIT_ASSERT(StateOf(listed, "e") == MemberState::live && !SelfLeaving(listed, "e"));
+    auto table = listed;
+    Observe(table, List(2, VmState::leaving));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::leaving && SelfLeaving(table, "e"));
+    table = listed;
+    const Change change{"e", MemberState::live, MemberState::leaving};
+    CPPUNIT_ASSERT(SetPools(table, {}) == std::vector{change} && SelfLeaving(table, "e"));
+    table = listed;
+    Heard(table, "e", 5, true, kStart);
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::leaving);
+    table = listed;
+    Observe(table, List(2, std::nullopt));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::gone && !SelfLeaving(table, "e"));
+  }
+
+  auto testOldIncarnationCannotRevert() -> void {
+    MemberTable table;
+    Observe(table, List(7, VmState::live));
+    Heard(table, "e", 5, true, kStart);
+    CPPUNIT_ASSERT(Heard(table, "e", 5, false, kStart) == Freshness::current);
+    CPPUNIT_ASSERT(Heard(table, "e", 4, false, kStart) == Freshness::stale);
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::leaving);
+    CPPUNIT_ASSERT(Heard(table, "e", 6, false, kStart) == Freshness::current);
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::live);
+    // Neither the old process nor its connection nor an old list changes the state of the new one.
+    Heard(table, "e", 5, true, kStart);
+    LinkDown(table, "e", 5, kStart);
+    Observe(table, List(6, VmState::leaving));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::live);
+    CPPUNIT_ASSERT(table.members["e"].link.connected);
+  }
+
+  auto testOrderDoesNotMatter() -> void {
+    CPPUNIT_ASSERT(rc::check("equal events in any order and number give equal state", [] {
+      auto events = Events();
+      const auto apply = [&events] {
+        MemberTable table;
+        for (const auto& event : events) event(table);
+        return table;
+      };
+      const auto first = apply();
+      std::reverse(events.begin(), events.end());
+      const auto again = events;
+      events.insert(events.end(), again.begin(), again.end());
+      const auto second = apply();
+      RC_ASSERT(StateOf(first, "e") == StateOf(second, "e"));
+      RC_ASSERT(first.revision == second.revision);
+    }));
+  }
+
+  auto testLeavingStaysUntilNewerFact() -> void {
+    CPPUNIT_ASSERT(rc::check("only a newer list or incarnation ends leaving", [] {
+      MemberTable table;
+      for (const auto& event : Events()) {
+        const auto before = table;
+        event(table);
+        if (StateOf(before, "e") != MemberState::leaving) continue;
+        if (StateOf(table, "e") == MemberState::leaving) continue;
+        const auto& old = before.members.at("e").link;
+        const auto found = table.members.find("e");
+        const bool newer =
+            found != table.members.end() && found->second.link.incarnation > old.incarnation;
+        RC_ASSERT(newer || (table.revision > before.revision && !old.draining) ||
+                  StateOf(table, "e") == MemberState::gone);
+      }
+    }));
+  }
+
+  auto testSuspicionFromSilenceOnly() -> void {
+    MemberTable table;
+    Observe(table, List(1, VmState::live));
+    Heard(table, "e", 5, false, kStart);
+    const auto evaluate = [&table](core::Time from, core::Duration time) {
+      std::vector<Change> changes;
+      for (auto now = from; now <= from + time; now += milliseconds(250)) {
+        for (const auto& change : Evaluate(table, now)) changes.push_back(change);
+      }
+      return changes;
+    };
+    CPPUNIT_ASSERT(evaluate(kStart, milliseconds(2750)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, evaluate(kStart + seconds(3), seconds(0)).size());
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::suspected);
+    Heard(table, "e", 5, false, kStart + seconds(4));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::live);
+    LinkDown(table, "e", 5, kStart + seconds(4));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::live);
+    evaluate(kStart + seconds(4), seconds(1));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::suspected);
+    // A peer that was never linked is not silent.
+    CPPUNIT_ASSERT(StateOf(table, "other") == MemberState::live);
+  }
+
+  auto testSuspicionIsNeverGone() -> void {
+    CPPUNIT_ASSERT(rc::check("silence never changes live or leaving to gone", [] {
+      MemberTable table;
+      for (const auto& event : Events()) event(table);
+      const auto before = StateOf(table, "e");
+      LinkDown(table, "e", table.members["e"].link.incarnation, kStart);
+      for (int i = 0; i < *rc::gen::inRange(0, 40); ++i) {
+        Evaluate(table, kStart + milliseconds(250) * i);
+      }
+      const auto after = StateOf(table, "e");
+      RC_ASSERT(before == after ||
+                (before == MemberState::live && after == MemberState::suspected));
+    }));
+  }
+
+  auto testOwnPauseIsNotSilence() -> void {
+    MemberTable table;
+    Observe(table, List(1, VmState::live));
+    Heard(table, "e", 5, false, kStart);
+    Evaluate(table, kStart);
+    const auto wake = kStart + seconds(60);
+    CPPUNIT_ASSERT(Evaluate(table, wake).empty());
+    for (int i = 1; i < 12; ++i)
+      CPPUNIT_ASSERT(Evaluate(table, wake + milliseconds(250) * i).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Evaluate(table, wake + seconds(3)).size());
+  }
+
+  auto testMembersAndForgetting() -> void {
+    MemberTable table;
+    Observe(table, List(1, VmState::live));
+    CPPUNIT_ASSERT(Members(table, core::Role::endpoint) == std::vector<std::string>{"e"});
+    CPPUNIT_ASSERT(Members(table, core::Role::endpoint, "south").empty());
+    Heard(table, "e", 5, true, kStart);
+    CPPUNIT_ASSERT(Members(table, core::Role::endpoint).empty());
+    Observe(table, List(2, std::nullopt));
+    LinkDown(table, "e", 5, kStart);
+    Evaluate(table, kStart);
+    Observe(table, List(3, VmState::live));
+    CPPUNIT_ASSERT(StateOf(table, "e") == MemberState::leaving);
+    Observe(table, List(4, std::nullopt));
+    for (int i = 1; i <= 3601; ++i) Evaluate(table, kStart + seconds(i));
+    CPPUNIT_ASSERT(!table.members.contains("e"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableTest);
+
+}  // namespace
+}  // namespace filbertstair::membership
--- /dev/null
+++ b/libs/membership/test/view_test.cc
@@ -0,0 +1,105 @@
+#include "filbertstair/membership/view.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "filbertstair/core/rendezvous.h"
+
+namespace filbertstair::membership {
+namespace {
+
+const int kSeed = setenv("RC_PARAMS", "seed=7 max_success=50", 0);
+
+auto Ids(const std::string& prefix, std::size_t count) -> std::vector<std::string> {
+  std::vector<std::string> ids;
+  for (std::size_t i = 0; i < count; ++i) ids.push_back(prefix + std::to_string(i));
+  return ids;
+}
+
+// Guards against endpoints that too few entries can reach, entries with unbounded links, and a
+// fleet that relinks as a whole when one VM is replaced.
+class ViewTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ViewTest);
+  CPPUNIT_TEST(testFewAreAllLinked);
+  CPPUNIT_TEST(testBoundsAtScale);
+  CPPUNIT_TEST(testSmallChangeChangesFewLinks);
+  CPPUNIT_TEST(testCopiesAreSteady);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testFewAreAllLinked() -> void {
+    const auto entries = Ids("e", 3);
+    const auto endpoints = Ids("p", 15);
+    const auto copies = Copies(3, 15, 64, 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{15}, View("e1", entries, endpoints, copies, 64).size());
+    // Two entries cannot give three links, but give the two that are possible.
+    const auto two = Ids("e", 2);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100},
+                         View("e1", two, Ids("p", 100), Copies(2, 100, 64, 0), 64).size());
+  }
+
+  auto testBoundsAtScale() -> void {
+    const auto entries = Ids("e", 1200);
+    const auto endpoints = Ids("p", 10000);
+    const auto copies = Copies(entries.size(), endpoints.size(), 64, 0);
+    std::vector<std::size_t> linked(endpoints.size());
+    for (const auto& entry : entries) {
+      const auto view = View(entry, entries, endpoints, copies, 64);
+      CPPUNIT_ASSERT(view.size() <= 64);
+      for (const auto i : view) ++linked[i];
+    }
+    const auto [low, high] = std::minmax_element(linked.begin(), linked.end());
+    CPPUNIT_ASSERT(*low >= kMinCopies && *high <= copies);
+    const auto order = core::RendezvousOrder(endpoints[5], entries);
+    const auto view = View(entries[order[0]], entries, endpoints, copies, 64);
+    CPPUNIT_ASSERT(std::count(view.begin(), view.end(), std::size_t{5}) == 1);
+  }
+
+  auto testSmallChangeChangesFewLinks() -> void {
+    CPPUNIT_ASSERT(rc::check("a replaced entry or endpoint changes only its own links", [] {
+      auto entries = Ids("e", *rc::gen::inRange<std::size_t>(10, 40));
+      auto endpoints = Ids("p", *rc::gen::inRange<std::size_t>(100, 300));
+      const std::size_t copies = *rc::gen::inRange<std::size_t>(3, 6);
+      const auto& self = entries.front();
+      const auto view = [&] {
+        std::vector<std::string> ids;
+        for (const auto i : View(self, entries, endpoints, copies, 1000))
+          ids.push_back(endpoints[i]);
+        std::sort(ids.begin(), ids.end());
+        return ids;
+      };
+      const auto before = view();
+      const auto removed = endpoints.back();
+      endpoints.pop_back();
+      auto expected = before;
+      std::erase(expected, removed);
+      RC_ASSERT(view() == expected);
+      // Without one entry, the others keep all their links and take over those of the one.
+      entries.pop_back();
+      const auto after = view();
+      RC_ASSERT(std::includes(after.begin(), after.end(), expected.begin(), expected.end()));
+      RC_ASSERT(after.size() - expected.size() <= endpoints.size() * copies / 8);
+    }));
+  }
+
+  auto testCopiesAreSteady() -> void {
+    const auto copies = Copies(1200, 10000, 64, 0);
+    CPPUNIT_ASSERT(copies >= kMinCopies);
+    for (std::size_t endpoints = 8500; endpoints <= 11500; endpoints += 100) {
+      CPPUNIT_ASSERT_EQUAL(copies, Copies(1200, endpoints, 64, copies));
+    }
+    CPPUNIT_ASSERT_EQUAL(kAllCopies, Copies(10, 64, 64, kAllCopies));
+    const auto partial = Copies(10, 65, 64, kAllCopies);
+    CPPUNIT_ASSERT(partial < 10);
+    CPPUNIT_ASSERT_EQUAL(partial, Copies(10, 64, 64, partial));
+    CPPUNIT_ASSERT_EQUAL(kAllCopies, Copies(10, 20, 64, partial));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ViewTest);
+
+}  // namespace
+}  // namespace filbertstair::membership
