Add the node and endpoint libraries

Cause: the endpoint process joins admission, shares and configuration to the streams. Change: node has identity, configuration in force, control streams and the admin listener for both roles; endpoint admits, grants, stages and relays requests to its replica.

--- /dev/null
+++ b/libs/endpoint/include/filbertstair/endpoint/endpoint.h
@@ -0,0 +1,24 @@
+#ifndef FILBERTSTAIR_ENDPOINT_ENDPOINT_H_
+#define FILBERTSTAIR_ENDPOINT_ENDPOINT_H_
+
+#include <memory>
+
+#include "filbertstair/node/node.h"
+
+// Endpoint role: the process in front of one replica. It alone admits requests to the replica.
+namespace filbertstair::endpoint {
+
+struct Endpoint;
+
+// Starts the role on the node's workers. Throws core::Error if a listener can't be opened.
+auto Start(node::Node& node) -> std::shared_ptr<Endpoint>;
+
+// Begins a graceful shutdown: new work is refused with draining, admitted requests go on.
+auto Drain(Endpoint& endpoint) -> void;
+
+// Number of requests that are admitted and not finished.
+auto InFlight(Endpoint& endpoint) -> std::size_t;
+
+}  // namespace filbertstair::endpoint
+
+#endif  // FILBERTSTAIR_ENDPOINT_ENDPOINT_H_
--- /dev/null
+++ b/libs/endpoint/src/control.cc
@@ -0,0 +1,165 @@
+#include "filbertstair/node/control.h"
+
+#include "filbertstair/shares/exchange.h"
+#include "state.h"
+
+namespace filbertstair::endpoint {
+namespace {
+
+using telemetry::Metric;
+
+// Bytes of service counters that an endpoint process sends per second over all its entries.
+constexpr std::size_t kServiceBytesPerSecond = 1500;
+
+// State of one control stream, used by its own fibers only.
+struct ControlState {
+  wire::Load sent;
+  bool load_sent = false;
+  shares::Link exchange;
+  std::map<shares::Workspace, std::uint32_t> sent_names;
+  // Accounts by the peer's numbers.
+  std::map<std::uint32_t, std::string> heard_names;
+  std::uint64_t stream = 0;
+};
+
+auto CurrentLoad(Endpoint& endpoint) -> wire::Load {
+  return endpoint.admission.With([&](const AdmissionTable& table) {
+    const auto& slots = table.admission.slots;
+    const bool waits = admission::HasDemand(table.admission.demand);
+    return wire::Load{slots.limit, waits ? 0 : admission::FreeSlots(slots),
+                      endpoint.node.draining.load()};
+  });
+}
+
+auto SendLoad(Endpoint& endpoint, ControlState& control, node::Outbox& outbox) -> void {
+  const auto load = CurrentLoad(endpoint);
+  if (control.load_sent && load == control.sent) return;
+  control.load_sent = true;
+  control.sent = load;
+  outbox.Push(load);
+}
+
+// Sends own counters within the byte budget, the largest unreported changes first.
+auto SendService(Endpoint& endpoint, ControlState& control, node::Outbox& outbox) -> void {
+  const std::size_t entries = endpoint.admission.With(
+      [](const AdmissionTable& table) { return std::max<std::size_t>(1, table.entries.size()); });
+  wire::Service message;
+  message.feed = static_cast<std::uint32_t>(shares::Feed::own);
+  endpoint.shares.With([&](shares::ShareTable& shares) {
+    shares::Advance(shares, node::Now());
+    for (const auto& update :
+         shares::SelectUpdates(shares, control.exchange, kServiceBytesPerSecond / entries)) {
+      wire::ServiceRow row;
+      row.index = update.workspace;
+      row.counter = update.counter;
+      if (control.sent_names.emplace(update.workspace, 0).second) {
+        row.workspace = shares.rows[update.workspace].name;
+      }
+      message.rows.push_back(std::move(row));
+    }
+  });
+  if (!message.rows.empty()) outbox.Push(std::move(message));
+}
+
+auto HandleDemand(Endpoint& endpoint, const wire::Hello& peer, const wire::Demand& demand) -> void {
+  std::vector<admission::DemandItem> items;
+  for (const auto& item : demand.items) {
+    items.push_back({item.service, item.workspace, item.waiting});
+  }
+  endpoint.admission.With([&](AdmissionTable& table) {
+    admission::ReplaceDemand(table.admission.demand, peer.id, peer.incarnation, items);
+  });
+  Dispatch(endpoint);
+}
+
+auto HandleReturn(Endpoint& endpoint, const wire::Hello& peer, const wire::GrantReturn& message)
+    -> void {
+  const admission::GrantClaim claim{message.grant,    message.granter, peer.id,
+                                    peer.incarnation, message.service, message.workspace};
+  endpoint.admission.With([&](AdmissionTable& table) {
+    auto& state = table.admission;
+    if (!admission::ReturnGrant(state.grants, state.slots, state.demand, claim, node::Now()))
+      return;
+    admission::Grant ended;
+    ended.id = message.grant;
+    RefundGrants(endpoint, table, {ended});
+  });
+  endpoint.node.metrics.Count(Metric::grants, "returned");
+  Dispatch(endpoint);
+}
+
+auto HandleTotals(Endpoint& endpoint, ControlState& control, const wire::Service& message) -> void {
+  if (message.feed != static_cast<std::uint32_t>(shares::Feed::totals)) return;
+  endpoint.shares.With([&](shares::ShareTable& shares) {
+    for (const auto& row : message.rows) {
+      if (!row.workspace.empty()) control.heard_names[row.index] = row.workspace;
+      const auto name = control.heard_names.find(row.index);
+      if (name == control.heard_names.end()) continue;
+      shares::MergeTotal(shares, shares::InternWorkspace(shares, name->second), row.counter,
+                         row.contained);
+    }
+  });
+}
+
+auto OpenEntry(Endpoint& endpoint, ControlState& control, const wire::Hello& peer,
+               const std::shared_ptr<node::Outbox>& outbox) -> bool {
+  return endpoint.admission.With([&](AdmissionTable& table) {
+    control.stream = ++table.last_stream;
+    const auto ended = admission::OpenEntry(table.admission, peer.id, peer.incarnation,
+                                            control.stream, peer.region);
+    if (!ended) return false;
+    RefundGrants(endpoint, table, *ended);
+    table.entries[peer.id] = {outbox, control.stream};
+    return true;
+  });
+}
+
+auto CloseEntry(Endpoint& endpoint, const ControlState& control, const wire::Hello& peer) -> void {
+  endpoint.admission.With([&](AdmissionTable& table) {
+    RefundGrants(endpoint, table, admission::CloseEntry(table.admission, peer.id, control.stream));
+    const auto found = table.entries.find(peer.id);
+    if (found != table.entries.end() && found->second.stream == control.stream) {
+      table.entries.erase(found);
+    }
+  });
+  Dispatch(endpoint);
+}
+
+}  // namespace
+
+auto ReportLoad(Endpoint& endpoint) -> void {
+  endpoint.admission.With([](const AdmissionTable& table) {
+    for (const auto& [id, link] : table.entries) link.outbox->Wake();
+  });
+}
+
+auto ServeControl(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
+  const auto control = std::make_shared<ControlState>();
+  control->exchange.feed = shares::Feed::own;
+  node::ControlHandlers handlers;
+  handlers.open = [&endpoint, control](const wire::Hello& peer,
+                                       const std::shared_ptr<node::Outbox>& outbox) {
+    return peer.role == core::Role::entry && OpenEntry(endpoint, *control, peer, outbox);
+  };
+  handlers.message = [&endpoint, control](const wire::Hello& peer,
+                                          const wire::ControlMessage& message) {
+    if (const auto* demand = std::get_if<wire::Demand>(&message)) {
+      HandleDemand(endpoint, peer, *demand);
+    } else if (const auto* returned = std::get_if<wire::GrantReturn>(&message)) {
+      HandleReturn(endpoint, peer, *returned);
+    } else if (const auto* service = std::get_if<wire::Service>(&message)) {
+      HandleTotals(endpoint, *control, *service);
+    }
+  };
+  handlers.update = [&endpoint, control](const wire::Hello&, node::Outbox& outbox,
+                                         bool period_over) {
+    SendLoad(endpoint, *control, outbox);
+    if (period_over) SendService(endpoint, *control, outbox);
+  };
+  handlers.close = [&endpoint, control](const wire::Hello& peer) {
+    CloseEntry(endpoint, *control, peer);
+  };
+  node::RunControl(endpoint.node, stream, handlers);
+}
+
+}  // namespace filbertstair::endpoint
--- /dev/null
+++ b/libs/endpoint/src/dispatch.cc
@@ -0,0 +1,123 @@
+#include <algorithm>
+
+#include "state.h"
+
+namespace filbertstair::endpoint {
+namespace {
+
+using telemetry::Metric;
+
+// Largest wait for a grant's Submit among the linked entries: the allowance must cover the slowest.
+auto LargestRoundTrip(const AdmissionTable& table) -> core::Duration {
+  core::Duration largest{0};
+  for (const auto& [id, link] : table.entries) largest = std::max(largest, link.round_trip);
+  return largest;
+}
+
+// A candidate for the next grant, with its share account.
+struct Choice {
+  admission::DemandKey key;
+  std::string account;
+  shares::Candidate candidate;
+};
+
+auto CollectChoices(Endpoint& endpoint, const AdmissionTable& table, const node::Snapshot& snapshot,
+                    shares::ShareTable& shares) -> std::vector<Choice> {
+  std::vector<Choice> choices;
+  for (const auto& row : admission::Candidates(table.admission.demand)) {
+    Choice choice;
+    choice.key = {std::string(row.service), std::string(row.workspace), std::string(row.region)};
+    choice.account = Account(choice.key.service, choice.key.workspace);
+    choice.candidate.workspace = shares::InternWorkspace(shares, choice.account);
+    choice.candidate.weight = WeightOf(snapshot, choice.key.service, choice.key.workspace);
+    choice.candidate.remote = row.region != endpoint.node.settings.region;
+    choice.candidate.count = row.waiting;
+    choices.push_back(std::move(choice));
+  }
+  return choices;
+}
+
+// Tells the share table which accounts have no demand any more.
+auto UpdateActive(AdmissionTable& table, shares::ShareTable& shares,
+                  const std::vector<Choice>& choices, core::Time now) -> void {
+  std::map<std::string, shares::Workspace> active;
+  for (const auto& choice : choices) active[choice.account] = choice.candidate.workspace;
+  for (const auto& [account, workspace] : table.active) {
+    if (!active.contains(account)) shares::Deactivate(shares, workspace, now);
+  }
+  table.active = std::move(active);
+}
+
+auto IssueGrant(Endpoint& endpoint, AdmissionTable& table, shares::ShareTable& shares,
+                const Choice& choice, std::uint32_t allowance, const admission::Now& now) -> bool {
+  const auto round_trip = LargestRoundTrip(table);
+  const auto grant = admission::Issue(table.admission, choice.key, allowance,
+                                      admission::GrantTimeToLive(round_trip), now);
+  if (!grant) return false;
+  const auto service = shares::InternService(shares, choice.key.service);
+  const auto estimate = shares::Estimate(shares, choice.candidate.workspace, service, std::nullopt);
+  const auto charge = ++table.last_charge;
+  shares::Charge(shares, charge, choice.candidate.workspace, service, estimate);
+  table.grant_charges[grant->id] = {now.steady, charge};
+  const auto link = table.entries.find(grant->entry);
+  if (link != table.entries.end()) {
+    link->second.outbox->Push(wire::Grant{grant->id, grant->granter, choice.key.service,
+                                          choice.key.workspace, grant->expires - now.steady});
+  }
+  endpoint.node.metrics.Count(Metric::grants, "issued");
+  return true;
+}
+
+}  // namespace
+
+auto Dispatch(Endpoint& endpoint) -> void {
+  const auto snapshot = node::CurrentSnapshot(endpoint.node);
+  const auto now = ReadClocks();
+  bool issued = false;
+  endpoint.admission.With([&](AdmissionTable& table) {
+    endpoint.shares.With([&](shares::ShareTable& shares) {
+      const double rate = admission::CompletionsPerSecond(table.completions, now.steady);
+      const auto allowance =
+          admission::GrantAllowance(table.admission.slots, rate, LargestRoundTrip(table));
+      shares::Advance(shares, now.steady);
+      auto choices = CollectChoices(endpoint, table, *snapshot, shares);
+      UpdateActive(table, shares, choices, now.steady);
+      while (admission::MayGrant(table.admission.slots, allowance)) {
+        std::vector<shares::Candidate> candidates;
+        for (const auto& choice : choices) candidates.push_back(choice.candidate);
+        const auto picked = shares::Pick(shares, candidates, now.steady);
+        if (!picked) break;
+        if (!IssueGrant(endpoint, table, shares, choices[*picked], allowance, now)) break;
+        --choices[*picked].candidate.count;
+        issued = true;
+      }
+    });
+  });
+  if (issued) endpoint.grants_changed.Notify();
+}
+
+auto StartStaged(AdmissionTable& table) -> void {
+  const auto starts = admission::StartNext(table.admission, ReadClocks());
+  const auto wake = [&](const core::AttemptId& id, bool started) {
+    const auto found = table.pending.find(id);
+    if (found == table.pending.end()) return;
+    (started ? found->second->started : found->second->expired) = true;
+    found->second->changed.Notify();
+  };
+  for (const auto& id : starts.started) wake(id, true);
+  for (const auto& id : starts.expired) wake(id, false);
+}
+
+auto RefundGrants(Endpoint& endpoint, AdmissionTable& table,
+                  const std::vector<admission::Grant>& grants) -> void {
+  endpoint.shares.With([&](shares::ShareTable& shares) {
+    for (const auto& grant : grants) {
+      const auto found = table.grant_charges.find(grant.id);
+      if (found == table.grant_charges.end()) continue;
+      shares::Refund(shares, found->second.second);
+      table.grant_charges.erase(found);
+    }
+  });
+}
+
+}  // namespace filbertstair::endpoint
--- /dev/null
+++ b/libs/endpoint/src/endpoint.cc
@@ -0,0 +1,251 @@
+#include "filbertstair/endpoint/endpoint.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <future>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/h2.h"
+#include "filbertstair/node/admin.h"
+#include "filbertstair/node/control.h"
+#include "state.h"
+
+namespace filbertstair::endpoint {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Limit of running requests before the first document with this process's pool is in force.
+constexpr std::uint32_t kInitialLimit = 1;
+// Time from the start during which totals from feeders are incomplete: three exchange periods.
+constexpr std::chrono::seconds kLearningTime{3};
+
+auto ServeStream(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
+  try {
+    if (stream->Path() == node::kControlPath) {
+      ServeControl(endpoint, stream);
+    } else if (stream->Path() == node::kRequestPath) {
+      ServeRequest(endpoint, stream);
+    }
+  } catch (const core::Error& error) {
+    node::LogError(Level::debug, Event::peer_lost, error);
+    stream->Reset();
+  }
+}
+
+// Expires grants when their time has come. Sleeps while there are none.
+auto ExpireLoop(Endpoint& endpoint) -> void {
+  while (true) {
+    const auto next = endpoint.admission.With(
+        [](const AdmissionTable& table) { return admission::NextExpiry(table.admission.grants); });
+    if (!next) {
+      endpoint.grants_changed.Wait();
+      continue;
+    }
+    endpoint.grants_changed.WaitUntil(*next);
+    const auto expired = endpoint.admission.With([&](AdmissionTable& table) {
+      auto grants = admission::Expire(table.admission, table.policy, ReadClocks());
+      RefundGrants(endpoint, table, grants);
+      return grants;
+    });
+    for (const auto& grant : expired) {
+      endpoint.node.metrics.Count(Metric::grants, "expired");
+      telemetry::Log(Level::warning, Event::grant_expired,
+                     {{"peer", grant.entry}, {"workspace", grant.demand.workspace}});
+    }
+    if (!expired.empty()) Dispatch(endpoint);
+  }
+}
+
+auto ServiceOfPool(const node::Snapshot& snapshot, const std::string& pool)
+    -> std::shared_ptr<const document::Service> {
+  for (const auto& [name, service] : snapshot.services) {
+    for (const auto& candidate : service->pools) {
+      if (candidate.name == pool) return service;
+    }
+  }
+  return nullptr;
+}
+
+auto LiveEndpoints(const node::Snapshot& snapshot, const document::Service& service)
+    -> std::vector<std::string> {
+  std::vector<std::string> ids;
+  for (const auto& vm : snapshot.vms.vms) {
+    const auto serves = [&](const document::Pool& pool) { return pool.name == vm.pool; };
+    if (vm.role == core::Role::endpoint && vm.state == membership::VmState::live &&
+        std::any_of(service.pools.begin(), service.pools.end(), serves)) {
+      ids.push_back(vm.id);
+    }
+  }
+  return ids;
+}
+
+auto Status(Endpoint& endpoint) -> std::string {
+  boost::json::object status;
+  endpoint.admission.With([&](const AdmissionTable& table) {
+    const auto& slots = table.admission.slots;
+    status["limit"] = slots.limit;
+    status["running"] = slots.running;
+    status["staged"] = slots.staged;
+    status["granted"] = slots.granted;
+    boost::json::array waiting;
+    for (const auto& row : admission::Candidates(table.admission.demand)) {
+      waiting.push_back({{"service", row.service},
+                         {"workspace", row.workspace},
+                         {"region", row.region},
+                         {"waiting", row.waiting}});
+    }
+    status["demand"] = std::move(waiting);
+  });
+  endpoint.shares.With([&](const shares::ShareTable& shares) {
+    boost::json::array accounts;
+    for (shares::Workspace i = 0; i < shares.rows.size(); ++i) {
+      accounts.push_back({{"account", shares.rows[i].name},
+                          {"own_us", shares.rows[i].own},
+                          {"fleet_us", shares::Total(shares.rows[i])},
+                          {"level_us", shares::LevelOf(shares, i)}});
+    }
+    status["shares"] = std::move(accounts);
+  });
+  const auto text = boost::json::serialize(status);
+  return text.substr(1, text.size() - 2);
+}
+
+auto SetGauges(Endpoint& endpoint) -> void {
+  auto& metrics = endpoint.node.metrics;
+  endpoint.admission.With([&](const AdmissionTable& table) {
+    const auto& slots = table.admission.slots;
+    metrics.Set(Metric::slots, slots.limit);
+    metrics.Set(Metric::running, slots.running);
+    metrics.Set(Metric::staged, slots.staged);
+  });
+}
+
+// Runs `open` on worker `index` and rethrows its error in the caller.
+auto RunOnWorker(node::Node& node, std::size_t index, const std::function<void()>& open) -> void {
+  std::promise<void> opened;
+  node.pool.Post(index, [&] {
+    try {
+      open();
+      opened.set_value();
+    } catch (...) {
+      opened.set_exception(std::current_exception());
+    }
+  });
+  opened.get_future().get();
+}
+
+auto ListenPeers(const std::shared_ptr<Endpoint>& endpoint) -> void {
+  const auto address = settings::FormatAddress(endpoint->node.settings.peers);
+  net::ListenStreams(address, [endpoint](const std::shared_ptr<net::Stream>& stream) {
+    ServeStream(*endpoint, stream);
+  });
+  telemetry::Log(Level::info, Event::listening, {{"purpose", "peers"}, {"address", address}});
+}
+
+auto StartAdmin(const std::shared_ptr<Endpoint>& endpoint) -> void {
+  node::AdminHandlers handlers;
+  handlers.ready = [endpoint] {
+    return !endpoint->node.draining && node::CurrentSnapshot(endpoint->node)->configured;
+  };
+  handlers.status = [endpoint] { return Status(*endpoint); };
+  handlers.refresh = [endpoint] { SetGauges(*endpoint); };
+  handlers.drain = [endpoint] { Drain(*endpoint); };
+  node::ListenAdmin(endpoint->node, handlers);
+}
+
+}  // namespace
+
+auto ReadClocks() -> admission::Now {
+  return {node::Now(), std::chrono::time_point_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now())};
+}
+
+auto Account(const std::string& service, const std::string& workspace) -> std::string {
+  return service + "/" + workspace;
+}
+
+auto WeightOf(const node::Snapshot& snapshot, const std::string& service,
+              const std::string& workspace) -> double {
+  const auto found = snapshot.services.find(service);
+  if (found == snapshot.services.end()) return 1;
+  for (const auto& candidate : found->second->workspaces) {
+    if (candidate.id == workspace) return candidate.weight;
+  }
+  return 1;
+}
+
+auto ApplyConfiguration(Endpoint& endpoint) -> void {
+  const auto snapshot = node::CurrentSnapshot(endpoint.node);
+  const auto now = ReadClocks();
+  const auto own = ServiceOfPool(*snapshot, endpoint.node.settings.pool);
+  endpoint.admission.With([&](AdmissionTable& table) {
+    auto& state = table.admission;
+    if (own) {
+      table.policy.keys.lifetime =
+          std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.protect);
+      table.policy.keys.quiet =
+          std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.quiet);
+      for (const auto& pool : own->pools) {
+        if (pool.name == endpoint.node.settings.pool) state.slots.limit = pool.max_slots;
+      }
+    }
+    for (const auto& [name, service] : snapshot->services) {
+      auto& history = state.owners[name];
+      history.self = endpoint.node.settings.id;
+      admission::ObserveEndpoints(history, table.policy.keys, LiveEndpoints(*snapshot, *service),
+                                  now.wall);
+    }
+    StartStaged(table);
+  });
+  if (own) {
+    endpoint.shares.With([&](shares::ShareTable& shares) {
+      shares.settings.link_price = static_cast<double>(own->link_price.count());
+      shares.settings.max_lead = static_cast<double>(own->max_lead.count());
+    });
+  }
+  const bool leaving = endpoint.node.members.With([&](const membership::MemberTable& table) {
+    return snapshot->configured && membership::SelfLeaving(table, endpoint.node.settings.id);
+  });
+  if (leaving) Drain(endpoint);
+  Dispatch(endpoint);
+  ReportLoad(endpoint);
+}
+
+auto Start(node::Node& node) -> std::shared_ptr<Endpoint> {
+  auto endpoint = std::make_shared<Endpoint>(node);
+  endpoint->admission.With([&](AdmissionTable& table) {
+    table.admission = admission::StartAdmission(node.incarnation, kInitialLimit, ReadClocks());
+  });
+  endpoint->shares.With([&](shares::ShareTable& shares) {
+    shares.salt = std::hash<std::string>{}(node.settings.id);
+    shares.learning = true;
+  });
+  node.on_configuration = [endpoint] { ApplyConfiguration(*endpoint); };
+  for (std::size_t i = 0; i < node.pool.Size(); ++i) {
+    RunOnWorker(node, i, [&] { ListenPeers(endpoint); });
+  }
+  RunOnWorker(node, 0, [&] { StartAdmin(endpoint); });
+  node.pool.Post(0, [endpoint] { ExpireLoop(*endpoint); });
+  node.pool.Post(0, [endpoint] {
+    runtime::SleepFor(kLearningTime);
+    endpoint->shares.With([](shares::ShareTable& shares) { shares.learning = false; });
+  });
+  return endpoint;
+}
+
+auto Drain(Endpoint& endpoint) -> void {
+  if (endpoint.node.draining.exchange(true)) return;
+  telemetry::Log(Level::info, Event::stopping, {});
+  endpoint.admission.With([&](AdmissionTable& table) {
+    RefundGrants(endpoint, table, admission::Drain(table.admission));
+  });
+  ReportLoad(endpoint);
+}
+
+auto InFlight(Endpoint& endpoint) -> std::size_t { return endpoint.in_flight; }
+
+}  // namespace filbertstair::endpoint
--- /dev/null
+++ b/libs/endpoint/src/request.cc
@@ -0,0 +1,274 @@
+#include "filbertstair/wire/request.h"
+
+#include <utility>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/http_client.h"
+#include "state.h"
+
+namespace filbertstair::endpoint {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+constexpr std::chrono::milliseconds kConnectTimeout{2000};
+// Used for services whose document is not in force here.
+constexpr core::Duration kDefaultIdle = std::chrono::seconds(60);
+
+// A request on its way through the endpoint process.
+struct Call {
+  wire::Submit submit;
+  std::shared_ptr<net::Stream> stream;
+  std::shared_ptr<Pending> pending = std::make_shared<Pending>();
+  shares::ChargeId charge = 0;
+  core::Time started{};
+};
+
+auto Send(net::Stream& stream, const wire::RequestMessage& message) -> void {
+  stream.Send(wire::Encode(message));
+}
+
+auto ToSubmission(const wire::Submit& submit) -> admission::Submission {
+  admission::Submission out;
+  out.attempt = submit.attempt;
+  out.endpoint = submit.endpoint;
+  out.grant = submit.grant;
+  out.service = submit.service;
+  out.workspace = submit.workspace;
+  out.deadline = node::Now() + submit.remaining;
+  if (!submit.key.empty()) {
+    const std::chrono::milliseconds issued(static_cast<std::int64_t>(submit.key_issued_ms));
+    out.key = admission::Key{submit.key, admission::WallTime(issued)};
+  }
+  return out;
+}
+
+auto ChargeDirect(Endpoint& endpoint, AdmissionTable& table, const wire::Submit& submit)
+    -> shares::ChargeId {
+  const auto charge = ++table.last_charge;
+  endpoint.shares.With([&](shares::ShareTable& shares) {
+    const auto workspace =
+        shares::InternWorkspace(shares, Account(submit.service, submit.workspace));
+    const auto service = shares::InternService(shares, submit.service);
+    const auto hint = submit.cost_hint > 0 ? std::optional(submit.cost_hint) : std::nullopt;
+    const auto estimate = shares::Estimate(shares, workspace, service, hint);
+    shares::Charge(shares, charge, workspace, service, estimate);
+  });
+  return charge;
+}
+
+// Takes over the charge of the submission's grant and measures the grant's round trip.
+auto TakeGrantCharge(AdmissionTable& table, const wire::Submit& submit) -> shares::ChargeId {
+  const auto found = table.grant_charges.find(submit.grant);
+  if (found == table.grant_charges.end()) return 0;
+  const auto [issued, charge] = found->second;
+  table.grant_charges.erase(found);
+  const auto link = table.entries.find(submit.attempt.entry);
+  if (link != table.entries.end()) {
+    // A mean over about eight grants, so that one late Submit does not raise the allowance.
+    link->second.round_trip += (node::Now() - issued - link->second.round_trip) / 8;
+  }
+  return charge;
+}
+
+auto Admit(Endpoint& endpoint, Call& call) -> admission::Decision {
+  return endpoint.admission.With([&](AdmissionTable& table) {
+    const auto decision =
+        admission::Submit(table.admission, table.policy, ToSubmission(call.submit), ReadClocks());
+    const auto charge = TakeGrantCharge(table, call.submit);
+    if (decision.verdict == admission::Verdict::refused) {
+      if (charge != 0) {
+        endpoint.shares.With([&](shares::ShareTable& shares) { shares::Refund(shares, charge); });
+      }
+      return decision;
+    }
+    call.charge = charge != 0 ? charge : ChargeDirect(endpoint, table, call.submit);
+    if (decision.verdict == admission::Verdict::staged) {
+      table.pending[call.submit.attempt] = call.pending;
+    }
+    return decision;
+  });
+}
+
+auto Refuse(Endpoint& endpoint, Call& call, core::Reason reason, core::Outcome status) -> void {
+  endpoint.node.metrics.Count(Metric::refusals, core::Name(reason));
+  Send(*call.stream, wire::Verdict{false, reason, status});
+  call.stream->Finish();
+}
+
+// Ends an admitted request, gives its slot to the next one and settles its cost.
+auto Finish(Endpoint& endpoint, const Call& call, core::Outcome outcome) -> core::Cost {
+  const auto now = node::Now();
+  const bool ran = call.started != core::Time{};
+  const core::Cost cost = ran ? (now - call.started).count() : 0;
+  endpoint.admission.With([&](AdmissionTable& table) {
+    table.pending.erase(call.submit.attempt);
+    admission::Finish(table.admission, table.policy, call.submit.attempt, outcome, ReadClocks());
+    if (ran) admission::ObserveCompletion(table.completions, now);
+    endpoint.shares.With([&](shares::ShareTable& shares) {
+      if (ran) {
+        shares::Settle(shares, call.charge, cost);
+      } else {
+        shares::Refund(shares, call.charge);
+      }
+    });
+    StartStaged(table);
+  });
+  endpoint.node.metrics.Count(Metric::service_time, call.submit.workspace,
+                              static_cast<double>(cost) * 1e-6);
+  --endpoint.in_flight;
+  Dispatch(endpoint);
+  ReportLoad(endpoint);
+  return cost;
+}
+
+// Waits until the staged request gets a slot. Returns false if it was dropped.
+auto AwaitSlot(Endpoint& endpoint, Call& call) -> bool {
+  auto& pending = *call.pending;
+  while (!pending.started && !pending.expired && !pending.cancelled) pending.changed.Wait();
+  if (pending.started) return true;
+  if (pending.cancelled) {
+    endpoint.admission.With([&](AdmissionTable& table) {
+      admission::Withdraw(table.admission, table.policy, call.submit.attempt, call.submit.endpoint,
+                          ReadClocks());
+    });
+  }
+  return false;
+}
+
+auto ToHttp(const wire::Submit& submit) -> net::HttpRequest {
+  net::HttpRequest request;
+  request.method = submit.method;
+  request.target = submit.target;
+  request.headers = submit.headers;
+  request.body = submit.body;
+  return request;
+}
+
+auto IdleTimeout(Endpoint& endpoint, const std::string& service) -> std::chrono::milliseconds {
+  const auto snapshot = node::CurrentSnapshot(endpoint.node);
+  const auto found = snapshot->services.find(service);
+  const auto idle = found == snapshot->services.end() ? kDefaultIdle : found->second->timeouts.idle;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(idle);
+}
+
+// Sends the request to the replica and passes the answer on as it arrives.
+auto Relay(Endpoint& endpoint, Call& call, net::HttpExchange& exchange) -> void {
+  const auto remaining =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.submit.remaining);
+  const auto idle = IdleTimeout(endpoint, call.submit.service);
+  const auto answer =
+      exchange.Start(settings::FormatAddress(endpoint.node.settings.replica), ToHttp(call.submit),
+                     std::min(kConnectTimeout, remaining), remaining);
+  Send(*call.stream, wire::Head{answer.status, answer.headers});
+  for (auto piece = exchange.Read(idle); !piece.empty(); piece = exchange.Read(idle)) {
+    Send(*call.stream, wire::Chunk{std::move(piece)});
+  }
+}
+
+auto OutcomeOf(net::Progress progress) -> core::Outcome {
+  switch (progress) {
+    case net::Progress::not_sent:
+      return core::Outcome::not_run;
+    case net::Progress::sent:
+      return core::Outcome::unknown;
+    case net::Progress::answered:
+      break;
+  }
+  return core::Outcome::ran;
+}
+
+// Runs an admitted request. Whatever fails, the attempt ends and its slot is freed.
+auto Run(Endpoint& endpoint, Call& call) -> void {
+  net::HttpExchange exchange;
+  wire::End end{true, core::Reason::internal_error, core::Outcome::ran, 0, ""};
+  // Cancels the exchange when the entry resets the stream, as after its caller left.
+  auto running = std::make_shared<net::HttpExchange*>(&exchange);
+  runtime::Spawn([stream = call.stream, running, pending = call.pending] {
+    stream->WaitClosed();
+    pending->cancelled = true;
+    if (*running != nullptr) (*running)->Cancel();
+  });
+  call.started = node::Now();
+  endpoint.shares.With(
+      [&](shares::ShareTable& shares) { shares::Start(shares, call.charge, call.started); });
+  try {
+    Relay(endpoint, call, exchange);
+  } catch (const core::Error& error) {
+    end.complete = false;
+    end.outcome = OutcomeOf(exchange.GetProgress());
+    end.reason = exchange.GetProgress() == net::Progress::answered
+                     ? core::Reason::answer_cut
+                     : core::Reason::engine_unreachable;
+    end.message = error.what();
+    if (!call.pending->cancelled) {
+      node::LogError(Level::warning, Event::answer_cut, error, call.submit.request_id);
+    }
+  }
+  *running = nullptr;
+  end.cost = Finish(endpoint, call, end.outcome);
+  Send(*call.stream, end);
+  call.stream->Finish();
+}
+
+auto HandleSubmit(Endpoint& endpoint, Call& call) -> void {
+  const auto decision = Admit(endpoint, call);
+  if (decision.verdict == admission::Verdict::refused) {
+    Refuse(endpoint, call, decision.refusal->reason,
+           admission::ToOutcome(decision.refusal->status));
+    if (call.submit.grant != 0) Dispatch(endpoint);
+    return;
+  }
+  ++endpoint.in_flight;
+  if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
+  ReportLoad(endpoint);
+  if (decision.verdict == admission::Verdict::staged) {
+    runtime::Spawn([stream = call.stream, pending = call.pending] {
+      stream->WaitClosed();
+      pending->cancelled = true;
+      pending->changed.Notify();
+    });
+    if (!AwaitSlot(endpoint, call)) {
+      Finish(endpoint, call, core::Outcome::not_run);
+      Refuse(endpoint, call, core::Reason::deadline_exceeded, core::Outcome::not_run);
+      return;
+    }
+  }
+  try {
+    Send(*call.stream, wire::Verdict{true});
+  } catch (const core::Error&) {
+    Finish(endpoint, call, core::Outcome::not_run);
+    throw;
+  }
+  Run(endpoint, call);
+}
+
+auto HandleWithdraw(Endpoint& endpoint, net::Stream& stream, const wire::Withdraw& withdraw)
+    -> void {
+  const auto status = endpoint.admission.With([&](AdmissionTable& table) {
+    return admission::Withdraw(table.admission, table.policy, withdraw.attempt, withdraw.endpoint,
+                               ReadClocks());
+  });
+  Send(stream, wire::Withdrawn{admission::ToOutcome(status)});
+  stream.Finish();
+}
+
+}  // namespace
+
+auto ServeRequest(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
+  const auto bytes = stream->Receive();
+  if (!bytes) return;
+  auto message = wire::DecodeRequest(*bytes, stream->Peer());
+  if (const auto* withdraw = std::get_if<wire::Withdraw>(&message)) {
+    HandleWithdraw(endpoint, *stream, *withdraw);
+  } else if (auto* submit = std::get_if<wire::Submit>(&message)) {
+    Call call;
+    call.submit = std::move(*submit);
+    call.stream = stream;
+    HandleSubmit(endpoint, call);
+  }
+}
+
+}  // namespace filbertstair::endpoint
--- /dev/null
+++ b/libs/endpoint/src/state.h
@@ -0,0 +1,94 @@
+#ifndef FILBERTSTAIR_ENDPOINT_SRC_STATE_H_
+#define FILBERTSTAIR_ENDPOINT_SRC_STATE_H_
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "filbertstair/admission/admission.h"
+#include "filbertstair/endpoint/endpoint.h"
+#include "filbertstair/net/h2.h"
+#include "filbertstair/node/node.h"
+#include "filbertstair/node/outbox.h"
+#include "filbertstair/runtime/ranked_mutex.h"
+#include "filbertstair/runtime/signal.h"
+#include "filbertstair/shares/exchange.h"
+#include "filbertstair/shares/shares.h"
+
+namespace filbertstair::endpoint {
+
+// A request that waits for a slot, or was dropped before it got one. Its fiber waits on `changed`.
+struct Pending {
+  runtime::Signal changed;
+  std::atomic<bool> started = false;
+  std::atomic<bool> expired = false;
+  std::atomic<bool> cancelled = false;
+};
+
+// An entry with an open control stream.
+struct EntryLink {
+  std::shared_ptr<node::Outbox> outbox;
+  std::uint64_t stream = 0;
+  // Recent time from a Grant to its Submit.
+  core::Duration round_trip = std::chrono::milliseconds(2);
+};
+
+struct AdmissionTable {
+  admission::Admission admission;
+  admission::Policy policy;
+  admission::CompletionRate completions;
+  std::map<core::AttemptId, std::shared_ptr<Pending>> pending;
+  std::map<std::string, EntryLink> entries;
+  std::uint64_t last_stream = 0;
+  std::uint64_t last_charge = 0;
+  // Time of issue and charge of each outstanding grant.
+  std::map<admission::GrantId, std::pair<core::Time, shares::ChargeId>> grant_charges;
+  // Accounts with demand when grants were last dispatched.
+  std::map<std::string, shares::Workspace> active;
+};
+
+struct Endpoint {
+  explicit Endpoint(node::Node& node) : node(node) {}
+
+  node::Node& node;
+  runtime::Guarded<AdmissionTable, runtime::Rank::admission> admission;
+  runtime::Guarded<shares::ShareTable, runtime::Rank::shares> shares;
+  // Wakes the fiber that expires grants.
+  runtime::Signal grants_changed;
+  std::atomic<std::size_t> in_flight = 0;
+};
+
+// Both clocks.
+auto ReadClocks() -> admission::Now;
+
+// Name of the account under which a workspace's service is counted: shares are kept per service.
+auto Account(const std::string& service, const std::string& workspace) -> std::string;
+
+// Weight of a workspace within a service; 1 if the document in force does not know it.
+auto WeightOf(const node::Snapshot& snapshot, const std::string& service,
+              const std::string& workspace) -> double;
+
+// Issues grants while slots allow, to the workspaces with the least level. Call without locks.
+auto Dispatch(Endpoint& endpoint) -> void;
+
+// Starts staged requests while slots are free and wakes their fibers. The admission table is
+// locked.
+auto StartStaged(AdmissionTable& table) -> void;
+
+// Cancels the charges of grants that ended without a request. The admission table is locked.
+auto RefundGrants(Endpoint& endpoint, AdmissionTable& table,
+                  const std::vector<admission::Grant>& grants) -> void;
+
+// Applies the configuration in force to slots, key owners and share settings.
+auto ApplyConfiguration(Endpoint& endpoint) -> void;
+
+// Wakes the control streams, to report a change of load.
+auto ReportLoad(Endpoint& endpoint) -> void;
+
+auto ServeControl(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void;
+auto ServeRequest(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void;
+
+}  // namespace filbertstair::endpoint
+
+#endif  // FILBERTSTAIR_ENDPOINT_SRC_STATE_H_
--- a/libs/net/include/filbertstair/net/h2.h
+++ b/libs/net/include/filbertstair/net/h2.h
@@ -46,6 +46,10 @@
   // Cancels both directions at once. May be called while another fiber waits in Send or Receive.
   auto Reset() -> void;
 
+  // Suspends until the stream is closed: both sides finished, it was reset, or its connection was
+  // lost.
+  auto WaitClosed() -> void;
+
   auto Path() const -> const std::string&;
   auto Peer() const -> const std::string&;
 
--- a/libs/net/src/h2.cc
+++ b/libs/net/src/h2.cc
@@ -51,6 +51,7 @@
   runtime::Signal readable;
   // Set when the stream no longer exists in the session.
   bool closed = false;
+  std::deque<std::shared_ptr<runtime::Signal>> close_waiters;
   std::string close_reason;
 };
 
@@ -78,6 +79,7 @@
   state.close_reason = reason;
   state.readable.Notify();
   state.writable.Notify();
+  for (auto& waiter : state.close_waiters) waiter->Notify();
 }
 
 auto CloseSession(Session& session, const std::string& reason) -> void {
@@ -370,6 +372,13 @@
   detail::CloseStream(*this->state, "stream reset");
 }
 
+auto Stream::WaitClosed() -> void {
+  if (this->state->closed) return;
+  auto waiter = std::make_shared<runtime::Signal>();
+  this->state->close_waiters.push_back(waiter);
+  waiter->Wait();
+}
+
 auto Stream::Path() const -> const std::string& { return this->state->path; }
 
 auto Stream::Peer() const -> const std::string& { return this->state->peer; }
--- /dev/null
+++ b/libs/node/include/filbertstair/node/node.h
@@ -0,0 +1,85 @@
+#ifndef FILBERTSTAIR_NODE_NODE_H_
+#define FILBERTSTAIR_NODE_NODE_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "filbertstair/config/fetch.h"
+#include "filbertstair/config/table.h"
+#include "filbertstair/config/watch.h"
+#include "filbertstair/core/types.h"
+#include "filbertstair/document/names.h"
+#include "filbertstair/document/service.h"
+#include "filbertstair/membership/table.h"
+#include "filbertstair/membership/vm.h"
+#include "filbertstair/node/outbox.h"
+#include "filbertstair/runtime/pool.h"
+#include "filbertstair/runtime/ranked_mutex.h"
+#include "filbertstair/settings/settings.h"
+#include "filbertstair/telemetry/log.h"
+#include "filbertstair/telemetry/metrics.h"
+
+// What both roles have in common: identity, configuration in force, membership, control streams,
+// and the admin listener.
+namespace filbertstair::node {
+
+// The configuration in force as one immutable value. A request uses one snapshot from start to end.
+struct Snapshot {
+  std::map<std::string, std::shared_ptr<const document::Service>> services;
+  document::NameIndex names;
+  membership::VmList vms;
+  // Whether a VM list and at least one document are in force.
+  bool configured = false;
+};
+
+struct ConfigState {
+  config::ConfigTable table;
+  config::FetchTable fetches;
+  config::WatchState watch;
+  std::shared_ptr<const Snapshot> snapshot = std::make_shared<const Snapshot>();
+};
+
+// A peer with an open control stream.
+struct LinkedPeer {
+  core::Role role = core::Role::entry;
+  std::shared_ptr<Outbox> outbox;
+};
+
+struct LinkTable {
+  std::map<std::string, LinkedPeer> peers;
+};
+
+struct Node {
+  Node(settings::Settings settings, core::Incarnation incarnation);
+
+  const settings::Settings settings;
+  const core::Incarnation incarnation;
+  telemetry::Metrics metrics;
+  std::atomic<bool> draining = false;
+  runtime::Guarded<ConfigState, runtime::Rank::config> config;
+  runtime::Guarded<membership::MemberTable, runtime::Rank::members> members;
+  runtime::Guarded<LinkTable, runtime::Rank::links> links;
+  // Called without locks after the configuration in force changed. Set before the workers start.
+  std::function<void()> on_configuration;
+  runtime::Pool pool;
+};
+
+// Time on the process's monotonic clock.
+auto Now() -> core::Time;
+
+auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot>;
+
+// Logs an event with the fields of an error: step, peer and message.
+auto LogError(telemetry::Level level, telemetry::Event event, const std::exception& error,
+              std::string_view request = {}) -> void;
+
+// Logs changes of member states.
+auto LogChanges(const std::vector<membership::Change>& changes) -> void;
+
+}  // namespace filbertstair::node
+
+#endif  // FILBERTSTAIR_NODE_NODE_H_
--- /dev/null
+++ b/libs/node/src/admin.cc
@@ -0,0 +1,106 @@
+#include "filbertstair/node/admin.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "filbertstair/settings/settings.h"
+
+namespace filbertstair::node {
+namespace {
+
+auto Objects(Node& node) -> boost::json::array {
+  boost::json::array objects;
+  node.config.With([&](const ConfigState& state) {
+    for (const auto& [key, slot] : state.table.slots) {
+      if (!slot.current) continue;
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Now() - slot.learned);
+      objects.push_back({{"name", key.name},
+                         {"version", slot.current->stamp.version},
+                         {"hash", std::to_string(slot.current->stamp.hash)},
+                         {"age_ms", age.count()}});
+    }
+  });
+  return objects;
+}
+
+auto Members(Node& node) -> boost::json::array {
+  boost::json::array members;
+  node.members.With([&](const membership::MemberTable& table) {
+    for (const auto& [id, member] : table.members) {
+      const auto state = core::Name(membership::StateOf(table, id));
+      members.push_back({{"id", id}, {"state", state}, {"connected", member.link.connected}});
+    }
+  });
+  return members;
+}
+
+auto SetGauges(Node& node) -> void {
+  std::map<membership::MemberState, int> counts;
+  node.members.With([&](const membership::MemberTable& table) {
+    for (const auto& [id, member] : table.members) ++counts[membership::StateOf(table, id)];
+  });
+  for (const auto& [state, name] : core::kNames<membership::MemberState>) {
+    node.metrics.Set(telemetry::Metric::members, counts[state], name);
+  }
+  const auto age = node.config.With(
+      [](const ConfigState& state) { return config::ContactAge(state.watch, Now()); });
+  node.metrics.Set(telemetry::Metric::config_age, static_cast<double>(age.count()) * 1e-6);
+}
+
+auto Answer(Node& node, const AdminHandlers& handlers, const net::HttpRequest& request,
+            net::Responder& responder) -> void {
+  const net::Headers text = {{"Content-Type", "text/plain; charset=utf-8"}};
+  const net::Headers json = {{"Content-Type", "application/json"}};
+  if (request.target == "/healthz") {
+    responder.Respond(200, text, "ok\n");
+  } else if (request.target == "/readyz") {
+    const bool ready = handlers.ready();
+    responder.Respond(ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n");
+  } else if (request.target == "/metrics") {
+    SetGauges(node);
+    if (handlers.refresh) handlers.refresh();
+    responder.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, node.metrics.Render());
+  } else if (request.target == "/status") {
+    responder.Respond(200, json, "{" + CommonStatus(node) + "," + handlers.status() + "}\n");
+  } else if (request.target == "/drain" && request.method == "POST") {
+    handlers.drain();
+    responder.Respond(202, text, "draining\n");
+  } else {
+    responder.Respond(404, text, "not found\n");
+  }
+}
+
+}  // namespace
+
+auto CommonStatus(Node& node) -> std::string {
+  const auto& s = node.settings;
+  const boost::json::object status = {{"id", s.id},
+                                      {"role", core::Name(s.role)},
+                                      {"region", s.region},
+                                      {"failure_domain", s.failure_domain},
+                                      {"incarnation", node.incarnation},
+                                      {"draining", node.draining.load()},
+                                      {"objects", Objects(node)},
+                                      {"members", Members(node)}};
+  const auto text = boost::json::serialize(status);
+  return text.substr(1, text.size() - 2);
+}
+
+auto ListenAdmin(Node& node, AdminHandlers handlers) -> void {
+  const auto address = settings::FormatAddress(node.settings.admin);
+  net::HttpHandlers http;
+  http.request = [&node, handlers = std::move(handlers)](const net::HttpRequest& request,
+                                                         net::Responder& responder) {
+    Answer(node, handlers, request, responder);
+  };
+  http.fault = [](net::RequestFault, net::Responder& responder) {
+    responder.Respond(400, {}, "malformed request\n");
+  };
+  http.closing = [] { return false; };
+  net::ListenHttp(address, {}, std::move(http));
+  telemetry::Log(telemetry::Level::info, telemetry::Event::listening,
+                 {{"purpose", "admin"}, {"address", address}});
+}
+
+}  // namespace filbertstair::node
--- /dev/null
+++ b/libs/node/src/node.cc
@@ -0,0 +1,43 @@
+#include "filbertstair/node/node.h"
+
+#include "filbertstair/core/error.h"
+
+namespace filbertstair::node {
+
+Node::Node(settings::Settings settings, core::Incarnation incarnation)
+    : settings(std::move(settings)),
+      incarnation(incarnation),
+      pool(this->settings.workers, [](const std::exception& error) {
+        LogError(telemetry::Level::error, telemetry::Event::internal_error, error);
+      }) {}
+
+auto Now() -> core::Time {
+  return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+}
+
+auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot> {
+  return node.config.With([](const ConfigState& state) { return state.snapshot; });
+}
+
+auto LogError(telemetry::Level level, telemetry::Event event, const std::exception& error,
+              std::string_view request) -> void {
+  std::string_view step;
+  std::string_view peer;
+  if (const auto* typed = dynamic_cast<const core::Error*>(&error)) {
+    step = core::Name(typed->GetStep());
+    peer = typed->Peer();
+  }
+  telemetry::Log(level, event,
+                 {{"request", request}, {"step", step}, {"peer", peer}, {"error", error.what()}});
+}
+
+auto LogChanges(const std::vector<membership::Change>& changes) -> void {
+  for (const auto& change : changes) {
+    telemetry::Log(telemetry::Level::info, telemetry::Event::member_changed,
+                   {{"peer", change.id},
+                    {"before", core::Name(change.before)},
+                    {"after", core::Name(change.after)}});
+  }
+}
+
+}  // namespace filbertstair::node
--- a/libs/runtime/include/filbertstair/runtime/ranked_mutex.h
+++ b/libs/runtime/include/filbertstair/runtime/ranked_mutex.h
@@ -17,7 +17,9 @@
   queue = 30,
   admission = 40,
   shares = 50,
-  traces = 60
+  traces = 60,
+  links = 70,
+  outbox = 80
 };
 
 namespace detail {
@@ -69,7 +71,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<runtime::Rank, 7> kNames<runtime::Rank>{{
+inline constexpr NameTable<runtime::Rank, 9> kNames<runtime::Rank>{{
     {runtime::Rank::none, "none"},
     {runtime::Rank::config, "config"},
     {runtime::Rank::members, "members"},
@@ -77,6 +79,8 @@
     {runtime::Rank::admission, "admission"},
     {runtime::Rank::shares, "shares"},
     {runtime::Rank::traces, "traces"},
+    {runtime::Rank::links, "links"},
+    {runtime::Rank::outbox, "outbox"},
 }};
 }  // namespace filbertstair::core
 
