--- /dev/null
+++ b/apps/filbertstaird/main.cc
@@ -0,0 +1,132 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <iostream>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/endpoint/endpoint.h"
+#include "filbertstair/entry/entry.h"
+#include "filbertstair/node/node.h"
+#include "filbertstair/schema/problem.h"
+#include "filbertstair/settings/settings.h"
+
+namespace filbertstair {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+// Time between two looks at the requests in flight during a graceful shutdown.
+constexpr std::chrono::milliseconds kDrainCheck{20};
+// A draining daemon keeps its listeners open for this long, so that the balancer and the other
+// processes learn of it before connections are refused.
+constexpr std::chrono::milliseconds kDrainNotice{1500};
+
+// What main needs to know of the role.
+struct Role {
+  std::function<void()> drain;
+  std::function<std::size_t()> in_flight;
+};
+
+auto StartRole(node::Node& node) -> Role {
+  if (node.settings.role == core::Role::entry) {
+    const auto entry = entry::Start(node);
+    return {[entry] { entry::Drain(*entry); }, [entry] { return entry::InFlight(*entry); }};
+  }
+  const auto endpoint = endpoint::Start(node);
+  return {[endpoint] { endpoint::Drain(*endpoint); },
+          [endpoint] { return endpoint::InFlight(*endpoint); }};
+}
+
+auto ToLevel(settings::LogLevel level) -> Level { return static_cast<Level>(level); }
+
+auto ToFormat(settings::LogFormat format) -> telemetry::Format {
+  return static_cast<telemetry::Format>(format);
+}
+
+auto Now() -> core::Incarnation {
+  return static_cast<core::Incarnation>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                            std::chrono::system_clock::now().time_since_epoch())
+                                            .count());
+}
+
+// Blocks the signals that end the daemon in all threads, to be taken by Wait.
+auto BlockSignals() -> sigset_t {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+// Waits for the requests in flight, at most drain_grace, after a notice to the others.
+auto FinishRequests(const node::Node& node, const Role& role) -> std::size_t {
+  const auto start = node::Now();
+  while (node::Now() - start < node.settings.drain_grace) {
+    if (role.in_flight() == 0 && node::Now() - start >= kDrainNotice) break;
+    usleep(static_cast<useconds_t>(std::chrono::microseconds(kDrainCheck).count()));
+  }
+  return role.in_flight();
+}
+
+auto Run(const settings::Settings& settings) -> int {
+  const auto signals = BlockSignals();
+  node::Node node(settings, Now());
+  telemetry::Log(Level::info, Event::started,
+                 {{"role", core::Name(settings.role)},
+                  {"region", settings.region},
+                  {"failure_domain", settings.failure_domain},
+                  {"version", FILBERTSTAIR_VERSION}});
+  try {
+    const auto role = StartRole(node);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    role.drain();
+    const auto cut = FinishRequests(node, role);
+    telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
+  } catch (const core::Error& error) {
+    node::LogError(Level::error, Event::start_failed, error);
+    std::cerr << "filbertstaird: " << error.what() << '\n';
+    _exit(kExitRefused);
+  }
+  // The workers' fibers still wait for I/O; leaving without unwinding them is safe, as nothing is
+  // kept.
+  _exit(0);
+}
+
+auto Main(int argc, char** argv) -> int {
+  CLI::App app("filbertstair daemon: an entry or the process in front of one replica");
+  std::string path;
+  app.add_option("--settings", path, "Settings file (YAML)")->required();
+  app.set_version_flag("--version", FILBERTSTAIR_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : kExitUsage;
+  }
+  try {
+    const auto result = settings::ReadFile(path);
+    for (const auto& problem : result.problems) {
+      std::cerr << "filbertstaird: " << schema::Describe(problem) << '\n';
+    }
+    if (!result.settings) return kExitRefused;
+    telemetry::SetUpLog(ToLevel(result.settings->log_level), ToFormat(result.settings->log_format),
+                        result.settings->id);
+    return Run(*result.settings);
+  } catch (const core::Error& error) {
+    std::cerr << "filbertstaird: " << error.what() << '\n';
+    return kExitRefused;
+  }
+}
+
+}  // namespace
+}  // namespace filbertstair
+
+auto main(int argc, char** argv) -> int { return filbertstair::Main(argc, argv); }
--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -1,5 +1,5 @@
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED COMPONENTS fiber context)
+find_package(Boost 1.81 REQUIRED COMPONENTS fiber context json)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(CPPUNIT REQUIRED IMPORTED_TARGET cppunit)
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -3,12 +3,12 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <future>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/h2.h"
 #include "filbertstair/node/admin.h"
 #include "filbertstair/node/control.h"
+#include "filbertstair/node/start.h"
 #include "state.h"
 
 namespace filbertstair::endpoint {
@@ -124,20 +124,6 @@
   });
 }
 
-// Runs `open` on worker `index` and rethrows its error in the caller.
-auto RunOnWorker(node::Node& node, std::size_t index, const std::function<void()>& open) -> void {
-  std::promise<void> opened;
-  node.pool.Post(index, [&] {
-    try {
-      open();
-      opened.set_value();
-    } catch (...) {
-      opened.set_exception(std::current_exception());
-    }
-  });
-  opened.get_future().get();
-}
-
 auto ListenPeers(const std::shared_ptr<Endpoint>& endpoint) -> void {
   const auto address = settings::FormatAddress(endpoint->node.settings.peers);
   net::ListenStreams(address, [endpoint](const std::shared_ptr<net::Stream>& stream) {
@@ -226,9 +212,9 @@
   });
   node.on_configuration = [endpoint] { ApplyConfiguration(*endpoint); };
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
-    RunOnWorker(node, i, [&] { ListenPeers(endpoint); });
+    node::RunOnWorker(node, i, [&] { ListenPeers(endpoint); });
   }
-  RunOnWorker(node, 0, [&] { StartAdmin(endpoint); });
+  node::RunOnWorker(node, 0, [&] { StartAdmin(endpoint); });
   node.pool.Post(0, [endpoint] { ExpireLoop(*endpoint); });
   node.pool.Post(0, [endpoint] {
     runtime::SleepFor(kLearningTime);
--- /dev/null
+++ b/libs/entry/src/attempt.cc
@@ -0,0 +1,180 @@
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+
+#include "filbertstair/core/error.h"
+#include "state.h"
+
+namespace filbertstair::entry {
+namespace {
+
+using core::Outcome;
+using core::Reason;
+using core::Step;
+using telemetry::Metric;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+// Longest wait for the endpoint process's word on an attempt whose stream broke.
+constexpr std::chrono::milliseconds kWithdrawTimeout{2000};
+// Headers that concern one connection, and those that this process sets itself.
+constexpr std::array<std::string_view, 10> kDroppedHeaders = {
+    "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te",
+    "trailer",    "upgrade",    "x-request-id",     "x-endpoint",        "x-outcome"};
+
+auto ConnectionTo(Entry& entry, const Call& call, const std::string& endpoint)
+    -> std::shared_ptr<net::Connection> {
+  auto& connections = entry.workers[runtime::WorkerIndex()].connections;
+  const auto found = connections.find(endpoint);
+  if (found != connections.end() && found->second->IsOpen()) return found->second;
+  for (const auto& vm : call.snapshot->vms.vms) {
+    if (vm.id != endpoint) continue;
+    auto connection = net::Connect(vm.address, kConnectTimeout);
+    connections[endpoint] = connection;
+    return connection;
+  }
+  throw core::Error(Step::connect, endpoint, "not in the VM list");
+}
+
+auto Receive(Call& call, Clock::time_point deadline) -> std::optional<wire::RequestMessage> {
+  const auto bytes = call.stream->ReceiveUntil(deadline);
+  if (!bytes) return std::nullopt;
+  return wire::DecodeRequest(*bytes, call.stream->Peer());
+}
+
+// Asks the endpoint process what became of an attempt whose stream broke before its verdict.
+// Without an answer nothing is known.
+auto AskOutcome(Entry& entry, Call& call, const Target& target) -> Outcome {
+  try {
+    const auto stream =
+        ConnectionTo(entry, call, target.endpoint)->Open(std::string(node::kRequestPath));
+    stream->Send(wire::Encode(wire::Withdraw{call.submit.attempt, call.submit.endpoint}));
+    stream->Finish();
+    const auto bytes = stream->ReceiveUntil(Clock::now() + kWithdrawTimeout);
+    if (!bytes) return Outcome::unknown;
+    const auto message = wire::DecodeRequest(*bytes, stream->Peer());
+    if (const auto* withdrawn = std::get_if<wire::Withdrawn>(&message)) return withdrawn->status;
+  } catch (const core::Error&) {
+    return Outcome::unknown;
+  }
+  return Outcome::unknown;
+}
+
+auto Fail(Reason reason, Outcome outcome, Step step, std::string message, bool begun = false)
+    -> AttemptFailure {
+  return {{reason, outcome, begun}, step, std::move(message)};
+}
+
+auto AnswerHeaders(const Call& call, const Target& target, const wire::Head& head) -> net::Headers {
+  net::Headers headers;
+  for (const auto& [name, value] : head.headers) {
+    const auto dropped = [&name = name](std::string_view other) {
+      return boost::beast::iequals(name, other);
+    };
+    if (std::none_of(kDroppedHeaders.begin(), kDroppedHeaders.end(), dropped)) {
+      headers.emplace_back(name, value);
+    }
+  }
+  headers.emplace_back("X-Request-Id", call.id);
+  headers.emplace_back("X-Endpoint", target.endpoint);
+  headers.emplace_back("X-Outcome", core::Name(Outcome::ran));
+  return headers;
+}
+
+// Opens the stream of the attempt. Returns a failure if the endpoint process can't be reached.
+auto OpenStream(Entry& entry, Call& call, const Target& target) -> std::optional<AttemptFailure> {
+  std::shared_ptr<net::Connection> connection;
+  try {
+    connection = ConnectionTo(entry, call, target.endpoint);
+    call.stream = connection->Open(std::string(node::kRequestPath));
+  } catch (const core::Error& error) {
+    return Fail(Reason::endpoint_unreachable, Outcome::not_run, error.GetStep(), error.what());
+  }
+  call.submit.attempt = {entry.node.settings.id, entry.node.incarnation, ++entry.last_serial};
+  call.submit.grant = target.grant;
+  call.submit.endpoint = target.granter;
+  call.submit.remaining = call.deadline - node::Now();
+  return std::nullopt;
+}
+
+// Sends the submission and waits for the verdict. Returns a failure unless the attempt was
+// admitted.
+auto Submit(Entry& entry, Call& call, const Target& target) -> std::optional<AttemptFailure> {
+  try {
+    call.stream->Send(wire::Encode(call.submit));
+    call.stream->Finish();
+    const auto message = Receive(call, call.deadline);
+    const auto* verdict = message ? std::get_if<wire::Verdict>(&*message) : nullptr;
+    if (verdict == nullptr) throw core::Error(Step::decode, target.endpoint, "expected a verdict");
+    if (verdict->admitted) return std::nullopt;
+    return Fail(verdict->reason, verdict->status, Step::admit,
+                "refused: " + std::string(core::Name(verdict->reason)));
+  } catch (const core::Error& error) {
+    call.stream->Reset();
+    return Fail(Reason::connection_lost, AskOutcome(entry, call, target), error.GetStep(),
+                error.what());
+  }
+}
+
+// Records the times between the parts of an answer.
+struct PartTimes {
+  core::Time last{};
+  bool any = false;
+};
+
+auto ObservePart(Entry& entry, const Call& call, PartTimes& times) -> void {
+  const auto now = node::Now();
+  if (times.any) {
+    entry.node.metrics.Observe(Metric::part_gap, now - times.last);
+  } else {
+    entry.node.metrics.Observe(Metric::first_byte, now - call.arrived);
+  }
+  times = {now, true};
+}
+
+auto HandleEnd(const wire::End& end, net::Responder& responder) -> std::optional<AttemptFailure> {
+  if (end.complete) {
+    responder.End();
+    return std::nullopt;
+  }
+  return Fail(end.reason, end.outcome, Step::engine, end.message, responder.HasBegun());
+}
+
+// Passes the answer of an admitted attempt on to the caller.
+auto RelayAnswer(Entry& entry, Call& call, const Target& target, net::Responder& responder)
+    -> std::optional<AttemptFailure> {
+  PartTimes times;
+  while (true) {
+    std::optional<wire::RequestMessage> message;
+    try {
+      message = Receive(call, call.deadline);
+      if (!message) throw core::Error(Step::read, target.endpoint, "answer without an end");
+    } catch (const core::Error& error) {
+      call.stream->Reset();
+      const auto outcome = responder.HasBegun() ? Outcome::ran : Outcome::unknown;
+      return Fail(Reason::connection_lost, outcome, error.GetStep(), error.what(),
+                  responder.HasBegun());
+    }
+    if (const auto* head = std::get_if<wire::Head>(&*message)) {
+      responder.Begin(head->status, AnswerHeaders(call, target, *head));
+    } else if (const auto* chunk = std::get_if<wire::Chunk>(&*message)) {
+      ObservePart(entry, call, times);
+      responder.Write(chunk->data);
+    } else if (const auto* end = std::get_if<wire::End>(&*message)) {
+      return HandleEnd(*end, responder);
+    }
+  }
+}
+
+}  // namespace
+
+auto Attempt(Entry& entry, Call& call, const Target& target, net::Responder& responder)
+    -> std::optional<AttemptFailure> {
+  auto failure = OpenStream(entry, call, target);
+  if (!failure) failure = Submit(entry, call, target);
+  if (failure) return failure;
+  entry.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
+  return RelayAnswer(entry, call, target, responder);
+}
+
+}  // namespace filbertstair::entry
--- /dev/null
+++ b/libs/entry/src/entry.cc
@@ -0,0 +1,135 @@
+#include "filbertstair/entry/entry.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/node/admin.h"
+#include "filbertstair/node/start.h"
+#include "state.h"
+
+namespace filbertstair::entry {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Largest body that any document may allow.
+constexpr std::uint64_t kMaxBody = std::uint64_t{64} << 20;
+
+auto ToRefused(net::RequestFault fault) -> Refused {
+  Refused refused;
+  refused.step = core::Step::read;
+  switch (fault) {
+    case net::RequestFault::body_too_large:
+      refused.reason = core::Reason::request_too_large;
+      refused.message = "the body is larger than any service allows";
+      break;
+    case net::RequestFault::header_too_large:
+      refused.reason = core::Reason::request_too_large;
+      refused.message = "the header is too large";
+      break;
+    case net::RequestFault::malformed:
+    case net::RequestFault::none:
+      refused.reason = core::Reason::malformed_request;
+      refused.message = "the request is not valid HTTP/1.1";
+      break;
+  }
+  return refused;
+}
+
+auto ListenCallers(const std::shared_ptr<Entry>& entry) -> void {
+  const auto address = settings::FormatAddress(entry->node.settings.callers);
+  net::HttpLimits limits;
+  limits.max_body_bytes = kMaxBody;
+  net::HttpHandlers handlers;
+  handlers.request = [entry](const net::HttpRequest& request, net::Responder& responder) {
+    HandleRequest(*entry, request, responder);
+  };
+  handlers.fault = [entry](net::RequestFault fault, net::Responder& responder) {
+    RespondRefused(*entry, "", "", ToRefused(fault), responder);
+  };
+  handlers.closing = [entry] { return entry->node.draining.load(); };
+  entry->workers[runtime::WorkerIndex()].callers =
+      std::make_shared<net::HttpListener>(net::ListenHttp(address, limits, std::move(handlers)));
+  telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
+}
+
+auto ListenPeers(const std::shared_ptr<Entry>& entry) -> void {
+  const auto address = settings::FormatAddress(entry->node.settings.peers);
+  net::ListenStreams(
+      address, [entry](const std::shared_ptr<net::Stream>& stream) { ServePeer(*entry, stream); });
+  telemetry::Log(Level::info, Event::listening, {{"purpose", "peers"}, {"address", address}});
+}
+
+auto Status(Entry& entry) -> std::string {
+  boost::json::object status;
+  status["in_flight"] = entry.in_flight.load();
+  entry.queue.With([&](const QueueState& state) {
+    boost::json::array queues;
+    for (const auto& [key, queue] : state.queues.queues) {
+      queues.push_back({{"service", key.service},
+                        {"workspace", key.workspace},
+                        {"owner", key.owner},
+                        {"waiting", queue.size()}});
+    }
+    status["queues"] = std::move(queues);
+    boost::json::array endpoints;
+    for (const auto& [id, link] : state.endpoints) {
+      endpoints.push_back({{"id", id}, {"free", link.free}, {"draining", link.draining}});
+    }
+    status["endpoints"] = std::move(endpoints);
+  });
+  entry.shares.With([&](const shares::ShareTable& shares) {
+    boost::json::array accounts;
+    for (const auto& row : shares.rows) {
+      accounts.push_back({{"account", row.name}, {"fleet_us", shares::Total(row)}});
+    }
+    status["shares"] = std::move(accounts);
+  });
+  const auto text = boost::json::serialize(status);
+  return text.substr(1, text.size() - 2);
+}
+
+auto StartAdmin(const std::shared_ptr<Entry>& entry) -> void {
+  node::AdminHandlers handlers;
+  handlers.ready = [entry] {
+    return !entry->node.draining && node::CurrentSnapshot(entry->node)->configured;
+  };
+  handlers.status = [entry] { return Status(*entry); };
+  handlers.refresh = [entry] {
+    const auto waiting =
+        entry->queue.With([](const QueueState& state) { return state.queues.waiting; });
+    entry->node.metrics.Set(Metric::waiting, static_cast<double>(waiting));
+  };
+  handlers.drain = [entry] { Drain(*entry); };
+  node::ListenAdmin(entry->node, handlers);
+}
+
+}  // namespace
+
+auto Start(node::Node& node) -> std::shared_ptr<Entry> {
+  auto entry = std::make_shared<Entry>(node);
+  node.on_configuration = [entry] { entry->links_changed.Notify(); };
+  for (std::size_t i = 0; i < node.pool.Size(); ++i) {
+    node::RunOnWorker(node, i, [&] {
+      ListenPeers(entry);
+      ListenCallers(entry);
+    });
+  }
+  node::RunOnWorker(node, 0, [&] { StartAdmin(entry); });
+  node.pool.Post(0, [entry] { LinkLoop(*entry); });
+  node.pool.Post(0, [entry] { PlatformLoop(*entry); });
+  return entry;
+}
+
+auto Drain(Entry& entry) -> void {
+  if (entry.node.draining.exchange(true)) return;
+  telemetry::Log(Level::info, Event::stopping, {});
+}
+
+auto InFlight(Entry& entry) -> std::size_t { return entry.in_flight; }
+
+}  // namespace filbertstair::entry
--- /dev/null
+++ b/libs/entry/src/links.cc
@@ -0,0 +1,313 @@
+#include <algorithm>
+
+#include "filbertstair/config/fanout.h"
+#include "filbertstair/core/error.h"
+#include "filbertstair/core/rendezvous.h"
+#include "filbertstair/membership/view.h"
+#include "state.h"
+
+namespace filbertstair::entry {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr std::chrono::milliseconds kReconnectWait{200};
+// Time between two evaluations of suspicion; several fit the shortest time until suspicion.
+constexpr std::chrono::milliseconds kEvaluateInterval{250};
+// Endpoint processes that one entry links to at most.
+constexpr std::size_t kMaxEndpointLinks = 64;
+// Bytes of service counters that an entry sends per second over all its links.
+constexpr std::size_t kServiceBytesPerSecond = 2500;
+// Least time between two Demand messages that only update counts.
+constexpr core::Duration kDemandInterval = std::chrono::milliseconds(100);
+// An endpoint that knows of fewer waiting requests may run out of them before the next message.
+constexpr std::uint32_t kLowDemand = 2;
+
+using DemandKey = std::pair<std::string, std::string>;
+
+// State of one control stream to an endpoint process, used by its own fibers only.
+struct EndpointControl {
+  // Waiting requests that the endpoint knows of: the last Demand message less the grants since.
+  std::map<DemandKey, std::uint32_t> believed;
+  core::Time demand_sent{};
+  Exchange exchange;
+};
+
+auto ServicesFor(const node::Snapshot& snapshot, const std::string& pool)
+    -> std::vector<std::string> {
+  std::vector<std::string> out;
+  for (const auto& [name, service] : snapshot.services) {
+    for (const auto& candidate : service->pools) {
+      if (candidate.name == pool) out.push_back(name);
+    }
+  }
+  return out;
+}
+
+// Whether an endpoint must hear of the current demand at once: it may run out of known requests, or
+// may grant slots to requests that no longer wait.
+auto IsUrgent(const std::map<DemandKey, std::uint32_t>& believed,
+              const std::map<DemandKey, std::uint32_t>& actual) -> bool {
+  for (const auto& [key, count] : actual) {
+    const auto found = believed.find(key);
+    const std::uint32_t known = found == believed.end() ? 0 : found->second;
+    if (known < count && known < kLowDemand) return true;
+  }
+  return std::any_of(believed.begin(), believed.end(), [&](const auto& row) {
+    return row.second > 0 && !actual.contains(row.first);
+  });
+}
+
+auto SendDemand(Entry& entry, EndpointControl& control, const wire::Hello& peer,
+                node::Outbox& outbox) -> void {
+  const auto services = ServicesFor(*node::CurrentSnapshot(entry.node), peer.pool);
+  const auto waiting = entry.queue.With([&](const QueueState& state) {
+    return routing::WaitingFor(state.queues, peer.id, services);
+  });
+  std::map<DemandKey, std::uint32_t> actual;
+  for (const auto& row : waiting) actual[{row.service, row.workspace}] = row.count;
+  if (actual == control.believed) return;
+  const auto now = node::Now();
+  if (!IsUrgent(control.believed, actual) && now - control.demand_sent < kDemandInterval) return;
+  control.demand_sent = now;
+  control.believed = actual;
+  wire::Demand message;
+  for (const auto& row : waiting) message.items.push_back({row.service, row.workspace, row.count});
+  outbox.Push(std::move(message));
+}
+
+// Entries share the work of feeding totals to the endpoints: each endpoint has one feeder.
+auto IsFeeder(Entry& entry, const std::string& endpoint) -> bool {
+  const auto entries = entry.node.members.With([](const membership::MemberTable& table) {
+    std::vector<std::string> live;
+    for (auto& id : membership::Members(table, core::Role::entry)) {
+      if (membership::StateOf(table, id) == membership::MemberState::live) live.push_back(id);
+    }
+    return live;
+  });
+  const auto owner = core::RendezvousOwner("feeder/" + endpoint, entries);
+  return owner == entries.size() || entries[owner] == entry.node.settings.id;
+}
+
+auto ServiceBudget(Entry& entry) -> std::size_t {
+  const std::size_t links = entry.node.links.With(
+      [](const node::LinkTable& table) { return std::max<std::size_t>(1, table.peers.size()); });
+  return kServiceBytesPerSecond / links;
+}
+
+auto HandleLoad(Entry& entry, const wire::Hello& peer, const wire::Load& load) -> void {
+  entry.queue.With([&](QueueState& state) {
+    const auto link = state.endpoints.find(peer.id);
+    if (link == state.endpoints.end() || link->second.incarnation != peer.incarnation) return;
+    link->second.free = load.free;
+    link->second.draining = load.draining;
+  });
+  entry.node.members.With([&](membership::MemberTable& table) {
+    membership::Heard(table, peer.id, peer.incarnation, load.draining, node::Now());
+  });
+}
+
+auto EndpointHandlers(Entry& entry, const std::shared_ptr<LinkTask>& task)
+    -> node::ControlHandlers {
+  const auto control = std::make_shared<EndpointControl>();
+  node::ControlHandlers handlers;
+  handlers.open = [&entry, control, task](const wire::Hello& peer,
+                                          const std::shared_ptr<node::Outbox>& outbox) {
+    if (peer.id != task->id || peer.role != core::Role::endpoint) return false;
+    task->outbox = outbox;
+    control->exchange.link.feed = shares::Feed::totals;
+    control->exchange.link.incarnation = peer.incarnation;
+    control->exchange.link.peer = entry.shares.With(
+        [&](shares::ShareTable& table) { return shares::InternSource(table, peer.id); });
+    entry.queue.With([&](QueueState& state) {
+      state.endpoints[peer.id] = {peer.incarnation, outbox, 0, false};
+    });
+    return true;
+  };
+  handlers.message = [&entry, control](const wire::Hello& peer,
+                                       const wire::ControlMessage& message) {
+    if (const auto* load = std::get_if<wire::Load>(&message)) {
+      HandleLoad(entry, peer, *load);
+    } else if (const auto* grant = std::get_if<wire::Grant>(&message)) {
+      auto& known = control->believed[{grant->service, grant->workspace}];
+      if (known > 0) --known;
+      HandleGrant(entry, peer.id, *grant);
+    } else if (const auto* service = std::get_if<wire::Service>(&message)) {
+      HandleService(entry, control->exchange, peer, *service);
+    }
+  };
+  handlers.update = [&entry, control](const wire::Hello& peer, node::Outbox& outbox,
+                                      bool period_over) {
+    SendDemand(entry, *control, peer, outbox);
+    if (period_over && IsFeeder(entry, peer.id)) {
+      SendService(entry, control->exchange, outbox, ServiceBudget(entry));
+    }
+  };
+  handlers.close = [&entry](const wire::Hello& peer) {
+    entry.queue.With([&](QueueState& state) {
+      const auto link = state.endpoints.find(peer.id);
+      if (link != state.endpoints.end() && link->second.incarnation == peer.incarnation) {
+        state.endpoints.erase(link);
+      }
+    });
+  };
+  return handlers;
+}
+
+auto PeerHandlers(Entry& entry) -> node::ControlHandlers {
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->link.feed = shares::Feed::rows;
+  node::ControlHandlers handlers;
+  handlers.open = [&entry](const wire::Hello& peer, const std::shared_ptr<node::Outbox>&) {
+    return peer.role == core::Role::entry && peer.id != entry.node.settings.id;
+  };
+  handlers.message = [&entry, exchange](const wire::Hello& peer,
+                                        const wire::ControlMessage& message) {
+    if (const auto* service = std::get_if<wire::Service>(&message)) {
+      HandleService(entry, *exchange, peer, *service);
+    }
+  };
+  handlers.update = [&entry, exchange](const wire::Hello&, node::Outbox& outbox, bool period_over) {
+    if (period_over) SendService(entry, *exchange, outbox, ServiceBudget(entry));
+  };
+  return handlers;
+}
+
+// Keeps a link open until it is no longer wanted.
+auto RunLink(Entry& entry, const std::shared_ptr<LinkTask>& task) -> void {
+  while (!task->stopped) {
+    try {
+      const auto connection = net::Connect(task->address, kConnectTimeout);
+      const auto stream = connection->Open(std::string(node::kControlPath));
+      node::RunControl(
+          entry.node, stream,
+          task->role == core::Role::endpoint ? EndpointHandlers(entry, task) : PeerHandlers(entry));
+    } catch (const core::Error& error) {
+      node::LogError(Level::debug, Event::peer_lost, error);
+      entry.node.members.With([&](membership::MemberTable& table) {
+        membership::LinkDown(table, task->id, 0, node::Now());
+      });
+    }
+    if (!task->stopped) runtime::SleepFor(kReconnectWait);
+  }
+}
+
+using Tasks = std::map<std::string, std::shared_ptr<LinkTask>>;
+
+auto StopLink(const LinkTask& task) -> void {
+  if (task.outbox) task.outbox->Close();
+}
+
+auto StartLink(Entry& entry, Tasks& tasks, const membership::Vm& vm) -> void {
+  auto& task = tasks[vm.id];
+  if (task && task->address == vm.address) return;
+  if (task) {
+    task->stopped = true;
+    StopLink(*task);
+  }
+  task = std::make_shared<LinkTask>();
+  task->id = vm.id;
+  task->address = vm.address;
+  task->role = vm.role;
+  const auto worker = std::hash<std::string>{}(vm.id);
+  entry.node.pool.Post(worker, [&entry, task = task] { RunLink(entry, task); });
+}
+
+auto IsSuspected(Entry& entry, const std::string& id) -> bool {
+  return entry.node.members.With([&](const membership::MemberTable& table) {
+    return membership::StateOf(table, id) == membership::MemberState::suspected;
+  });
+}
+
+// VMs that this entry should be linked to: endpoints of its view, and some other entries.
+auto WantedLinks(Entry& entry, std::size_t& copies) -> std::vector<membership::Vm> {
+  const auto snapshot = node::CurrentSnapshot(entry.node);
+  const auto& self = entry.node.settings.id;
+  std::vector<membership::Vm> endpoints;
+  std::vector<membership::Vm> entries;
+  for (const auto& vm : snapshot->vms.vms) {
+    (vm.role == core::Role::endpoint ? endpoints : entries).push_back(vm);
+  }
+  std::vector<std::string> endpoint_ids;
+  std::vector<std::string> entry_ids;
+  std::vector<config::Peer> peers;
+  for (const auto& vm : endpoints) endpoint_ids.push_back(vm.id);
+  for (const auto& vm : entries) {
+    entry_ids.push_back(vm.id);
+    peers.push_back({vm.id, vm.region, IsSuspected(entry, vm.id)});
+  }
+  copies = membership::Copies(entry_ids.size(), endpoint_ids.size(), kMaxEndpointLinks, copies);
+  std::vector<membership::Vm> wanted;
+  for (const auto i : membership::View(self, entry_ids, endpoint_ids, copies, kMaxEndpointLinks)) {
+    wanted.push_back(endpoints[i]);
+  }
+  for (const auto i : config::PeerLinks(self, peers, {})) wanted.push_back(entries[i]);
+  return wanted;
+}
+
+auto Reconcile(Entry& entry, Tasks& tasks, std::size_t& copies) -> void {
+  const auto wanted = WantedLinks(entry, copies);
+  std::set<std::string> ids;
+  for (const auto& vm : wanted) {
+    ids.insert(vm.id);
+    StartLink(entry, tasks, vm);
+  }
+  for (auto it = tasks.begin(); it != tasks.end();) {
+    if (ids.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    it->second->stopped = true;
+    StopLink(*it->second);
+    it = tasks.erase(it);
+  }
+}
+
+}  // namespace
+
+auto AnnounceDemand(Entry& entry) -> void {
+  entry.queue.With([](const QueueState& state) {
+    for (const auto& [id, link] : state.endpoints) link.outbox->Wake();
+  });
+}
+
+auto HandleGrant(Entry& entry, const std::string& endpoint, const wire::Grant& grant) -> void {
+  entry.queue.With([&](QueueState& state) {
+    const auto id =
+        routing::Take(state.queues, grant.service, grant.workspace, endpoint, node::Now());
+    const auto waiting = id ? state.waiting.find(*id) : state.waiting.end();
+    if (waiting != state.waiting.end()) {
+      waiting->second->target = Target{endpoint, grant.grant, grant.granter};
+      waiting->second->changed.Notify();
+      return;
+    }
+    const auto link = state.endpoints.find(endpoint);
+    if (link == state.endpoints.end()) return;
+    link->second.outbox->Push(
+        wire::GrantReturn{grant.grant, grant.granter, grant.service, grant.workspace});
+  });
+}
+
+auto LinkLoop(Entry& entry) -> void {
+  Tasks tasks;
+  std::size_t copies = 0;
+  while (true) {
+    Reconcile(entry, tasks, copies);
+    node::LogChanges(entry.node.members.With(
+        [](membership::MemberTable& table) { return membership::Evaluate(table, node::Now()); }));
+    entry.links_changed.WaitUntil(std::chrono::steady_clock::now() + kEvaluateInterval);
+  }
+}
+
+auto ServePeer(Entry& entry, const std::shared_ptr<net::Stream>& stream) -> void {
+  if (stream->Path() != node::kControlPath) return;
+  try {
+    node::RunControl(entry.node, stream, PeerHandlers(entry));
+  } catch (const core::Error& error) {
+    node::LogError(Level::debug, Event::peer_lost, error);
+  }
+}
+
+}  // namespace filbertstair::entry
--- /dev/null
+++ b/libs/entry/src/platform.cc
@@ -0,0 +1,284 @@
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <charconv>
+#include <random>
+
+#include "filbertstair/config/start.h"
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/http_client.h"
+#include "filbertstair/node/configuration.h"
+#include "state.h"
+
+namespace filbertstair::entry {
+namespace {
+
+using core::Step;
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Time for which the platform holds a watch without news, and the wait for any answer beyond that.
+constexpr std::chrono::milliseconds kWatchTime{20000};
+constexpr std::chrono::milliseconds kAnswerTime{5000};
+constexpr std::chrono::milliseconds kStartTick{100};
+constexpr std::chrono::milliseconds kElectionInterval{1000};
+constexpr std::chrono::milliseconds kAskTimeout{2000};
+
+// What the entry knows of the platform's revision, used by one fiber only.
+struct PlatformState {
+  std::uint64_t revision = 0;
+  bool reachable = true;
+};
+
+struct Changes {
+  std::uint64_t revision = 0;
+  std::vector<std::string> names;
+};
+
+auto Call(Entry& entry, const std::string& target, std::chrono::milliseconds timeout)
+    -> std::string {
+  const auto address = settings::FormatAddress(entry.node.settings.platform);
+  std::string body;
+  net::HttpRequest request;
+  request.method = "GET";
+  request.target = target;
+  try {
+    const auto answer = net::Fetch(address, request, timeout, body);
+    if (answer.status != 200) {
+      throw core::Error(Step::platform, address,
+                        target + " answered status " + std::to_string(answer.status));
+    }
+  } catch (const core::Error&) {
+    entry.node.metrics.Count(Metric::platform_calls, "failed");
+    throw;
+  }
+  entry.node.metrics.Count(Metric::platform_calls, "ok");
+  return body;
+}
+
+auto ParseChanges(const std::string& body, const std::string& address) -> Changes {
+  boost::system::error_code error;
+  const auto value = boost::json::parse(body, error);
+  Changes changes;
+  try {
+    if (error) throw std::invalid_argument(error.message());
+    const auto& object = value.as_object();
+    changes.revision = object.at("revision").to_number<std::uint64_t>();
+    for (const auto& item : object.at("objects").as_array()) {
+      changes.names.emplace_back(item.as_object().at("name").as_string());
+    }
+  } catch (const std::exception& failure) {
+    throw core::Error(Step::platform, address,
+                      std::string("malformed answer to a watch: ") + failure.what());
+  }
+  return changes;
+}
+
+auto FetchChanges(Entry& entry, std::uint64_t since, std::chrono::milliseconds wait) -> Changes {
+  const auto target =
+      "/v1/watch?since=" + std::to_string(since) + "&wait_ms=" + std::to_string(wait.count());
+  return ParseChanges(Call(entry, target, wait + kAnswerTime),
+                      settings::FormatAddress(entry.node.settings.platform));
+}
+
+auto FetchObject(Entry& entry, const std::string& name) -> void {
+  const auto content = Call(entry, "/v1/objects/" + name, kAnswerTime);
+  node::OfferContent(entry.node, name, content,
+                     settings::FormatAddress(entry.node.settings.platform));
+}
+
+auto NoteAnswer(Entry& entry, PlatformState& state, const core::Error* error) -> void {
+  entry.node.config.With([&](node::ConfigState& config) {
+    if (error == nullptr) {
+      config::PlatformAnswered(config.watch, node::Now());
+    } else {
+      config::PlatformFailed(config.watch);
+    }
+  });
+  const bool reachable = error == nullptr;
+  if (reachable == state.reachable) return;
+  state.reachable = reachable;
+  if (reachable) {
+    telemetry::Log(Level::info, Event::platform_reached, {});
+  } else {
+    node::LogError(Level::warning, Event::platform_unreachable, *error);
+  }
+}
+
+// Asks one peer for all that it has, on a control stream of its own. Returns whether it had a
+// configuration; throws core::Error if it can't be reached.
+auto AskPeer(Entry& entry, const std::string& address) -> bool {
+  const auto connection = net::Connect(address, kAskTimeout);
+  const auto stream = connection->Open(std::string(node::kControlPath));
+  const auto deadline = std::chrono::steady_clock::now() + kAskTimeout;
+  const auto& s = entry.node.settings;
+  // The suffix keeps the peer from taking this stream for the entry's own link.
+  stream->Send(wire::Encode(wire::ControlMessage(wire::Hello{
+      s.id + "/start", entry.node.incarnation, s.role, s.region, s.failure_domain, s.pool})));
+  wire::Digest empty;
+  empty.complete = true;
+  stream->Send(wire::Encode(wire::ControlMessage(empty)));
+  std::size_t missing = 0;
+  bool asked = false;
+  while (!asked || missing > 0) {
+    const auto bytes = stream->ReceiveUntil(deadline);
+    if (!bytes) break;
+    const auto message = wire::DecodeControl(*bytes, address);
+    if (const auto* digest = std::get_if<wire::Digest>(&message)) {
+      if (asked || (digest->rows.empty() && !digest->complete)) continue;
+      asked = true;
+      missing = digest->rows.size();
+      if (missing > 0) {
+        stream->Send(wire::Encode(wire::ControlMessage(wire::FetchRequest{digest->rows})));
+      }
+    } else if (const auto* object = std::get_if<wire::Published>(&message)) {
+      node::HandlePublished(entry.node, *object, address);
+      if (missing > 0) --missing;
+    }
+  }
+  return asked && node::CurrentSnapshot(entry.node)->configured;
+}
+
+// Cold start, used by one fiber; peers are asked by fibers of the same worker.
+struct StartContext {
+  config::StartState state;
+  config::StartRules rules;
+  runtime::Signal changed;
+};
+
+auto IsConfigured(Entry& entry) -> bool { return node::CurrentSnapshot(entry.node)->configured; }
+
+auto PeerAddresses(Entry& entry) -> std::vector<std::string> {
+  std::vector<std::string> out;
+  for (const auto& vm : node::CurrentSnapshot(entry.node)->vms.vms) {
+    const bool other = vm.id != entry.node.settings.id;
+    if (vm.role == core::Role::entry && vm.state == membership::VmState::live && other) {
+      out.push_back(vm.address);
+    }
+  }
+  return out;
+}
+
+auto Elected(Entry& entry) -> config::WatchDecision {
+  std::vector<config::RegionMember> members;
+  entry.node.members.With([&](const membership::MemberTable& table) {
+    for (const auto& id :
+         membership::Members(table, core::Role::entry, entry.node.settings.region)) {
+      members.push_back({id, membership::StateOf(table, id) == membership::MemberState::suspected});
+    }
+  });
+  static const double jitter =
+      std::uniform_real_distribution<double>(0, 1)(*std::make_unique<std::random_device>());
+  return entry.node.config.With([&](const node::ConfigState& state) {
+    return config::ShouldWatch(entry.node.settings.id, members, state.watch, {}, jitter,
+                               node::Now());
+  });
+}
+
+auto Perform(Entry& entry, const std::shared_ptr<StartContext>& context, PlatformState& platform,
+             const config::StartActions& actions) -> void;
+
+auto Ask(Entry& entry, const std::shared_ptr<StartContext>& context, PlatformState& platform,
+         const std::string& address) -> void {
+  runtime::Spawn([&entry, context, &platform, address] {
+    config::StartActions next;
+    try {
+      const bool has = AskPeer(entry, address);
+      next = config::PeerAnswered(context->state, has, IsConfigured(entry), context->rules,
+                                  node::Now());
+    } catch (const core::Error& error) {
+      node::LogError(Level::debug, Event::peer_lost, error);
+      next = config::PeerFailed(context->state, context->rules, node::Now());
+    }
+    Perform(entry, context, platform, next);
+    context->changed.Notify();
+  });
+}
+
+auto ReadList(Entry& entry, const std::shared_ptr<StartContext>& context, PlatformState& platform)
+    -> config::StartActions {
+  try {
+    FetchObject(entry, std::string(node::kVmListName));
+    NoteAnswer(entry, platform, nullptr);
+    const bool elected = Elected(entry).reason == config::WatchReason::elected;
+    return config::ListRead(context->state, PeerAddresses(entry), elected, context->rules,
+                            node::Now());
+  } catch (const core::Error& error) {
+    NoteAnswer(entry, platform, &error);
+    config::PlatformReadFailed(context->state, context->rules, node::Now());
+    return {};
+  }
+}
+
+auto ReadDocuments(Entry& entry, const std::shared_ptr<StartContext>& context,
+                   PlatformState& platform) -> void {
+  try {
+    const auto changes = FetchChanges(entry, 0, std::chrono::milliseconds(0));
+    for (const auto& name : changes.names) FetchObject(entry, name);
+    platform.revision = changes.revision;
+    NoteAnswer(entry, platform, nullptr);
+    config::DocumentsRead(context->state, IsConfigured(entry), context->rules, node::Now());
+  } catch (const core::Error& error) {
+    NoteAnswer(entry, platform, &error);
+    config::PlatformReadFailed(context->state, context->rules, node::Now());
+  }
+}
+
+auto Perform(Entry& entry, const std::shared_ptr<StartContext>& context, PlatformState& platform,
+             const config::StartActions& actions) -> void {
+  for (const auto& address : actions.ask) Ask(entry, context, platform, address);
+  if (actions.read_list) {
+    Perform(entry, context, platform, ReadList(entry, context, platform));
+  }
+  if (actions.read_documents) ReadDocuments(entry, context, platform);
+}
+
+auto ColdStart(Entry& entry, PlatformState& platform) -> void {
+  const auto context = std::make_shared<StartContext>();
+  std::vector<std::string> seeds;
+  for (const auto& seed : entry.node.settings.seeds) {
+    seeds.push_back(settings::FormatAddress(seed));
+  }
+  const double jitter =
+      std::uniform_real_distribution<double>(0, 1)(*std::make_unique<std::random_device>());
+  Perform(entry, context, platform,
+          config::Start(seeds, jitter, context->rules, node::Now(), context->state));
+  while (context->state.phase != config::StartPhase::ready) {
+    context->changed.WaitUntil(std::chrono::steady_clock::now() + kStartTick);
+    Perform(entry, context, platform, config::Tick(context->state, context->rules, node::Now()));
+  }
+  telemetry::Log(Level::info, Event::ready, {});
+}
+
+// One watch of the platform, and the objects that changed.
+auto WatchOnce(Entry& entry, PlatformState& platform) -> void {
+  try {
+    const auto changes = FetchChanges(entry, platform.revision, kWatchTime);
+    for (const auto& name : changes.names) FetchObject(entry, name);
+    platform.revision = changes.revision;
+    NoteAnswer(entry, platform, nullptr);
+  } catch (const core::Error& error) {
+    NoteAnswer(entry, platform, &error);
+  }
+}
+
+}  // namespace
+
+auto PlatformLoop(Entry& entry) -> void {
+  PlatformState platform;
+  ColdStart(entry, platform);
+  while (true) {
+    const auto decision = Elected(entry);
+    if (decision.reason == config::WatchReason::none) {
+      runtime::SleepFor(kElectionInterval);
+      continue;
+    }
+    const auto started = node::Now();
+    WatchOnce(entry, platform);
+    const auto elapsed = node::Now() - started;
+    if (elapsed < decision.interval) runtime::SleepFor(decision.interval - elapsed);
+  }
+}
+
+}  // namespace filbertstair::entry
--- /dev/null
+++ b/libs/entry/src/request.cc
@@ -0,0 +1,401 @@
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <random>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/core/rendezvous.h"
+#include "filbertstair/document/calls.h"
+#include "filbertstair/document/names.h"
+#include "filbertstair/routing/choose.h"
+#include "state.h"
+
+namespace filbertstair::entry {
+namespace {
+
+using core::Outcome;
+using core::Reason;
+using core::Step;
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Body that is searched for a `model` field: larger ones name their service otherwise.
+constexpr std::size_t kMaxModelBody = std::size_t{1} << 20;
+
+auto Jitter() -> double {
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+auto ModelField(const net::HttpRequest& request) -> std::string {
+  if (request.body.empty() || request.body.size() > kMaxModelBody) return {};
+  if (net::FindHeader(request.headers, "Content-Type").find("json") == std::string_view::npos) {
+    return {};
+  }
+  boost::system::error_code error;
+  const auto value = boost::json::parse(request.body, error);
+  if (error || !value.is_object()) return {};
+  const auto* model = value.get_object().if_contains("model");
+  return model != nullptr && model->is_string() ? std::string(model->get_string()) : "";
+}
+
+auto FindService(const node::Snapshot& snapshot, const net::HttpRequest& request)
+    -> document::LookupResult {
+  document::NameQuery query;
+  query.host = net::FindHeader(request.headers, "Host");
+  query.path = request.target;
+  query.logical = net::FindHeader(request.headers, "X-Service");
+  auto result = document::Lookup(snapshot.names, query);
+  if (result.failure != Reason::unknown_service) return result;
+  const auto model = ModelField(request);
+  if (model.empty()) return result;
+  query.model = model;
+  return document::Lookup(snapshot.names, query);
+}
+
+auto FindWorkspace(const document::Service& service, std::string_view id)
+    -> const document::Workspace* {
+  for (const auto& workspace : service.workspaces) {
+    if (workspace.id == id) return &workspace;
+  }
+  return nullptr;
+}
+
+// Live endpoints of the service, in the order of the VM list.
+auto EndpointsOf(const node::Snapshot& snapshot, const document::Service& service)
+    -> std::vector<const membership::Vm*> {
+  std::vector<const membership::Vm*> out;
+  for (const auto& vm : snapshot.vms.vms) {
+    if (vm.role != core::Role::endpoint || vm.state != membership::VmState::live) continue;
+    for (const auto& pool : service.pools) {
+      if (pool.name == vm.pool) out.push_back(&vm);
+    }
+  }
+  return out;
+}
+
+auto Refuse(Reason reason, Step step, std::string message) -> Refused {
+  return {reason, Outcome::not_run, step, "", std::move(message)};
+}
+
+// Finds service, workspace and class of the request. Returns a refusal if one of them is missing.
+auto Resolve(const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
+  if (!call.snapshot->configured) {
+    return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet");
+  }
+  const auto found = FindService(*call.snapshot, request);
+  if (found.failure) return Refuse(*found.failure, Step::route, document::Describe(found));
+  call.service = call.snapshot->services.at(found.service);
+  const auto id = net::FindHeader(request.headers, "X-Workspace");
+  const auto* workspace = FindWorkspace(*call.service, id);
+  if (workspace == nullptr) {
+    return Refuse(Reason::unknown_workspace, Step::route,
+                  "service " + call.service->name + " has no workspace \"" + std::string(id) +
+                      "\" (header X-Workspace)");
+  }
+  call.workspace = *workspace;
+  if (request.body.size() > call.service->max_body_bytes) {
+    return Refuse(Reason::request_too_large, Step::route,
+                  "body of " + std::to_string(request.body.size()) + " bytes; allowed " +
+                      std::to_string(call.service->max_body_bytes));
+  }
+  call.call_class = document::Classify(*call.service, request.method, found.path);
+  call.submit.target = found.path;
+  call.deadline = call.arrived + call.service->timeouts.request;
+  return std::nullopt;
+}
+
+// Reads the idempotency key of a call that must run at most once and finds the key's owner.
+auto ResolveKey(const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
+  const auto text = net::FindHeader(request.headers, "Idempotency-Key");
+  if (text.empty() || call.call_class != core::CallClass::once) return std::nullopt;
+  const auto issued = net::FindHeader(request.headers, "Idempotency-Issued");
+  call.key = admission::ParseKey(text, issued.empty() ? std::nullopt : std::optional(issued));
+  if (!call.key) {
+    return Refuse(Reason::invalid_idempotency_key, Step::route,
+                  "Idempotency-Key must be a UUIDv7, or come with Idempotency-Issued in "
+                  "milliseconds since 1970");
+  }
+  std::vector<std::string> ids;
+  for (const auto* vm : EndpointsOf(*call.snapshot, *call.service)) ids.push_back(vm->id);
+  const auto owner_text = admission::OwnerText(call.service->name, call.workspace.id, *call.key);
+  const auto owner = core::RendezvousOwner(owner_text, ids);
+  if (owner == ids.size()) {
+    return Refuse(Reason::no_endpoint, Step::route, "the service has no live endpoint");
+  }
+  call.owner = ids[owner];
+  return std::nullopt;
+}
+
+auto FillSubmit(const net::HttpRequest& request, Call& call) -> void {
+  auto& submit = call.submit;
+  submit.service = call.service->name;
+  submit.workspace = call.workspace.id;
+  submit.document_version = call.service->version;
+  submit.call_class = call.call_class;
+  if (call.key) {
+    submit.key = call.key->text;
+    submit.key_issued_ms = static_cast<std::uint64_t>(call.key->issued.time_since_epoch().count());
+  }
+  submit.method = request.method;
+  submit.headers = request.headers;
+  std::erase_if(submit.headers, [](const auto& header) {
+    return header.first == "Connection" || header.first == "Transfer-Encoding" ||
+           header.first == "Content-Length" || header.first == "Expect";
+  });
+  submit.headers.emplace_back("X-Request-Id", call.id);
+  submit.body = request.body;
+  submit.request_id = call.id;
+  const auto hint = net::FindHeader(request.headers, "X-Cost-Hint-Ms");
+  core::Cost milliseconds = 0;
+  std::from_chars(hint.data(), hint.data() + hint.size(), milliseconds);
+  submit.cost_hint = std::max<core::Cost>(0, milliseconds) * 1000;
+}
+
+auto ViewsOf(Entry& entry, const Call& call) -> std::vector<routing::EndpointView> {
+  std::vector<routing::EndpointView> views;
+  for (const auto* vm : EndpointsOf(*call.snapshot, *call.service)) {
+    if (call.owner.empty() || call.owner == vm->id) views.push_back({vm->id, vm->region});
+  }
+  entry.node.members.With([&](const membership::MemberTable& table) {
+    for (auto& view : views) {
+      view.usable = membership::StateOf(table, view.id) == membership::MemberState::live;
+    }
+  });
+  return views;
+}
+
+// Chooses an endpoint with a free slot, unless requests of the workspace wait already.
+auto ChooseNow(Entry& entry, const Call& call, const std::set<std::string>& tried)
+    -> std::optional<Target> {
+  auto views = ViewsOf(entry, call);
+  return entry.queue.With([&](QueueState& state) -> std::optional<Target> {
+    if (routing::HasShared(state.queues, call.service->name, call.workspace.id)) {
+      return std::nullopt;
+    }
+    for (auto& view : views) {
+      const auto link = state.endpoints.find(view.id);
+      view.usable = view.usable && link != state.endpoints.end() && !link->second.draining;
+      if (view.usable) view.free = link->second.free;
+    }
+    const auto chosen =
+        routing::ChooseDirect(views, entry.node.settings.region, entry.last_serial.load(), tried);
+    if (!chosen) return std::nullopt;
+    auto& link = state.endpoints.at(views[*chosen].id);
+    --link.free;
+    return Target{views[*chosen].id, 0, link.incarnation};
+  });
+}
+
+auto ReturnGrant(Entry& entry, const Call& call, const Target& target) -> void {
+  entry.queue.With([&](QueueState& state) {
+    const auto link = state.endpoints.find(target.endpoint);
+    if (link == state.endpoints.end()) return;
+    link->second.outbox->Push(
+        wire::GrantReturn{target.grant, target.granter, call.service->name, call.workspace.id});
+  });
+}
+
+// Result of waiting for an endpoint: a target, or why the request is refused.
+struct Acquired {
+  std::optional<Target> target;
+  std::optional<Refused> refused;
+};
+
+// Waits in the queue until an endpoint grants a slot.
+auto WaitForGrant(Entry& entry, Call& call) -> Acquired {
+  const auto deadline = std::min(call.deadline, call.arrived + call.service->timeouts.queue);
+  const routing::QueueKey key{call.service->name, call.workspace.id, call.owner};
+  call.waiting = std::make_shared<Waiting>();
+  const auto waiting = call.waiting;
+  const auto enqueued = entry.queue.With([&](QueueState& state) {
+    auto result = routing::Enqueue(state.queues, key, call.workspace.max_waiting, deadline);
+    if (!result.refusal) state.waiting[result.id] = waiting;
+    return result;
+  });
+  if (enqueued.refusal) {
+    return {std::nullopt, Refuse(*enqueued.refusal, Step::queue,
+                                 "workspace " + call.workspace.id + " has " +
+                                     std::to_string(call.workspace.max_waiting) +
+                                     " requests waiting at this entry")};
+  }
+  AnnounceDemand(entry);
+  const auto target_of = [&](QueueState&) { return waiting->target; };
+  while (!call.caller_gone && !entry.queue.With(target_of) &&
+         waiting->changed.WaitUntil(deadline)) {
+  }
+  const auto target = entry.queue.With([&](QueueState& state) {
+    routing::Remove(state.queues, key, enqueued.id);
+    state.waiting.erase(enqueued.id);
+    return waiting->target;
+  });
+  AnnounceDemand(entry);
+  if (target && call.caller_gone) ReturnGrant(entry, call, *target);
+  if (target) return {target, std::nullopt};
+  return {std::nullopt, Refuse(Reason::deadline_exceeded, Step::queue,
+                               "no slot became free before the queue timeout")};
+}
+
+auto Acquire(Entry& entry, Call& call, const std::set<std::string>& tried, bool queue_only)
+    -> Acquired {
+  if (EndpointsOf(*call.snapshot, *call.service).empty()) {
+    return {std::nullopt,
+            Refuse(Reason::no_endpoint, Step::route, "the service has no live endpoint")};
+  }
+  if (!queue_only) {
+    if (auto target = ChooseNow(entry, call, tried)) return {target, std::nullopt};
+  }
+  return WaitForGrant(entry, call);
+}
+
+auto ToRefused(const Target& target, const AttemptFailure& failure) -> Refused {
+  return {failure.failure.reason, failure.failure.outcome, failure.step, target.endpoint,
+          failure.message};
+}
+
+auto LogRetry(Entry& entry, const Call& call, const Target& target, const AttemptFailure& failure)
+    -> void {
+  const auto reason = core::Name(routing::ToRetryReason(failure.failure.reason));
+  entry.node.metrics.Count(Metric::retries, reason);
+  telemetry::Log(Level::info, Event::request_retried,
+                 {{"request", call.id},
+                  {"workspace", call.workspace.id},
+                  {"step", core::Name(failure.step)},
+                  {"peer", target.endpoint},
+                  {"reason", reason},
+                  {"error", failure.message}});
+}
+
+// Submits the request until it is answered or finally fails. Returns the refusal in the latter
+// case.
+auto RunAttempts(Entry& entry, Call& call, net::Responder& responder) -> std::optional<Refused> {
+  std::set<std::string> tried;
+  bool queue_only = false;
+  for (std::uint32_t attempts = 1;; ++attempts) {
+    const auto acquired = Acquire(entry, call, tried, queue_only);
+    if (call.caller_gone) {
+      return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
+    }
+    if (acquired.refused) return acquired.refused;
+    const auto failure = Attempt(entry, call, *acquired.target, responder);
+    if (!failure) return std::nullopt;
+    const auto verdict = entry.queue.With([&](QueueState& state) {
+      return routing::DecideRetry(state.retries, call.service->name, call.workspace.id,
+                                  call.service->retries, call.call_class, attempts,
+                                  failure->failure);
+    });
+    if (verdict != routing::RetryVerdict::retry || call.caller_gone) {
+      return ToRefused(*acquired.target, *failure);
+    }
+    LogRetry(entry, call, *acquired.target, *failure);
+    queue_only = failure->failure.reason == Reason::no_room;
+    if (queue_only) {
+      --attempts;
+      continue;
+    }
+    tried.insert(acquired.target->endpoint);
+    runtime::SleepFor(routing::Backoff(attempts, Jitter()));
+  }
+}
+
+auto NextRequestId(Entry& entry) -> std::string {
+  static std::atomic<std::uint64_t> last = 0;
+  return entry.node.settings.id + "-" + std::to_string(entry.node.incarnation) + "-" +
+         std::to_string(++last);
+}
+
+auto LogCut(Entry& entry, const Call& call, const Refused& refused) -> void {
+  entry.node.metrics.Count(Metric::refusals, core::Name(refused.reason));
+  telemetry::Log(Level::warning, Event::answer_cut,
+                 {{"request", call.id},
+                  {"workspace", call.workspace.id},
+                  {"step", core::Name(refused.step)},
+                  {"peer", refused.peer},
+                  {"reason", core::Name(refused.reason)},
+                  {"error", refused.message}});
+}
+
+auto WatchCaller(const std::shared_ptr<Call>& call, net::Responder& responder) -> void {
+  responder.OnCallerGone([call] {
+    call->caller_gone = true;
+    call->waiting->changed.Notify();
+    if (call->stream) call->stream->Reset();
+  });
+}
+
+auto Handle(Entry& entry, const net::HttpRequest& request, const std::shared_ptr<Call>& shared,
+            net::Responder& responder) -> std::optional<Refused> {
+  auto& call = *shared;
+  if (auto refused = Resolve(request, call)) return refused;
+  if (auto refused = ResolveKey(request, call)) return refused;
+  FillSubmit(request, call);
+  entry.queue.With([&](QueueState& state) {
+    routing::RecordFirstAttempt(state.retries, call.service->name, call.workspace.id,
+                                call.service->retries);
+  });
+  WatchCaller(shared, responder);
+  return RunAttempts(entry, call, responder);
+}
+
+}  // namespace
+
+auto RespondRefused(Entry& entry, const std::string& id, const std::string& workspace,
+                    const Refused& refused, net::Responder& responder) -> void {
+  const auto reason = core::Name(refused.reason);
+  const auto outcome = core::Name(refused.outcome);
+  entry.node.metrics.Count(Metric::refusals, reason);
+  entry.node.metrics.Count(Metric::requests, outcome);
+  telemetry::Log(Level::info, Event::request_refused,
+                 {{"request", id},
+                  {"workspace", workspace},
+                  {"step", core::Name(refused.step)},
+                  {"peer", refused.peer},
+                  {"reason", reason},
+                  {"outcome", outcome},
+                  {"error", refused.message}});
+  const boost::json::object body = {{"error",
+                                     {{"reason", reason},
+                                      {"message", refused.message},
+                                      {"outcome", outcome},
+                                      {"request_id", id},
+                                      {"step", core::Name(refused.step)},
+                                      {"peer", refused.peer}}}};
+  net::Headers headers = {{"Content-Type", "application/json"},
+                          {"X-Request-Id", id},
+                          {"X-Outcome", std::string(outcome)}};
+  const int status = core::Status(refused.reason);
+  if (status == 429 || status == 503) headers.emplace_back("Retry-After", "1");
+  responder.Respond(status, headers, boost::json::serialize(body) + "\n");
+}
+
+auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
+    -> void {
+  ++entry.in_flight;
+  const auto shared = std::make_shared<Call>();
+  auto& call = *shared;
+  call.id = NextRequestId(entry);
+  call.arrived = node::Now();
+  call.snapshot = node::CurrentSnapshot(entry.node);
+  try {
+    const auto refused = Handle(entry, request, shared, responder);
+    if (!refused) {
+      entry.node.metrics.Count(Metric::requests, core::Name(Outcome::ran));
+      telemetry::Log(Level::debug, Event::request_finished,
+                     {{"request", call.id}, {"workspace", call.workspace.id}});
+    } else if (responder.HasBegun()) {
+      LogCut(entry, call, *refused);
+      responder.Abort();
+    } else if (!call.caller_gone) {
+      RespondRefused(entry, call.id, call.workspace.id, *refused, responder);
+    }
+  } catch (const core::Error& error) {
+    if (call.stream) call.stream->Reset();
+    node::LogError(Level::debug, Event::answer_cut, error, call.id);
+    responder.Abort();
+  }
+  --entry.in_flight;
+}
+
+}  // namespace filbertstair::entry
--- a/libs/runtime/include/filbertstair/runtime/signal.h
+++ b/libs/runtime/include/filbertstair/runtime/signal.h
@@ -2,8 +2,8 @@
 #define FILBERTSTAIR_RUNTIME_SIGNAL_H_
 
 #include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
 #include <chrono>
+#include <mutex>
 
 namespace filbertstair::runtime {
 
@@ -17,8 +17,8 @@
   auto WaitUntil(std::chrono::steady_clock::time_point deadline) -> bool;
 
  private:
-  boost::fibers::mutex mutex;
-  boost::fibers::condition_variable changed;
+  std::mutex mutex;
+  boost::fibers::condition_variable_any changed;
   bool notified = false;
 };
 
--- a/libs/runtime/src/signal.cc
+++ b/libs/runtime/src/signal.cc
@@ -1,7 +1,5 @@
 #include "filbertstair/runtime/signal.h"
 
-#include <mutex>
-
 namespace filbertstair::runtime {
 
 auto Signal::Notify() -> void {
