Keep endpoints from draining on a partial configuration

The VM list may also lag behind a new VM. Change: an endpoint process judges itself only once it holds the same objects as a peer; a missing row counts only if it was listed before, a dropped pool after 1 s. Starting entries fetch the configuration on a stream of its own instead of a control stream.

--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -22,6 +22,7 @@
 constexpr std::uint32_t kInitialLimit = 1;
 // Time from the start during which totals from feeders are incomplete: three exchange periods.
 constexpr std::chrono::seconds kLearningTime{3};
+constexpr std::chrono::seconds kPoolMoveTime{1};
 
 auto ServeStream(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
   try {
@@ -124,6 +125,40 @@
   });
 }
 
+// Whether the VM list says that this VM leaves. A VM that has not been listed yet is only new: the
+// list lags.
+auto ListedAsLeaving(Endpoint& endpoint, const node::Snapshot& snapshot) -> bool {
+  for (const auto& vm : snapshot.vms.vms) {
+    if (vm.id != endpoint.node.settings.id) continue;
+    endpoint.was_listed = true;
+    return vm.state == membership::VmState::leaving;
+  }
+  return endpoint.was_listed;
+}
+
+// Whether no document names this process's pool any more.
+auto PoolDropped(Endpoint& endpoint, const node::Snapshot& snapshot) -> bool {
+  const bool named = ServiceOfPool(snapshot, endpoint.node.settings.pool) != nullptr;
+  if (named) endpoint.was_named = true;
+  return endpoint.was_named && !named;
+}
+
+// Begins to drain if the configuration says so. A dropped pool counts after kPoolMoveTime, as a
+// pool that moves to another document is in neither for a moment.
+auto DrainIfLeaving(Endpoint& endpoint, const node::Snapshot& snapshot) -> void {
+  const bool synced =
+      endpoint.node.config.With([](const node::ConfigState& state) { return state.synced; });
+  if (!synced) return;
+  if (ListedAsLeaving(endpoint, snapshot)) {
+    Drain(endpoint);
+  } else if (PoolDropped(endpoint, snapshot)) {
+    runtime::Spawn([&endpoint] {
+      runtime::SleepFor(kPoolMoveTime);
+      if (PoolDropped(endpoint, *node::CurrentSnapshot(endpoint.node))) Drain(endpoint);
+    });
+  }
+}
+
 auto ListenPeers(const std::shared_ptr<Endpoint>& endpoint) -> void {
   const auto address = settings::FormatAddress(endpoint->node.settings.peers);
   net::ListenStreams(address, [endpoint](const std::shared_ptr<net::Stream>& stream) {
@@ -193,10 +228,7 @@
       shares.settings.max_lead = static_cast<double>(own->max_lead.count());
     });
   }
-  const bool leaving = endpoint.node.members.With([&](const membership::MemberTable& table) {
-    return snapshot->configured && membership::SelfLeaving(table, endpoint.node.settings.id);
-  });
-  if (leaving) Drain(endpoint);
+  DrainIfLeaving(endpoint, *snapshot);
   Dispatch(endpoint);
   ReportLoad(endpoint);
 }
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -57,6 +57,9 @@
   // Wakes the fiber that expires grants.
   runtime::Signal grants_changed;
   std::atomic<std::size_t> in_flight = 0;
+  // Whether this process was in the VM list, and its pool in a document, since its start.
+  std::atomic<bool> was_listed = false;
+  std::atomic<bool> was_named = false;
 };
 
 // Both clocks.
--- a/libs/entry/src/links.cc
+++ b/libs/entry/src/links.cc
@@ -4,6 +4,7 @@
 #include "filbertstair/core/error.h"
 #include "filbertstair/core/rendezvous.h"
 #include "filbertstair/membership/view.h"
+#include "filbertstair/node/transfer.h"
 #include "state.h"
 
 namespace filbertstair::entry {
@@ -302,9 +303,12 @@
 }
 
 auto ServePeer(Entry& entry, const std::shared_ptr<net::Stream>& stream) -> void {
-  if (stream->Path() != node::kControlPath) return;
   try {
-    node::RunControl(entry.node, stream, PeerHandlers(entry));
+    if (stream->Path() == node::kControlPath) {
+      node::RunControl(entry.node, stream, PeerHandlers(entry));
+    } else if (stream->Path() == node::kTransferPath) {
+      node::ServeConfiguration(entry.node, *stream);
+    }
   } catch (const core::Error& error) {
     node::LogError(Level::debug, Event::peer_lost, error);
   }
--- a/libs/entry/src/platform.cc
+++ b/libs/entry/src/platform.cc
@@ -8,6 +8,7 @@
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/http_client.h"
 #include "filbertstair/node/configuration.h"
+#include "filbertstair/node/transfer.h"
 #include "state.h"
 
 namespace filbertstair::entry {
@@ -106,40 +107,6 @@
   }
 }
 
-// Asks one peer for all that it has, on a control stream of its own. Returns whether it had a
-// configuration; throws core::Error if it can't be reached.
-auto AskPeer(Entry& entry, const std::string& address) -> bool {
-  const auto connection = net::Connect(address, kAskTimeout);
-  const auto stream = connection->Open(std::string(node::kControlPath));
-  const auto deadline = std::chrono::steady_clock::now() + kAskTimeout;
-  const auto& s = entry.node.settings;
-  // The suffix keeps the peer from taking this stream for the entry's own link.
-  stream->Send(wire::Encode(wire::ControlMessage(wire::Hello{
-      s.id + "/start", entry.node.incarnation, s.role, s.region, s.failure_domain, s.pool})));
-  wire::Digest empty;
-  empty.complete = true;
-  stream->Send(wire::Encode(wire::ControlMessage(empty)));
-  std::size_t missing = 0;
-  bool asked = false;
-  while (!asked || missing > 0) {
-    const auto bytes = stream->ReceiveUntil(deadline);
-    if (!bytes) break;
-    const auto message = wire::DecodeControl(*bytes, address);
-    if (const auto* digest = std::get_if<wire::Digest>(&message)) {
-      if (asked || (digest->rows.empty() && !digest->complete)) continue;
-      asked = true;
-      missing = digest->rows.size();
-      if (missing > 0) {
-        stream->Send(wire::Encode(wire::ControlMessage(wire::FetchRequest{digest->rows})));
-      }
-    } else if (const auto* object = std::get_if<wire::Published>(&message)) {
-      node::HandlePublished(entry.node, *object, address);
-      if (missing > 0) --missing;
-    }
-  }
-  return asked && node::CurrentSnapshot(entry.node)->configured;
-}
-
 // Cold start, used by one fiber; peers are asked by fibers of the same worker.
 struct StartContext {
   config::StartState state;
@@ -184,7 +151,7 @@
   runtime::Spawn([&entry, context, &platform, address] {
     config::StartActions next;
     try {
-      const bool has = AskPeer(entry, address);
+      const bool has = node::FetchConfiguration(entry.node, address, kAskTimeout);
       next = config::PeerAnswered(context->state, has, IsConfigured(entry), context->rules,
                                   node::Now());
     } catch (const core::Error& error) {
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -41,6 +41,9 @@
   config::FetchTable fetches;
   config::WatchState watch;
   std::shared_ptr<const Snapshot> snapshot = std::make_shared<const Snapshot>();
+  // Whether this process has held exactly the objects of some peer. Before, a missing document or
+  // row says nothing, because objects arrive one by one.
+  bool synced = false;
 };
 
 // A peer with an open control stream.
--- a/libs/node/src/configuration.cc
+++ b/libs/node/src/configuration.cc
@@ -216,8 +216,12 @@
   std::vector<wire::ControlMessage> replies;
   wire::FetchRequest fetch;
   config::Digest all;
+  bool became_synced = false;
   const auto comparison = node.config.With([&](ConfigState& state) {
     config::HeardContact(state.watch, digest.contact_age, Now());
+    const auto own = config::MakeDigest(state.table, config::DigestScope::summary);
+    became_synced = !state.synced && own.summary == digest.summary;
+    if (became_synced) state.synced = true;
     auto result = config::Compare(state.table, ToDigest(digest));
     for (const auto& row : result.to_request) {
       if (config::BeginFetch(state.fetches, row, peer, Now())) fetch.rows.push_back(ToWire(row));
@@ -225,6 +229,7 @@
     if (result.rows_wanted) all = config::MakeDigest(state.table, config::DigestScope::all);
     return result;
   });
+  if (became_synced && node.on_configuration) node.on_configuration();
   if (!fetch.rows.empty()) replies.emplace_back(std::move(fetch));
   if (comparison.rows_wanted) {
     replies.emplace_back(ToWire(all));
