Reuse one connection per worker and endpoint process

Change: connections are kept by address, and a fiber that finds a usable one after connecting drops its own.

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -22,18 +22,28 @@
     "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te",
     "trailer",    "upgrade",    "x-request-id",     "x-endpoint",        "x-outcome"};
 
+auto AddressOf(const node::Snapshot& snapshot, const std::string& endpoint) -> std::string {
+  for (const auto& vm : snapshot.vms.vms) {
+    if (vm.id == endpoint) return vm.address;
+  }
+  throw core::Error(Step::connect, endpoint, "not in the VM list");
+}
+
+// Returns this worker's connection for requests to the endpoint process.
 auto ConnectionTo(Entry& entry, const Call& call, const std::string& endpoint)
     -> std::shared_ptr<net::Connection> {
+  const auto address = AddressOf(*call.snapshot, endpoint);
   auto& connections = entry.workers[runtime::WorkerIndex()].connections;
-  const auto found = connections.find(endpoint);
-  if (found != connections.end() && found->second->IsOpen()) return found->second;
-  for (const auto& vm : call.snapshot->vms.vms) {
-    if (vm.id != endpoint) continue;
-    auto connection = net::Connect(vm.address, kConnectTimeout);
-    connections[endpoint] = connection;
-    return connection;
-  }
-  throw core::Error(Step::connect, endpoint, "not in the VM list");
+  const auto usable = [&] {
+    const auto found = connections.find(address);
+    return found != connections.end() && found->second->IsOpen() ? found->second : nullptr;
+  };
+  if (auto connection = usable()) return connection;
+  auto connection = net::Connect(address, kConnectTimeout);
+  // Another fiber may have connected meanwhile, and its connection may carry requests.
+  if (auto other = usable()) return other;
+  connections[address] = connection;
+  return connection;
 }
 
 auto Receive(Call& call, Clock::time_point deadline) -> std::optional<wire::RequestMessage> {
