Test documents, settings and the command line

Cause: the libraries had no tests. Load now stops at the second document. It also refuses text that is not UTF-8.

--- /dev/null
+++ b/libs/cli/test/answer_test.cc
@@ -0,0 +1,44 @@
+#include "filbertstair/cli/answer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/json/serialize.hpp>
+
+namespace filbertstair::cli {
+namespace {
+
+class AnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AnswerTest);
+  CPPUNIT_TEST(testRender);
+  CPPUNIT_TEST(testExitStatus);
+  CPPUNIT_TEST(testJson);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testRender() -> void {
+    const Answer answer{Exit::done, {"a", "b"}, {{"x", "\"1\n"}}};
+    CPPUNIT_ASSERT_EQUAL(std::string("a\nb\n"), Render(answer, Output::text));
+    CPPUNIT_ASSERT_EQUAL(std::string("{\"x\":\"\\\"1\\n\"}\n"), Render(answer, Output::json));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Render({}, Output::text));
+  }
+
+  // Guards against a changed exit status, on which scripts rely.
+  auto testExitStatus() -> void {
+    CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(Exit::done));
+    CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(Exit::refused));
+    CPPUNIT_ASSERT_EQUAL(2, static_cast<int>(Exit::usage));
+  }
+
+  auto testJson() -> void {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"({"file":"a","line":2,"field":"f","found":"x","allowed":"y"})"),
+        boost::json::serialize(ToJson(schema::Problem{"a", 2, "f", "x", "y"})));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"step":"read","peer":"a","message":"read a: m"})"),
+                         boost::json::serialize(ToJson(core::Error(core::Step::read, "a", "m"))));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerTest);
+
+}  // namespace
+}  // namespace filbertstair::cli
--- /dev/null
+++ b/libs/cli/test/files.h
@@ -0,0 +1,43 @@
+#ifndef FILBERTSTAIR_CLI_TEST_FILES_H_
+#define FILBERTSTAIR_CLI_TEST_FILES_H_
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <string>
+
+namespace filbertstair::cli {
+
+// Directory for the files of one test, removed with them at the end.
+class TestFiles {
+ public:
+  TestFiles() {
+    auto name = (std::filesystem::temp_directory_path() / "filbertstair-XXXXXX").string();
+    this->directory = mkdtemp(name.data());
+  }
+  TestFiles(const TestFiles&) = delete;
+  auto operator=(const TestFiles&) -> TestFiles& = delete;
+  ~TestFiles() { std::filesystem::remove_all(this->directory); }
+
+  // Writes a file and returns its path.
+  auto Write(const std::string& name, const std::string& text) const -> std::string {
+    const auto path = this->directory / name;
+    std::ofstream(path) << text;
+    return path;
+  }
+
+ private:
+  std::filesystem::path directory;
+};
+
+// A valid document with one host name.
+inline auto TestDocument(const std::string& service, int version, const std::string& host)
+    -> std::string {
+  return "name: " + service + "\nversion: " + std::to_string(version) + "\nhosts: [" + host +
+         "]\npools: [{name: p}]\nworkspaces: [{id: w}]\n";
+}
+
+}  // namespace filbertstair::cli
+
+#endif  // FILBERTSTAIR_CLI_TEST_FILES_H_
--- /dev/null
+++ b/libs/cli/test/run_test.cc
@@ -0,0 +1,70 @@
+#include "filbertstair/cli/run.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+namespace filbertstair::cli {
+namespace {
+
+class RunTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RunTest);
+  CPPUNIT_TEST(testUsage);
+  CPPUNIT_TEST(testHelpAndVersion);
+  CPPUNIT_TEST(testOutputForms);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct Outcome {
+    Exit exit = Exit::done;
+    std::string out;
+    std::string err;
+  };
+
+  static auto RunWith(const std::vector<std::string>& args) -> Outcome {
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto exit = Run(args, out, err);
+    return {exit, out.str(), err.str()};
+  }
+
+ public:
+  // Guards against a script that takes wrong use for an accepted document.
+  auto testUsage() -> void {
+    const std::vector<std::vector<std::string>> cases{{},
+                                                      {"chekc"},
+                                                      {"check"},
+                                                      {"diff", "a"},
+                                                      {"diff", "a", "b", "c"},
+                                                      {"--outptu", "json"},
+                                                      {"check", "--output", "xml", "a"}};
+    for (const auto& args : cases) {
+      const auto outcome = RunWith(args);
+      CPPUNIT_ASSERT(outcome.exit == Exit::usage);
+      CPPUNIT_ASSERT(outcome.out.empty() && !outcome.err.empty());
+    }
+  }
+
+  auto testHelpAndVersion() -> void {
+    for (const std::vector<std::string>& args :
+         {std::vector<std::string>{"--help"}, {"check", "--help"}, {"--version"}}) {
+      const auto outcome = RunWith(args);
+      CPPUNIT_ASSERT(outcome.exit == Exit::done);
+      CPPUNIT_ASSERT(!outcome.out.empty() && outcome.err.empty());
+    }
+  }
+
+  // Guards against an option that is accepted before the subcommand only.
+  auto testOutputForms() -> void {
+    const auto file = std::string(FILBERTSTAIR_EXAMPLES) + "/reports.yaml";
+    CPPUNIT_ASSERT_EQUAL(file + ": document of service reports, version 1, accepted\n",
+                         RunWith({"check", file}).out);
+    const auto json = RunWith({"--output", "json", "check", file});
+    CPPUNIT_ASSERT(json.exit == Exit::done && json.out.starts_with("{\"files\":[{"));
+    CPPUNIT_ASSERT_EQUAL(json.out, RunWith({"check", file, "--output", "json"}).out);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RunTest);
+
+}  // namespace
+}  // namespace filbertstair::cli
--- a/libs/document/include/filbertstair/document/names.h
+++ b/libs/document/include/filbertstair/document/names.h
@@ -45,13 +45,13 @@
 // What a request says about the service that it is for. Empty texts stand for absent values.
 struct NameQuery {
   // Host header, with or without port.
-  std::string_view host;
+  std::string_view host{};
   // Request target: path with or without query.
-  std::string_view path;
+  std::string_view path{};
   // X-Service header.
-  std::string_view logical;
+  std::string_view logical{};
   // Field `model` of the body.
-  std::string_view model;
+  std::string_view model{};
 };
 
 // One name that was looked up, and the service found, if any.
--- a/libs/document/include/filbertstair/document/service.h
+++ b/libs/document/include/filbertstair/document/service.h
@@ -11,7 +11,7 @@
 
 // A workspace's share and limits within one service.
 struct Workspace {
-  std::string id;
+  std::string id{};
   double weight = 1.0;
   // Requests that may wait at one entry before further ones are refused with queue_full.
   std::uint32_t max_waiting = 100;
@@ -19,7 +19,7 @@
 
 // VMs that serve this service: those whose pool in the VM list has this name.
 struct Pool {
-  std::string name;
+  std::string name{};
   // Bounds for the number of requests that one endpoint process keeps in flight at its replica.
   std::uint32_t min_slots = 1;
   std::uint32_t max_slots = 16;
@@ -58,18 +58,18 @@
 
 // One service as its document describes it.
 struct Service {
-  std::string name;
+  std::string name{};
   std::uint64_t version = 0;
-  std::vector<std::string> hosts;
-  std::vector<std::string> paths;
-  std::vector<std::string> logical_names;
-  std::vector<Pool> pools;
-  std::vector<std::string> models;
-  std::vector<Workspace> workspaces;
-  std::vector<OnceRule> once;
-  Timeouts timeouts;
-  Retries retries;
-  Idempotency idempotency;
+  std::vector<std::string> hosts{};
+  std::vector<std::string> paths{};
+  std::vector<std::string> logical_names{};
+  std::vector<Pool> pools{};
+  std::vector<std::string> models{};
+  std::vector<Workspace> workspaces{};
+  std::vector<OnceRule> once{};
+  Timeouts timeouts{};
+  Retries retries{};
+  Idempotency idempotency{};
   std::uint64_t max_body_bytes = 8u << 20;
   // How far behind, in slot time per unit of weight, a workspace in another region must be before
   // an endpoint prefers its request to one from the endpoint's own region.
--- a/libs/document/src/diff.cc
+++ b/libs/document/src/diff.cc
@@ -64,7 +64,7 @@
   std::string text;
   for (const auto& [name, value] : fields) {
     if (!text.empty()) text += ", ";
-    text += name + " " + value;
+    text.append(name).append(" ").append(value);
   }
   return text;
 }
--- a/libs/schema/src/value.cc
+++ b/libs/schema/src/value.cc
@@ -6,7 +6,7 @@
 #include <yaml-cpp/mark.h>
 #include <yaml-cpp/parser.h>
 
-#include <algorithm>
+#include <boost/locale/utf.hpp>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
@@ -25,11 +25,13 @@
  public:
   explicit Builder(Report& report) : report(report) {}
 
+  auto Documents() const -> int { return this->documents; }
   auto Root() -> Value { return std::move(this->root); }
 
   auto OnDocumentStart(const YAML::Mark& mark) -> void override {
     if (++this->documents == 2) {
-      Add(this->report, Line(mark), "", "a second document", "one document in each file");
+      Add(this->report, Line(mark), "", "a second document or a stray character",
+          "one document in each file");
     }
   }
   auto OnDocumentEnd() -> void override {}
@@ -114,15 +116,20 @@
   int documents = 0;
 };
 
-// Refuses control characters. The YAML library takes byte 4 for the end of the text, so that all
-// that follows it would be ignored.
-auto CheckBytes(std::string_view text, Report& report) -> bool {
+// Refuses control characters and text that is not UTF-8. The YAML library takes byte 4 for the end
+// of the text, so that all that follows it would be ignored, and replaces malformed UTF-8 silently.
+auto CheckText(std::string_view text, Report& report) -> bool {
+  using Utf8 = boost::locale::utf::utf_traits<char>;
   int line = 1;
-  for (const auto c : text) {
-    if (c == '\n') ++line;
-    const auto byte = static_cast<unsigned char>(c);
-    if ((byte < 0x20 && c != '\n' && c != '\r' && c != '\t') || byte == 0x7f) {
-      Add(report, line, "", "control character " + std::to_string(byte), "printable text");
+  for (const auto* position = text.begin(); position != text.end();) {
+    const auto point = Utf8::decode(position, text.end());
+    if (point == boost::locale::utf::illegal || point == boost::locale::utf::incomplete) {
+      Add(report, line, "", "bytes that are not UTF-8", "UTF-8 text");
+      return false;
+    }
+    if (point == '\n') ++line;
+    if ((point < 0x20 && point != '\n' && point != '\r' && point != '\t') || point == 0x7f) {
+      Add(report, line, "", "control character " + std::to_string(point), "printable text");
       return false;
     }
   }
@@ -137,13 +144,15 @@
         "at most " + std::to_string(max_bytes) + " bytes");
     return std::nullopt;
   }
-  if (!CheckBytes(text, report)) return std::nullopt;
+  if (!CheckText(text, report)) return std::nullopt;
   const auto before = report.problems.size();
   Builder builder(report);
   try {
     std::istringstream stream{std::string(text)};
     YAML::Parser parser(stream);
-    while (parser.HandleNextDocument(builder)) {
+    // Stops at the second document: over a stray token such as a leading ',' the parser reports
+    // empty documents without end.
+    while (builder.Documents() < 2 && parser.HandleNextDocument(builder)) {
     }
   } catch (const YAML::DeepRecursion& error) {
     Add(report, Line(error.mark), "", "lists or maps nested too deeply", "the documented fields");
--- /dev/null
+++ b/libs/schema/test/value_test.cc
@@ -0,0 +1,99 @@
+#include "filbertstair/schema/value.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::schema {
+namespace {
+
+class ValueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ValueTest);
+  CPPUNIT_TEST(testTree);
+  CPPUNIT_TEST(testNotUtf8);
+  CPPUNIT_TEST(testStrayToken);
+  CPPUNIT_TEST(testRefused);
+  CPPUNIT_TEST(testTooLarge);
+  CPPUNIT_TEST(testUnreadableFile);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against wrong lines in problems and against a quoted number taken for a number.
+  auto testTree() -> void {
+    Report report{.file = "a"};
+    const auto root = Load("a: 1\nb:\n  - 'x'\n  -\nb: {}\n", 100, report);
+    CPPUNIT_ASSERT(root && root->kind == Kind::map);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, root->items.size());
+    const auto& a = root->items[0];
+    CPPUNIT_ASSERT(a.name == "a" && a.text == "1" && !a.quoted && a.line == 1);
+    const auto& b = root->items[1];
+    CPPUNIT_ASSERT(b.kind == Kind::list && b.name_line == 2);
+    CPPUNIT_ASSERT(b.items[0].quoted && b.items[0].line == 3);
+    CPPUNIT_ASSERT(b.items[1].kind == Kind::null);
+    CPPUNIT_ASSERT(root->items[2].name == "b" && root->items[2].name_line == 5);
+  }
+
+  // Guards against text in another encoding or with damaged characters, which the YAML library
+  // converts silently.
+  auto testNotUtf8() -> void {
+    for (const std::string text : {"\xef", "\xef\xbb", "\xfe", "\xff",
+                                   "\xff\xfe"
+                                   "a",
+                                   "a: \xe9", "\xc0\x80"}) {
+      Report report{.file = "a"};
+      CPPUNIT_ASSERT(!Load(text, 100, report));
+      CPPUNIT_ASSERT_EQUAL(std::string("UTF-8 text"), report.problems.at(0).allowed);
+    }
+    Report report{.file = "a"};
+    const auto marked = Load(
+        "\xef\xbb\xbf"
+        "a: \u00e9",
+        100, report);
+    CPPUNIT_ASSERT(marked && marked->items.at(0).text == "\u00e9");
+  }
+
+  // Guards against an endless loop over a token that the YAML library does not consume.
+  auto testStrayToken() -> void {
+    for (const auto* text : {",", "\n\t,{a", "a: b\n,", "]", "}"}) {
+      Report report{.file = "a"};
+      CPPUNIT_ASSERT_MESSAGE(text, !Load(text, 100, report));
+    }
+  }
+
+  // Guards against content that is ignored or expanded instead of reported: text after byte 4,
+  // which the YAML library takes for the end, aliases, tags, further documents, and deep nesting.
+  auto testRefused() -> void {
+    for (const auto& text :
+         {std::string("a: b\n\x04more: c\n"), std::string("a\0b", 3), std::string("a: &x b"),
+          std::string("a: &x b\nc: *x\n"), std::string("a: !!int 3"),
+          std::string("a: 1\n---\nb: 2"), std::string("? [a]\n: b"), std::string("a: [b"),
+          std::string(5000, '[')}) {
+      Report report{.file = "a"};
+      CPPUNIT_ASSERT_MESSAGE(text.substr(0, 20), !Load(text, 10000, report));
+      CPPUNIT_ASSERT(!report.problems.empty());
+    }
+  }
+
+  auto testTooLarge() -> void {
+    Report report{.file = "a"};
+    CPPUNIT_ASSERT(Load("a: b", 4, report));
+    CPPUNIT_ASSERT(!Load("a: bc", 4, report));
+    CPPUNIT_ASSERT_EQUAL(std::string("at most 4 bytes"), report.problems[0].allowed);
+  }
+
+  // Guards against a missing file or a directory taken for an empty file.
+  auto testUnreadableFile() -> void {
+    for (const std::string path : {"/nonexistent/file.yaml", "/"}) {
+      try {
+        ReadFile(path, 10, core::Step::settings);
+        CPPUNIT_FAIL("no error for " + path);
+      } catch (const core::Error& error) {
+        CPPUNIT_ASSERT(error.GetStep() == core::Step::settings);
+        CPPUNIT_ASSERT_EQUAL(path, error.Peer());
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ValueTest);
+
+}  // namespace
+}  // namespace filbertstair::schema
