--- a/libs/config/include/filbertstair/config/delta.h
+++ b/libs/config/include/filbertstair/config/delta.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,16 +40,16 @@
 // or if the result does not have the delta's hash; the caller then requests the whole object.
 auto ApplyDelta(const Object& base, const Delta& delta) -> ObjectPtr;
 
-// What answers a request: a delta if `object` is needed and the requester's stamp is the one before
-// it and the delta is smaller, else the whole object.
+// What answers a request. Both are null if the object is unknown or not above the requester's.
 struct Reply {
-  // Null if the object is unknown or not above `have`.
   ObjectPtr whole;
-  // Used if `whole` is null and it has steps.
-  Delta delta;
+  std::shared_ptr<const Delta> delta;
 };
 
-auto MakeReply(const ConfigTable& table, const ObjectKey& key, const Stamp& have) -> Reply;
+// Answers a request for the object `key` from a process that has it with stamp `have`, or with {}
+// not at all: with a delta if `have` is the version before and the delta is smaller, else with the
+// whole object. Keeps the delta in the table, because most peers ask for the same one.
+auto MakeReply(ConfigTable& table, const ObjectKey& key, const Stamp& have) -> Reply;
 
 }  // namespace filbertstair::config
 
--- a/libs/config/include/filbertstair/config/fanout.h
+++ b/libs/config/include/filbertstair/config/fanout.h
@@ -31,8 +31,8 @@
 };
 
 // Returns the indices of the entries to which `self` opens links. The union over all entries is a
-// random graph. A sudden freeze of many entries can leave a few others without a link; they have new ones
-// once they suspect the frozen ones.
+// random graph. A sudden freeze of many entries can leave a few others without a link; they
+// have new ones once they suspect the frozen ones.
 auto PeerLinks(const std::string& self, std::span<const Peer> entries, const FanoutRules& rules)
     -> std::vector<std::size_t>;
 
--- a/libs/config/include/filbertstair/config/table.h
+++ b/libs/config/include/filbertstair/config/table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,12 +22,16 @@
   std::vector<std::string> problems;
 };
 
+struct Delta;
+
 // What a process knows of one object.
 struct Slot {
   // The version in force; null as long as no valid version is known.
   ObjectPtr current;
   // The version before, from which differences for peers one version behind are made. May be null.
   ObjectPtr previous;
+  // Difference between the two, made at the first request for it.
+  std::shared_ptr<const Delta> delta;
   // When `current` was accepted, on this process's clock.
   core::Time learned{};
   // Versions above `current` that failed validation and must not be fetched again.
--- a/libs/config/src/delta.cc
+++ b/libs/config/src/delta.cc
@@ -76,18 +76,18 @@
   return object->stamp == delta.stamp ? object : nullptr;
 }
 
-auto MakeReply(const ConfigTable& table, const ObjectKey& key, const Stamp& have) -> Reply {
+auto MakeReply(ConfigTable& table, const ObjectKey& key, const Stamp& have) -> Reply {
   const auto found = table.slots.find(key);
   if (found == table.slots.end()) return {};
-  const auto& slot = found->second;
+  auto& slot = found->second;
   if (!slot.current || slot.current->stamp <= have) return {};
   if (slot.previous && slot.previous->stamp == have) {
-    auto delta = MakeDelta(*slot.previous, *slot.current);
-    if (DeltaBytes(delta) < slot.current->content.size()) {
-      return {.whole = nullptr, .delta = std::move(delta)};
+    if (!slot.delta) {
+      slot.delta = std::make_shared<const Delta>(MakeDelta(*slot.previous, *slot.current));
     }
+    if (DeltaBytes(*slot.delta) < slot.current->content.size()) return {nullptr, slot.delta};
   }
-  return {.whole = slot.current, .delta = {}};
+  return {slot.current, nullptr};
 }
 
 }  // namespace filbertstair::config
--- a/libs/config/src/table.cc
+++ b/libs/config/src/table.cc
@@ -50,6 +50,7 @@
   }
   slot.previous = slot.current;
   slot.current = object;
+  slot.delta = nullptr;
   slot.learned = now;
   slot.rejected.erase(slot.rejected.begin(), slot.rejected.upper_bound(stamp));
   return {.decision = conflict ? Decision::conflict_won : Decision::accepted, .alarm = conflict};
--- a/libs/config/test/delta_test.cc
+++ b/libs/config/test/delta_test.cc
@@ -53,12 +53,12 @@
     Offer(table, base, {}, core::Time{});
     Offer(table, next, {}, core::Time{});
     const auto reply = MakeReply(table, base->key, base->stamp);
-    CPPUNIT_ASSERT(!reply.whole);
-    CPPUNIT_ASSERT(DeltaBytes(reply.delta) < 400);
-    CPPUNIT_ASSERT(ApplyDelta(*base, reply.delta)->content == next->content);
+    CPPUNIT_ASSERT(!reply.whole && DeltaBytes(*reply.delta) < 400);
+    CPPUNIT_ASSERT(ApplyDelta(*base, *reply.delta)->content == next->content);
+    CPPUNIT_ASSERT(MakeReply(table, base->key, base->stamp).delta == reply.delta);
     CPPUNIT_ASSERT(MakeReply(table, base->key, {}).whole == next);
     const auto nothing = MakeReply(table, base->key, next->stamp);
-    CPPUNIT_ASSERT(!nothing.whole && nothing.delta.steps.empty());
+    CPPUNIT_ASSERT(!nothing.whole && !nothing.delta);
   }
 
   auto testDamageIsRefused() -> void {
--- a/libs/config/test/fanout_test.cc
+++ b/libs/config/test/fanout_test.cc
@@ -3,11 +3,11 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <iomanip>
 #include <iostream>
 #include <map>
-#include <queue>
 
 #include "filbertstair/config/delta.h"
 #include "filbertstair/config/fetch.h"
@@ -16,35 +16,24 @@
 namespace filbertstair::config {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::size_t kNodes = 1200;
-constexpr core::Duration kHop = milliseconds(1);
-constexpr core::Duration kFarHop = milliseconds(60);
+constexpr core::Duration kHop = std::chrono::milliseconds(1);
+constexpr core::Duration kFarHop = std::chrono::milliseconds(60);
 // Bytes of a message besides its fields: IP and TCP headers with options, the HTTP/2 frame header
 // and the length of the message.
 constexpr double kOverhead = 64;
-constexpr double kRowBytes = 28;
+constexpr std::size_t kRowBytes = 28;
 
 struct Node {
   ConfigTable table;
   FetchTable fetches;
   std::vector<std::size_t> links;
-  std::vector<std::string> linked;
   core::Time learned{};
   bool frozen = false;
 };
 
-struct Action {
-  core::Time at;
-  std::size_t serial;
-  std::function<void()> run;
-  auto operator<(const Action& other) const -> bool {
-    return std::tie(other.at, other.serial) < std::tie(this->at, this->serial);
-  }
-};
-
 auto Region(std::size_t node) -> std::size_t { return node % 3; }
 auto Id(std::size_t node) -> std::string { return "entry-" + std::to_string(node); }
 
@@ -52,8 +41,8 @@
 struct Fleet {
   FanoutRules rules;
   std::vector<Node> nodes{kNodes};
-  std::priority_queue<Action> queue;
-  std::size_t serial = 0;
+  // Actions by time; equal times keep the order of insertion.
+  std::multimap<core::Time, std::function<void()>> queue;
   core::Time now{};
   double digest_bytes = 0;
   double change_bytes = 0;
@@ -65,37 +54,27 @@
     for (std::size_t i = 0; i < kNodes; ++i) {
       peers.push_back({Id(i), std::to_string(Region(i)), this->nodes[i].frozen});
       this->nodes[i].links.clear();
-      this->nodes[i].linked.clear();
     }
     for (std::size_t i = 0; i < kNodes; ++i) {
       for (const auto j : PeerLinks(Id(i), peers, this->rules)) {
-        this->Link(i, j);
-        this->Link(j, i);
+        this->nodes[i].links.push_back(j);
+        this->nodes[j].links.push_back(i);
       }
     }
   }
 
-  auto Link(std::size_t from, std::size_t to) -> void {
-    this->nodes[from].links.push_back(to);
-    this->nodes[from].linked.push_back(Id(to));
-  }
-
-  auto Schedule(core::Time at, std::function<void()> run) -> void {
-    this->queue.push({at, this->serial++, std::move(run)});
-  }
-
-  auto Send(std::size_t from, std::size_t to, double& counter, double bytes,
+  auto Send(std::size_t from, std::size_t to, double& counter, std::size_t bytes,
             std::function<void()> receive) -> void {
-    counter += kOverhead + bytes;
+    counter += kOverhead + static_cast<double>(bytes);
     if (this->cut(from, to)) return;
-    const auto delay = Region(from) == Region(to) ? kHop : kFarHop;
-    this->Schedule(this->now + delay, [this, to, receive = std::move(receive)] {
-      if (!this->nodes[to].frozen) receive();
-    });
+    this->queue.emplace(this->now + (Region(from) == Region(to) ? kHop : kFarHop),
+                        [this, to, receive = std::move(receive)] {
+                          if (!this->nodes[to].frozen) receive();
+                        });
   }
 
   auto SendDigest(std::size_t from, std::size_t to, const Digest& digest, double& counter) -> void {
-    this->Send(from, to, counter, 16 + kRowBytes * static_cast<double>(digest.rows.size()),
+    this->Send(from, to, counter, 16 + kRowBytes * digest.rows.size(),
                [this, from, to, digest] { this->ReceiveDigest(to, from, digest); });
   }
 
@@ -103,62 +82,57 @@
     auto& node = this->nodes[self];
     const auto result = Compare(node.table, digest);
     for (const auto& row : result.to_request) {
-      if (!BeginFetch(node.fetches, row, Id(peer), this->now)) continue;
-      const auto have = Find(node.table, row.key);
-      const auto stamp = have ? have->stamp : Stamp{};
-      this->Send(self, peer, this->change_bytes, kRowBytes, [this, self, peer, row, stamp] {
-        const auto reply = MakeReply(this->nodes[peer].table, row.key, stamp);
-        const auto bytes = reply.whole ? reply.whole->content.size() : DeltaBytes(reply.delta);
-        this->Send(peer, self, this->change_bytes, kRowBytes + static_cast<double>(bytes),
-                   [this, self, peer, reply, row] {
-                     const auto base = Find(this->nodes[self].table, row.key);
-                     const auto object =
-                         reply.whole || !base ? reply.whole : ApplyDelta(*base, reply.delta);
-                     if (object) this->Receive(self, object, Id(peer));
-                   });
-      });
-    }
-    if (result.rows_wanted) {
-      this->SendDigest(self, peer, MakeDigest(node.table, DigestScope::all), this->change_bytes);
-    } else if (!result.to_send.empty()) {
-      auto news = MakeDigest(node.table, DigestScope::summary);
-      news.rows = result.to_send;
-      this->SendDigest(self, peer, news, this->change_bytes);
+      if (BeginFetch(node.fetches, row, Id(peer), this->now)) this->Request(self, peer, row.key);
     }
+    auto reply =
+        MakeDigest(node.table, result.rows_wanted ? DigestScope::all : DigestScope::summary);
+    if (!result.rows_wanted) reply.rows = result.to_send;
+    if (!reply.rows.empty()) this->SendDigest(self, peer, reply, this->change_bytes);
+  }
+
+  auto Request(std::size_t self, std::size_t peer, const ObjectKey& key) -> void {
+    const auto have = Find(this->nodes[self].table, key);
+    this->Send(self, peer, this->change_bytes, kRowBytes, [this, self, peer, key, have] {
+      const auto reply = MakeReply(this->nodes[peer].table, key, have ? have->stamp : Stamp{});
+      const auto bytes = reply.whole ? reply.whole->content.size() : DeltaBytes(*reply.delta);
+      this->Send(peer, self, this->change_bytes, kRowBytes + bytes,
+                 [this, self, peer, reply, have] {
+                   const auto object = reply.whole ? reply.whole : ApplyDelta(*have, *reply.delta);
+                   if (object) this->Receive(self, object, Id(peer));
+                 });
+    });
   }
 
   auto Receive(std::size_t self, const ObjectPtr& object, const std::string& from) -> void {
     auto& node = this->nodes[self];
     const auto before = Find(node.table, object->key);
     const auto decision = Offer(node.table, object, {}, this->now).decision;
-    const auto after = Find(node.table, object->key);
-    CPPUNIT_ASSERT(!before || after->stamp >= before->stamp);
+    CPPUNIT_ASSERT(Find(node.table, object->key)->stamp >= before->stamp);
     EndFetch(node.fetches, object->key, object->stamp);
     if (decision != Decision::accepted) return;
     node.learned = this->now;
     const auto news = MakeDigest(node.table, object->key);
-    for (const auto i : PushTargets(Id(self), *object, node.linked, from, this->rules)) {
+    std::vector<std::string> linked;
+    for (const auto link : node.links) linked.push_back(Id(link));
+    for (const auto i : PushTargets(Id(self), *object, linked, from, this->rules)) {
       this->SendDigest(self, node.links[i], news, this->change_bytes);
     }
   }
 
-  // Sends the periodic digests of one node from now on, at a phase of its own.
+  // Sends the periodic digests of one node from now on.
   auto Tick(std::size_t self) -> void {
-    if (!this->nodes[self].frozen) {
-      const auto digest = MakeDigest(this->nodes[self].table, DigestScope::summary);
-      for (const auto to : this->nodes[self].links) {
-        this->SendDigest(self, to, digest, this->digest_bytes);
-      }
+    const auto digest = MakeDigest(this->nodes[self].table, DigestScope::summary);
+    for (const auto to : this->nodes[self].links) {
+      if (!this->nodes[self].frozen) this->SendDigest(self, to, digest, this->digest_bytes);
     }
-    this->Schedule(this->now + this->rules.digest_period, [this, self] { this->Tick(self); });
+    this->queue.emplace(this->now + this->rules.digest_period, [this, self] { this->Tick(self); });
   }
 
   auto RunUntil(core::Time end) -> void {
-    while (!this->queue.empty() && this->queue.top().at <= end) {
-      const auto action = this->queue.top();
-      this->queue.pop();
-      this->now = action.at;
-      action.run();
+    while (!this->queue.empty() && this->queue.begin()->first <= end) {
+      const auto action = this->queue.extract(this->queue.begin());
+      this->now = action.key();
+      action.mapped()();
     }
     this->now = end;
   }
@@ -174,13 +148,11 @@
   return MakeObject(ObjectKind::document, "chat", version, text);
 }
 
+// Shares are in percent. In each informed region two nodes learn a change from the platform.
 struct Scenario {
   std::string name;
-  // Share of the nodes, in percent, that is frozen.
   std::size_t frozen = 0;
-  // Share of the links, in percent, that is cut.
   std::size_t links_cut = 0;
-  // Regions in which two nodes learn a change from the platform.
   std::size_t informed_regions = 3;
   bool regions_cut = false;
 };
@@ -198,18 +170,6 @@
     return ContentHash(std::to_string(std::min(a, b)) + "-" + std::to_string(std::max(a, b))) % 100;
   }
 
-  static auto Publish(Fleet& fleet, const Scenario& scenario, std::uint64_t version) -> void {
-    const auto object = Document(version);
-    for (std::size_t region = 0; region < scenario.informed_regions; ++region) {
-      std::size_t informed = 0;
-      for (std::size_t i = region; informed < 2; i += 3) {
-        if (fleet.nodes[i].frozen) continue;
-        fleet.Receive(i, object, "");
-        ++informed;
-      }
-    }
-  }
-
   // Time until all nodes that are not frozen have `version`; fails after 5 s.
   static auto TimeToLearn(Fleet& fleet, const Scenario& scenario, std::uint64_t version,
                           bool relink = false) -> core::Duration {
@@ -233,21 +193,22 @@
     fleet.Relink();
     for (std::size_t i = 0; i < kNodes; ++i) {
       Offer(fleet.nodes[i].table, Document(1), {}, fleet.now);
-      const auto phase = fleet.rules.digest_period * static_cast<std::int64_t>(i * 7 % kNodes) /
-                         static_cast<std::int64_t>(kNodes);
-      fleet.Schedule(fleet.now + phase, [&fleet, i] { fleet.Tick(i); });
+      const auto phase = fleet.rules.digest_period / 1000 * static_cast<int>(i * 7 % 1000);
+      fleet.queue.emplace(fleet.now + phase, [&fleet, i] { fleet.Tick(i); });
     }
     fleet.cut = [scenario](std::size_t a, std::size_t b) {
       return (scenario.regions_cut && Region(a) != Region(b)) || Hash(a, b) < scenario.links_cut;
     };
     fleet.RunUntil(fleet.now + seconds(2));
     fleet.digest_bytes = 0;
-    for (std::size_t i = 0; i < kNodes; ++i) {
-      fleet.nodes[i].frozen = Hash(i, i) < scenario.frozen;
-    }
+    for (std::size_t i = 0; i < kNodes; ++i) fleet.nodes[i].frozen = Hash(i, i) < scenario.frozen;
     core::Duration longest{};
     for (std::uint64_t version = 2; version <= 4; ++version) {
-      Publish(fleet, scenario, version);
+      std::array<int, 3> informed{};
+      for (std::size_t i = 0; i < kNodes; ++i) {
+        if (fleet.nodes[i].frozen || Region(i) >= scenario.informed_regions) continue;
+        if (informed[Region(i)]++ < 2) fleet.Receive(i, Document(version), "");
+      }
       longest = std::max(longest, TimeToLearn(fleet, scenario, version, version == 2));
     }
     const auto digests = fleet.digest_bytes / kNodes / 15;
@@ -256,12 +217,12 @@
     for (auto& node : fleet.nodes) node.frozen = false;
     fleet.cut = [](auto, auto) { return false; };
     const auto wake = TimeToLearn(fleet, scenario, 4);
-    std::cerr << "\n  " << std::left << std::setw(30) << scenario.name << std::right << std::fixed
-              << std::setprecision(0) << " all nodes after " << longest.count() / 1000
-              << " ms, woken after " << wake.count() / 1000 << " ms; sent per node: digests "
-              << digests << " B/s, " << change << " B/change, at 29,000 changes a day "
-              << digests + change * 29000 / 86400 << " B/s";
-    CPPUNIT_ASSERT_MESSAGE(scenario.name, digests + change * 29000 / 86400 < 5000);
+    const auto total = digests + change * 29000 / 86400;
+    std::cerr << std::fixed << std::setprecision(0) << "\n  " << scenario.name << ": all after "
+              << longest.count() / 1000 << " ms, woken after " << wake.count() / 1000
+              << " ms; sent per node: digests " << digests << " B/s, " << change
+              << " B/change, at 29,000 changes a day " << total << " B/s";
+    CPPUNIT_ASSERT_MESSAGE(scenario.name, total < 5000);
   }
 
  public:
--- a/libs/membership/include/filbertstair/membership/table.h
+++ b/libs/membership/include/filbertstair/membership/table.h
@@ -36,6 +36,8 @@
   // Row in the newest VM list; nothing if the list has none.
   std::optional<Vm> row;
   Link link;
+  // State that the changes returned last ended with.
+  MemberState reported = MemberState::gone;
 };
 
 struct MemberRules {
@@ -62,7 +64,7 @@
   std::optional<core::Time> evaluated;
 };
 
-// Member whose state differs from the one before an event.
+// Member whose state differs from the one reported before, whatever event changed it.
 struct Change {
   std::string id;
   MemberState before = MemberState::gone;
@@ -90,8 +92,8 @@
 auto LinkDown(MemberTable& table, const std::string& peer, core::Incarnation incarnation,
               core::Time now) -> void;
 
-// Updates suspicion from silence and forgets unlisted members after forget_after. Returns the
-// changes of suspicion. Call several times per suspect_after_down.
+// Updates suspicion from silence and forgets unlisted members after forget_after. Returns all
+// changes since the last ones, also those from Heard. Call several times per suspect_after_down.
 auto Evaluate(MemberTable& table, core::Time now) -> std::vector<Change>;
 
 // State of a member. Without any VM list, a peer that was heard counts as listed.
--- a/libs/membership/test/view_test.cc
+++ b/libs/membership/test/view_test.cc
@@ -35,10 +35,9 @@
     const auto endpoints = Ids("p", 15);
     const auto copies = Copies(3, 15, 64, 0);
     CPPUNIT_ASSERT_EQUAL(std::size_t{15}, View("e1", entries, endpoints, copies, 64).size());
-    // Two entries cannot give three links, but give the two that are possible.
-    const auto two = Ids("e", 2);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{100},
-                         View("e1", two, Ids("p", 100), Copies(2, 100, 64, 0), 64).size());
+    // Two entries cannot give an endpoint three links, but give it two.
+    const auto all = View("e1", Ids("e", 2), Ids("p", 100), Copies(2, 100, 64, 0), 64);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{100}, all.size());
   }
 
   auto testBoundsAtScale() -> void {
