--- a/tests/fleet/caller.cc
+++ b/tests/fleet/caller.cc
@@ -64,7 +64,8 @@
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(256u << 20);
-  parser.eager(true);
+  // An eager parser waits for further data where it has parsed a part of the body already.
+  parser.eager(false);
   while (!parser.is_done()) {
     beast::error_code error;
     co_await http::async_read_some(stream, buffer, parser,
@@ -72,9 +73,9 @@
     if (parser.is_header_done()) {
       TakeHead(parser.get(), reply);
       const auto known = reply.body.size();
-      reply.body = parser.get().body();
-      if (reply.body.size() > known && call.on_part &&
-          !call.on_part(std::string_view(reply.body).substr(known))) {
+      reply.body.append(parser.get().body(), known);
+      const std::string_view body = reply.body;
+      if (body.size() > known && call.on_part && !call.on_part(body.substr(known))) {
         reply.error = "closed by the caller";
         co_return;
       }
--- a/tests/fleet/harness.cc
+++ b/tests/fleet/harness.cc
@@ -27,6 +27,13 @@
 constexpr milliseconds kPollInterval{20};
 constexpr milliseconds kStandinStart{10000};
 
+// Bytes of a log that a failure report quotes.
+constexpr std::size_t kShownLog = 2000;
+
+// Ports below the range from which the system takes those of outgoing connections.
+constexpr int kFirstPort = 12000;
+constexpr int kPortCount = 20000;
+
 // Replaces a file in one step, so that a reader sees the old or the new content.
 auto WriteFile(const std::filesystem::path& path, const std::string& content) -> void {
   std::filesystem::create_directories(path.parent_path());
@@ -42,8 +49,7 @@
 auto LastLines(const std::filesystem::path& path) -> std::string {
   std::ifstream in(path, std::ios::binary);
   const std::string text(std::istreambuf_iterator<char>(in), {});
-  constexpr std::size_t kShown = 2000;
-  return text.size() > kShown ? text.substr(text.size() - kShown) : text;
+  return text.size() > kShownLog ? text.substr(text.size() - kShownLog) : text;
 }
 
 auto LogPath(const Fleet& fleet, const std::string& name) -> std::string {
@@ -147,14 +153,12 @@
 }
 
 auto FreeAddress() -> std::string {
-  // Below the range from which the system takes the ports of outgoing connections. Each process
-  // begins at a place of its own, so that tests that run in parallel rarely try the same ports.
-  constexpr int kFirst = 12000;
-  constexpr int kCount = 20000;
-  static int next = static_cast<int>(getpid()) * 67 % kCount;
+  // Each process begins at a place of its own, so that tests that run in parallel rarely try the
+  // same ports.
+  static int next = static_cast<int>(getpid()) * 67 % kPortCount;
   boost::asio::io_context io;
-  for (int attempt = 0; attempt < kCount; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+  for (int attempt = 0; attempt < kPortCount; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
     boost::asio::ip::tcp::acceptor acceptor(io);
     boost::system::error_code error;
     const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), port);
--- a/tests/fleet/harness_test.cc
+++ b/tests/fleet/harness_test.cc
@@ -90,6 +90,7 @@
   auto testEngineAnswers() -> void {
     auto& node = this->Replica("r1", ReplicaKind::engine, {"--token-ms", "1", "--batch", "2"});
     std::vector<std::thread> callers;
+    callers.reserve(6);
     for (int i = 0; i < 6; ++i) {
       callers.emplace_back([&, i] {
         Invoke(Completion(node, "x" + std::to_string(i), 20), "caller", *this->fleet.recorder);
@@ -112,6 +113,8 @@
     call.on_part = [](std::string_view) { return false; };
     const auto outcome = Invoke(call, "caller", *this->fleet.recorder);
     CPPUNIT_ASSERT(outcome.kind == EventKind::disconnect);
+    // A part must reach the caller when it arrives, not only with the end of the answer.
+    CPPUNIT_ASSERT_EQUAL(std::string("closed by the caller"), outcome.reason);
     CPPUNIT_ASSERT(
         WaitFor(seconds(10), [&] { return this->CountKind(EventKind::cancel, "x") == 1; }));
     // The place in the batch is free again.
--- a/tests/fleet/relay.cc
+++ b/tests/fleet/relay.cc
@@ -71,7 +71,9 @@
       -> asio::awaitable<void> {
     std::array<char, 65536> buffer{};
     for (;;) {
-      while (direction.blocks.size() >= kMaxHeld) co_await Changed(direction);
+      while (direction.blocks.size() >= kMaxHeld) {
+        co_await Changed(direction);
+      }
       beast::error_code error;
       const auto size = co_await from.async_read_some(
           asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
