Charge requests in flight ahead of their service and dither picks

Cause: with elapsed service alone, endpoints that act on the same stale totals choose the same workspace; with six workspaces, 0.5 s to 8 s, period 1 s, the gap reached 765 s over 400 s. Change: the level adds lookahead x requests in flight over the fleet, extrapolated by the number of endpoints, and a dither of the step that one grant makes. Activation compares service alone.

--- a/libs/shares/include/filbertstair/shares/exchange.h
+++ b/libs/shares/include/filbertstair/shares/exchange.h
@@ -28,10 +28,10 @@
   Workspace workspace = 0;
   Source source = kNone;
   Incarnation incarnation = 0;
-  // Counter of the source, or the fleet's total for Feed::totals.
+  // Counter of the source; for Feed::totals the fleet's total without the receiver's own counter.
   Cost counter = 0;
-  // For Feed::totals, the part of the receiver's own counter within `counter`.
-  Cost contained = 0;
+  // Requests in flight at the source, or over the fleet without the receiver.
+  std::uint32_t running = 0;
 };
 
 // What a peer was last sent about one workspace.
@@ -64,11 +64,11 @@
 
 // Takes the counter of a source into account. Idempotent and independent of the order of calls.
 auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
-           Cost counter) -> void;
+           Cost counter, std::uint32_t running) -> void;
 
-// Takes a feeder's sum into account: the fleet's `total`, of which `contained` is this process's
-// own counter. The largest sum over all feeders counts.
-auto MergeTotal(ShareTable& table, Workspace workspace, Cost total, Cost contained) -> void;
+// Takes a feeder's sum over the other processes into account. The largest over all feeders counts.
+auto MergeOthers(ShareTable& table, Workspace workspace, Cost others, std::uint32_t running)
+    -> void;
 
 // Sums up the rows of incarnations of `source` below `incarnation`, once no counter of theirs can
 // arrive any more. A later counter of such an incarnation would be counted twice; the caller does
--- a/libs/shares/include/filbertstair/shares/shares.h
+++ b/libs/shares/include/filbertstair/shares/shares.h
@@ -61,6 +61,11 @@
   // A workspace without demand for less than this time stays active, so that short gaps between
   // requests do not cost it the service it is owed.
   Duration linger{1'000'000};
+  // Service that each request in flight counts ahead, over the fleet.
+  Cost lookahead = 4'000'000;
+  // Other endpoints that are expected to react to the same reports in the same way.
+  double peers = 0;
+  double dither = 0;
   Publish publish = Publish::elapsed;
 };
 
@@ -70,6 +75,7 @@
   Source source = 0;
   Incarnation incarnation = 0;
   Cost counter = 0;
+  std::uint32_t running = 0;
   // Change number of the table at which `counter` last rose.
   std::uint64_t version = 0;
 };
@@ -95,6 +101,12 @@
   Cost past = 0;
   // Largest sum over the other processes that any feeder reported.
   Cost others = 0;
+  // Requests in flight: at this process, at the sources in `heard`, and at the others according to
+  // the feeder whose sum counts; and here when that feeder reported.
+  std::uint32_t running = 0;
+  std::uint32_t heard_running = 0;
+  std::uint32_t others_running = 0;
+  std::uint32_t running_then = 0;
   std::vector<Heard> heard;
   std::vector<Mean> means;
   double weight = 1;
@@ -193,6 +205,9 @@
 // Returns the service of a workspace over the fleet as published and known here.
 auto Total(const Row& row) -> Cost;
 
+// Returns the service level of a row, without charges that are not elapsed yet.
+auto ServiceLevel(const Row& row) -> Level;
+
 // Returns the level of a workspace, including the charges of this process.
 auto LevelOf(const ShareTable& table, Workspace workspace) -> Level;
 
--- a/libs/shares/src/exchange.cc
+++ b/libs/shares/src/exchange.cc
@@ -8,18 +8,18 @@
 namespace filbertstair::shares {
 namespace {
 
-// Part of a row's total that the peer itself reported in its current incarnation.
-auto Contained(const Row& row, const Link& link) -> Cost {
+// Part of a row that the peer itself reported in its current incarnation.
+auto Contained(const Row& row, const Link& link) -> Heard {
   for (const Heard& heard : row.heard) {
-    if (heard.source == link.peer && heard.incarnation == link.incarnation) return heard.counter;
+    if (heard.source == link.peer && heard.incarnation == link.incarnation) return heard;
   }
-  return 0;
+  return {};
 }
 
 // Sum of what a link may report about a row.
 auto Reportable(const Row& row, const Link& link) -> Cost {
   if (link.feed == Feed::own) return row.own;
-  return Total(row) - Contained(row, link);
+  return Total(row) - Contained(row, link).counter;
 }
 
 // Collects the rows that changed since the last selection.
@@ -38,15 +38,17 @@
             std::vector<Update>& updates) -> void {
   const Row& row = table.rows[workspace];
   if (link.feed == Feed::totals) {
-    updates.push_back({workspace, kNone, 0, Total(row), Contained(row, link)});
+    const Heard contained = Contained(row, link);
+    updates.push_back({workspace, kNone, 0, Total(row) - contained.counter,
+                       row.running + row.heard_running - contained.running});
     return;
   }
   const std::uint64_t since = link.sent[workspace].version;
-  if (row.own_version > since) updates.push_back({workspace, kNone, 0, row.own, 0});
+  if (row.own_version > since) updates.push_back({workspace, kNone, 0, row.own, row.running});
   if (link.feed == Feed::own) return;
   for (const Heard& heard : row.heard) {
     if (heard.version > since && heard.source != link.peer) {
-      updates.push_back({workspace, heard.source, heard.incarnation, heard.counter, 0});
+      updates.push_back({workspace, heard.source, heard.incarnation, heard.counter, heard.running});
     }
   }
 }
@@ -95,25 +97,29 @@
 }
 
 auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
-           Cost counter) -> void {
+           Cost counter, std::uint32_t running) -> void {
   Row& row = table.rows[workspace];
   auto it = std::ranges::find_if(row.heard, [&](const Heard& heard) {
     return heard.source == source && heard.incarnation == incarnation;
   });
-  if (it == row.heard.end()) it = row.heard.insert(it, {source, incarnation, 0, 0});
+  if (it == row.heard.end()) it = row.heard.insert(it, {source, incarnation, 0, 0, 0});
   if (counter <= it->counter) return;
   row.heard_sum += counter - it->counter;
   it->counter = counter;
+  row.heard_running += running - it->running;
+  it->running = running;
   detail::Touch(table, workspace);
   it->version = row.version;
 }
 
-auto MergeTotal(ShareTable& table, Workspace workspace, Cost total, Cost contained) -> void {
+auto MergeOthers(ShareTable& table, Workspace workspace, Cost others, std::uint32_t running)
+    -> void {
   Row& row = table.rows[workspace];
-  const Cost others = total - contained;
   if (others <= row.others) return;
   const Level before = LevelOf(table, workspace);
   row.others = others;
+  row.others_running = running;
+  row.running_then = row.running;
   if (table.learning) row.lift += before - LevelOf(table, workspace);
   detail::Touch(table, workspace);
 }
@@ -123,6 +129,7 @@
     std::erase_if(row.heard, [&](const Heard& heard) {
       if (heard.source != source || heard.incarnation >= incarnation) return false;
       row.heard_sum -= heard.counter;
+      row.heard_running -= heard.running;
       row.past += heard.counter;
       return true;
     });
--- a/libs/shares/src/shares.cc
+++ b/libs/shares/src/shares.cc
@@ -45,11 +45,18 @@
 auto LeastActive(ShareTable& table) -> Level {
   if (!table.active.empty()) {
     table.floor = std::numeric_limits<Level>::infinity();
-    for (const Workspace w : table.active) table.floor = std::min(table.floor, LevelOf(table, w));
+    for (const Workspace w : table.active)
+      table.floor = std::min(table.floor, ServiceLevel(table.rows[w]));
   }
   return table.floor;
 }
 
+// Requests in flight over the fleet, if the others reacted to the last report as this process did.
+auto InFlight(const ShareTable& table, const Row& row) -> double {
+  const double since = static_cast<double>(row.running) - row.running_then;
+  return row.running + row.others_running + since * table.settings.peers;
+}
+
 // Order of workspaces with equal levels; differs between processes and from pick to pick.
 auto TieBreak(const ShareTable& table, const Row& row) -> std::uint64_t {
   const std::array<std::uint64_t, 2> key{row.hash, table.picks};
@@ -117,6 +124,7 @@
   charge.charged = std::max<Cost>(estimate, 0);
   if (!table.charges.emplace(id, charge).second) return;
   table.rows[workspace].charged += charge.charged;
+  ++table.rows[workspace].running;
   Republish(table, workspace);
 }
 
@@ -150,6 +158,7 @@
   table.charges.erase(it);
   Row& row = table.rows[charge.workspace];
   cost = std::max(cost, charge.elapsed);
+  --row.running;
   row.elapsed += cost - charge.elapsed;
   row.charged += cost - charge.charged;
   UpdateMeans(table, charge, cost);
@@ -159,6 +168,7 @@
 auto Refund(ShareTable& table, ChargeId id) -> void {
   const auto it = table.charges.find(id);
   if (it == table.charges.end()) return;
+  --table.rows[it->second.workspace].running;
   table.rows[it->second.workspace].charged -= it->second.charged - it->second.elapsed;
   table.charges.erase(it);
 }
@@ -167,18 +177,26 @@
   return row.own + std::max(row.others, row.heard_sum + row.past);
 }
 
+auto ServiceLevel(const Row& row) -> Level {
+  const Cost others = std::max(row.others, row.heard_sum + row.past);
+  return static_cast<Level>(row.elapsed + others) / row.weight + row.lift;
+}
+
 auto LevelOf(const ShareTable& table, Workspace workspace) -> Level {
   const Row& row = table.rows[workspace];
-  const Cost others = std::max(row.others, row.heard_sum + row.past);
-  return static_cast<Level>(row.charged + others) / row.weight + row.lift;
+  const double ahead = InFlight(table, row) * static_cast<double>(table.settings.lookahead);
+  return ServiceLevel(row) +
+         (ahead +
+          (table.settings.lookahead > 0 ? 0 : static_cast<double>(row.charged - row.elapsed))) /
+             row.weight;
 }
 
 auto Activate(ShareTable& table, Workspace workspace, double weight, Time now) -> void {
   Row& row = table.rows[workspace];
-  const Level level = LevelOf(table, workspace);
+  const Level level = ServiceLevel(row);
   if (weight > 0 && weight != row.weight) {
     row.weight = weight;
-    row.lift += level - LevelOf(table, workspace);
+    row.lift += level - ServiceLevel(row);
   }
   if (row.position != kNone) return;
   if (!row.idle_since || now - *row.idle_since > table.settings.linger) {
@@ -192,7 +210,7 @@
 auto Deactivate(ShareTable& table, Workspace workspace, Time now) -> void {
   Row& row = table.rows[workspace];
   if (row.position == kNone) return;
-  if (table.active.size() == 1) table.floor = LevelOf(table, workspace);
+  if (table.active.size() == 1) table.floor = ServiceLevel(row);
   row.idle_since = now;
   table.rows[table.active.back()].position = row.position;
   table.active[row.position] = table.active.back();
@@ -214,11 +232,13 @@
     if (c.count == 0) continue;
     Row& row = table.rows[c.workspace];
     Level level = LevelOf(table, c.workspace);
-    if (level > limit) {
-      row.lift -= level - limit;
-      level = limit;
+    if (const Level lead = ServiceLevel(row) - limit; lead > 0) {
+      row.lift -= lead;
+      level -= lead;
     }
     if (c.remote) level += table.settings.link_price;
+    level += table.settings.dither * table.settings.lookahead * (table.settings.peers + 1) /
+             row.weight * static_cast<double>(TieBreak(table, row) >> 11) * 0x1p-53;
     if (best && level == best_level &&
         TieBreak(table, row) >= TieBreak(table, table.rows[candidates[*best].workspace])) {
       continue;
