Test the admission library and prove that its guards are tested

Cause: the library had no tests. Demand rows keep the time of their last grant when an entry announces them again; before, they lost it and a small entry was never chosen.

--- a/libs/admission/include/filbertstair/admission/limit.h
+++ b/libs/admission/include/filbertstair/admission/limit.h
@@ -21,9 +21,9 @@
   // Standard errors by which the mean gain must differ from min_gain before a decision.
   double confidence = 3.0;
   // Pairs of measurements after which an undecided probe ends without a change.
-  std::uint32_t max_pairs = 30;
-  // Time from a probe that changed nothing to the next one. Doubles up to four times while probes
-  // keep changing nothing, since a probe below the right limit costs throughput.
+  std::uint32_t max_pairs = 100;
+  // Time from a probe that changed nothing to the next one. Doubles up to four times while
+  // probes keep changing nothing, since a probe below the right limit costs throughput.
   core::Duration rest = std::chrono::seconds(60);
   // Measurements in a row without enough demand after which a probe ends.
   std::uint32_t max_discarded = 30;
@@ -38,6 +38,9 @@
   // Limit in force outside probes.
   std::uint32_t limit = 1;
   Probe probe = Probe::none;
+  // Whether probes downwards halve the limit. Large steps stand out from noise, so the first
+  // descent from max_slots takes them until one costs throughput.
+  bool halving = true;
   // Whether the probed limit, and not `limit`, is in force.
   bool probing = false;
   // Probes in a row that changed nothing.
--- a/libs/admission/src/demand.cc
+++ b/libs/admission/src/demand.cc
@@ -67,12 +67,7 @@
   const auto region = source->region;
   SetPaused(table, entry, incarnation, false);
   const auto keys = source->keys;
-  for (const auto& key : keys) {
-    auto* row = FindRow(table, key, entry);
-    row->waiting = 0;
-    // Rows with outstanding grants stay, so that the grants' ends are counted.
-    if (row->granted == 0) DropRow(table, key, entry);
-  }
+  for (const auto& key : keys) FindRow(table, key, entry)->waiting = 0;
   for (const auto& item : items) {
     if (item.waiting == 0) continue;
     const DemandKey key{item.service, item.workspace, region};
@@ -81,6 +76,11 @@
     if (added) row->second.last_grant = table.grants;
     table.sources[entry].keys.insert(key);
   }
+  for (const auto& key : keys) {
+    const auto* row = FindRow(table, key, entry);
+    // Rows with outstanding grants stay, so that the grants' ends are counted.
+    if (row->waiting == 0 && row->granted == 0) DropRow(table, key, entry);
+  }
   return true;
 }
 
--- a/libs/admission/src/limit.cc
+++ b/libs/admission/src/limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace filbertstair::admission {
 namespace {
@@ -21,7 +22,8 @@
     case Probe::up:
       return std::min(policy.max_slots, state.limit + std::max(1U, state.limit / 4));
     case Probe::down:
-      return std::max(policy.min_slots, state.limit - std::max(1U, state.limit / 5));
+      return std::max(policy.min_slots,
+                      state.limit - std::max(1U, state.limit / (state.halving ? 2 : 5)));
     case Probe::none:
       break;
   }
@@ -62,7 +64,8 @@
 
 // Goes on after a probe that changed nothing: a failed rise is followed by a probe downwards.
 auto Continue(const LimitPolicy& policy, LimitState& state, core::Time now) -> void {
-  if (state.probe == Probe::up && state.limit > policy.min_slots) {
+  const auto was_halving = std::exchange(state.halving, false);
+  if (state.limit > policy.min_slots && (state.probe == Probe::up || was_halving)) {
     StartProbe(state, Probe::down);
   } else {
     Rest(policy, state, now);
--- /dev/null
+++ b/libs/admission/test/keys_test.cc
@@ -0,0 +1,274 @@
+#include "filbertstair/admission/keys.h"
+
+#include <algorithm>
+
+#include "filbertstair/core/rendezvous.h"
+#include "property.h"
+
+namespace filbertstair::admission {
+namespace {
+
+using core::Reason;
+using std::chrono::milliseconds;
+
+auto Wall(double seconds) -> WallTime {
+  return WallTime(std::chrono::hours(1)) + milliseconds(static_cast<std::int64_t>(seconds * 1000));
+}
+
+auto KeyAt(int number, double issued) -> Key {
+  return {"key-" + std::to_string(number), Wall(issued)};
+}
+
+// Endpoint process with its own wall clock, which differs from the true time by `skew` seconds.
+struct Endpoint {
+  KeyPolicy policy;
+  KeyTable table;
+  OwnerHistory history;
+  double skew = 0;
+
+  Endpoint(const std::string& id, double started, double skew = 0) : skew(skew) {
+    this->table.started = Wall(started + skew);
+    this->history.self = id;
+  }
+
+  auto Observe(const std::vector<std::string>& ids, double now) -> void {
+    ObserveEndpoints(this->history, this->policy, ids, Wall(now + this->skew));
+  }
+
+  auto Admit(const Key& key, double now) -> std::optional<Refusal> {
+    return AdmitKey(this->table, this->history, this->policy, "certify", "office", key,
+                    Wall(now + this->skew));
+  }
+
+  auto Is(const Key& key, double now, Reason reason, AttemptStatus status) -> bool {
+    return this->Admit(key, now) == Refusal{reason, status};
+  }
+};
+
+// Returns the number of a key that `owner` owns among `ids`.
+auto NumberOwnedBy(const std::string& owner, const std::vector<std::string>& ids) -> int {
+  int number = 0;
+  while (ids[core::RendezvousOwner(OwnerText("certify", "office", KeyAt(number, 0)), ids)] !=
+         owner) {
+    ++number;
+  }
+  return number;
+}
+
+const std::vector<std::string> kOne{"a"};
+const std::vector<std::string> kTwo{"a", "b"};
+
+class KeysTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeysTest);
+  CPPUNIT_TEST(testParse);
+  CPPUNIT_TEST(testRepeated);
+  CPPUNIT_TEST(testNotRunFreesTheKey);
+  CPPUNIT_TEST(testScope);
+  CPPUNIT_TEST(testTimeOfIssue);
+  CPPUNIT_TEST(testStart);
+  CPPUNIT_TEST(testOwnerChanges);
+  CPPUNIT_TEST(testRestartedHistory);
+  CPPUNIT_TEST(testEviction);
+  CPPUNIT_TEST(testTwoOwnersNeverRunOneKey);
+  CPPUNIT_TEST_SUITE_END();
+
+  Endpoint endpoint{"a", -1000};
+
+ public:
+  auto setUp() -> void override {
+    this->endpoint = Endpoint("a", -1000);
+    this->endpoint.Observe(kOne, -1000);
+  }
+
+  // Guards against a key whose time of issue is guessed; a wrong time would disable the protection.
+  auto testParse() -> void {
+    const auto uuid = ParseKey("018d2f3c-9a00-7abc-8def-0123456789ab", std::nullopt);
+    CPPUNIT_ASSERT(uuid && uuid->issued == WallTime(milliseconds(0x018d2f3c9a00)));
+    const auto explicit_time = ParseKey("letter-17", "1700000000000");
+    CPPUNIT_ASSERT(explicit_time && explicit_time->issued == WallTime(milliseconds(1700000000000)));
+    CPPUNIT_ASSERT(ParseKey("018d2f3c-9a00-7abc-8def-0123456789ab", "1705894517248"));
+    for (const auto* text :
+         {"", "letter-17", "018d2f3c-9a00-4abc-8def-0123456789ab",
+          "018d2f3c-9a00-7abc-cdef-0123456789ab", "018d2f3c-9a00-7abc-8def-0123456789ag",
+          "018d2f3c-9a00-7abc-8def_0123456789ab"}) {
+      CPPUNIT_ASSERT(!ParseKey(text, std::nullopt));
+    }
+    for (const auto* time : {"", "-1", "1e3", "17 ", "99999999999999999999", "281474976710656"}) {
+      CPPUNIT_ASSERT(!ParseKey("letter-17", time));
+    }
+    CPPUNIT_ASSERT(!ParseKey("018d2f3c-9a00-7abc-8def-0123456789ab", "1700000000000"));
+    CPPUNIT_ASSERT(!ParseKey(std::string(256, 'k'), "1700000000000"));
+  }
+
+  // Guards against a second run with one key, and against wrong information on the first one.
+  auto testRepeated() -> void {
+    const auto key = KeyAt(1, 0);
+    const auto hash = HashKey(OwnerText("certify", "office", key));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(key, 0));
+    CPPUNIT_ASSERT(this->endpoint.Is(key, 1, Reason::key_repeated, AttemptStatus::running));
+    CPPUNIT_ASSERT(this->endpoint.Is(KeyAt(1, 1), 1, Reason::key_repeated, AttemptStatus::running));
+    EndKey(this->endpoint.table, hash, core::Outcome::unknown);
+    CPPUNIT_ASSERT(this->endpoint.Is(key, 1, Reason::key_repeated, AttemptStatus::unknown));
+    EndKey(this->endpoint.table, hash, core::Outcome::ran);
+    CPPUNIT_ASSERT(this->endpoint.Is(key, 1, Reason::key_repeated, AttemptStatus::ran));
+  }
+
+  // Guards against a key that stays used up by an attempt that provably did not run.
+  auto testNotRunFreesTheKey() -> void {
+    const auto key = KeyAt(1, 0);
+    CPPUNIT_ASSERT(!this->endpoint.Admit(key, 0));
+    EndKey(this->endpoint.table, HashKey(OwnerText("certify", "office", key)),
+           core::Outcome::not_run);
+    CPPUNIT_ASSERT(this->endpoint.table.by_issue.empty());
+    CPPUNIT_ASSERT(!this->endpoint.Admit(key, 0));
+  }
+
+  // Guards against one workspace's key refusing the call of another.
+  auto testScope() -> void {
+    CPPUNIT_ASSERT(OwnerText("a", "bc", {"k", {}}) != OwnerText("ab", "c", {"k", {}}));
+    CPPUNIT_ASSERT(OwnerText("a", "b", {"k", {}}) != OwnerText("a", "c", {"k", {}}));
+  }
+
+  // Guards against a key that outlives its record, and against one from a clock ahead of this one,
+  // for which the history is not known yet.
+  auto testTimeOfIssue() -> void {
+    const auto not_run = AttemptStatus::not_run;
+    CPPUNIT_ASSERT(this->endpoint.Is(KeyAt(1, 2.001), 0, Reason::invalid_idempotency_key, not_run));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(2, 2), 0));
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(3, 0), 600, Reason::key_history_lost, AttemptStatus::unknown));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(4, 0), 599));
+  }
+
+  // Guards against a restarted process that runs a key its predecessor may have run.
+  auto testStart() -> void {
+    Endpoint restarted("a", 0);
+    restarted.Observe(kOne, 1);
+    CPPUNIT_ASSERT(
+        restarted.Is(KeyAt(1, 14.999), 20, Reason::key_history_lost, AttemptStatus::unknown));
+    CPPUNIT_ASSERT(!restarted.Admit(KeyAt(1, 15), 20));
+    Endpoint blind("a", -1000);
+    CPPUNIT_ASSERT(blind.Is(KeyAt(1, 15), 20, Reason::wrong_owner, AttemptStatus::not_run));
+  }
+
+  // Guards against running a key that another endpoint owned, or may have taken over, around the
+  // time of its issue.
+  auto testOwnerChanges() -> void {
+    const auto of_a = NumberOwnedBy("a", kTwo);
+    const auto of_b = NumberOwnedBy("b", kTwo);
+    const auto unknown = AttemptStatus::unknown;
+    this->endpoint.Observe(kTwo, 0);
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(of_b, 5), 5, Reason::wrong_owner, AttemptStatus::not_run));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(of_a, 5), 5));
+    this->endpoint.Observe(kOne, 100);
+    CPPUNIT_ASSERT(this->endpoint.Is(KeyAt(of_b, 114), 120, Reason::key_history_lost, unknown));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(of_b, 114.001), 120));
+    this->endpoint.Observe({"b"}, 200);
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(7, 200), 200, Reason::wrong_owner, AttemptStatus::not_run));
+    this->endpoint.Observe(kOne, 201);
+    CPPUNIT_ASSERT(this->endpoint.Is(KeyAt(7, 214), 230, Reason::key_history_lost, unknown));
+    this->endpoint.Observe(kOne, 2000);
+    CPPUNIT_ASSERT(this->endpoint.history.removed.empty());
+  }
+
+  // Guards against a paused process that trusts a set it has not refreshed.
+  auto testRestartedHistory() -> void {
+    RestartHistory(this->endpoint.history, Wall(0));
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(1, 5), 20, Reason::key_history_lost, AttemptStatus::unknown));
+    CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(1, 14), 20));
+  }
+
+  // Guards against unbounded memory, and against an evicted key that runs again.
+  auto testEviction() -> void {
+    this->endpoint.policy.max_keys = 2;
+    for (const auto number : {0, 1, 2}) {
+      CPPUNIT_ASSERT(!this->endpoint.Admit(KeyAt(number, number), 10));
+    }
+    EvictKeys(this->endpoint.table, this->endpoint.policy, Wall(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->endpoint.table.keys.size());
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(0, 0), 10, Reason::key_history_lost, AttemptStatus::unknown));
+    CPPUNIT_ASSERT(
+        this->endpoint.Is(KeyAt(1, 1), 10, Reason::key_repeated, AttemptStatus::running));
+    EvictKeys(this->endpoint.table, this->endpoint.policy, Wall(700));
+    CPPUNIT_ASSERT(this->endpoint.table.keys.empty() && this->endpoint.table.by_issue.empty());
+  }
+
+  // Guards against two endpoints that run one key while the set of endpoints changes. Every process
+  // observes each change with a delay below the quiet period; clocks differ by up to max_skew;
+  // processes restart with empty memory.
+  auto testTwoOwnersNeverRunOneKey() -> void {
+    int refused = 0;
+    int ran = 0;
+    CheckProperty(2000, [&] {
+      struct Event {
+        double time = 0;
+        std::size_t process = 0;
+        // Set to observe; a negative value is a restart, and a key to admit is 100 and above.
+        int what = 0;
+      };
+      const std::vector<std::vector<std::string>> sets{{"a"}, {"b"}, {"a", "b"}, {"a", "b", "c"}};
+      const std::vector<std::string> names{"a", "b"};
+      const auto words = *Words();
+      std::vector<Event> events;
+      std::vector<Key> keys;
+      std::vector<double> last_observed{0, 0};
+      double time = 0;
+      for (const auto word : words) {
+        Choices choices{word};
+        const auto kind = choices.Next(4);
+        time += static_cast<double>(choices.Next(40)) / 8;
+        if (kind == 0) {
+          const auto set = static_cast<int>(choices.Next(sets.size()));
+          for (std::size_t process = 0; process < 2; ++process) {
+            // Changes are observed in order.
+            const auto delay = static_cast<double>(choices.Next(100)) / 10;
+            last_observed[process] = std::max(last_observed[process], time + delay);
+            events.push_back({last_observed[process], process, set});
+          }
+        } else if (kind == 1 && choices.Next(4) == 0) {
+          events.push_back({time, choices.Next(2), -1});
+        } else {
+          const auto number = static_cast<int>(keys.size());
+          const auto skew = static_cast<double>(choices.Next(40)) / 10 - 2;
+          keys.push_back(KeyAt(number, time + skew));
+          for (std::size_t process = 0; process < 2; ++process) {
+            events.push_back({time + static_cast<double>(choices.Next(20)), process, 100 + number});
+          }
+        }
+      }
+      std::stable_sort(events.begin(), events.end(),
+                       [](const Event& a, const Event& b) { return a.time < b.time; });
+      const auto skew = *rc::gen::inRange(0, 21);
+      std::vector<Endpoint> processes{Endpoint("a", -1000), Endpoint("b", -1000, skew / 10.0)};
+      std::vector<int> set{2, 2};
+      for (auto& process : processes) process.Observe(sets[2], -1000);
+      std::vector<int> runs(keys.size());
+      for (const auto& event : events) {
+        auto& process = processes[event.process];
+        if (event.what < 0) {
+          process = Endpoint(names[event.process], event.time, process.skew);
+          process.Observe(sets[set[event.process]], event.time);
+        } else if (event.what < 100) {
+          set[event.process] = event.what;
+          process.Observe(sets[event.what], event.time);
+        } else if (const auto refusal = process.Admit(keys[event.what - 100], event.time)) {
+          refused += refusal->reason == Reason::key_history_lost ? 1 : 0;
+        } else {
+          ++ran;
+          RC_ASSERT(++runs[event.what - 100] <= 1);
+        }
+      }
+    });
+    // The property says nothing if no key runs or none is at risk.
+    CPPUNIT_ASSERT(ran > 1000 && refused > 1000);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeysTest);
+
+}  // namespace
+}  // namespace filbertstair::admission
