--- a/libs/admission/include/filbertstair/admission/attempts.h
+++ b/libs/admission/include/filbertstair/admission/attempts.h
@@ -19,7 +19,7 @@
 struct AttemptPolicy {
   // Time for which the end or refusal of an attempt is remembered.
   core::Duration retention = std::chrono::minutes(10);
-  // Records over all entries, at about 150 bytes each.
+  // Records over all entries, at about 140 bytes each.
   std::size_t max_records = 32768;
   // Entry incarnations with records or a low-water mark, at about 200 bytes each.
   std::size_t max_sources = 4096;
--- a/libs/admission/include/filbertstair/admission/demand.h
+++ b/libs/admission/include/filbertstair/admission/demand.h
@@ -51,10 +51,21 @@
   std::set<DemandKey> keys;
 };
 
-// Requests waiting at the entries with a control stream to this process.
+// Rows of all entries for one key.
+struct DemandGroup {
+  std::map<std::string, DemandRow> rows;
+  // Requests for which a grant could be issued: waiting ones without a grant at entries that are
+  // not paused.
+  std::uint64_t askable = 0;
+};
+
+// Requests waiting at the entries with a control stream to this process. A row takes about 250
+// bytes.
 struct DemandTable {
   std::map<std::string, DemandSource> sources;
-  std::map<DemandKey, std::map<std::string, DemandRow>> rows;
+  std::map<DemandKey, DemandGroup> groups;
+  // Sums over all groups.
+  std::uint64_t askable = 0;
   std::uint64_t grants = 0;
 };
 
@@ -64,7 +75,7 @@
   std::string_view service;
   std::string_view workspace;
   std::string_view region;
-  std::uint32_t waiting = 0;
+  std::uint64_t waiting = 0;
 };
 
 // Records that an entry opened a control stream; it replaces the entry's previous one. Returns
@@ -76,6 +87,11 @@
 // entry has since opened another one.
 auto CloseSource(DemandTable& table, const std::string& entry, std::uint64_t stream) -> bool;
 
+// Sets the waiting requests of the listed services and workspaces; 0 removes one. Returns false,
+// and changes nothing, if the table holds no or another incarnation of the entry.
+auto UpdateDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
+                  std::span<const DemandItem> items) -> bool;
+
 // Replaces everything the entry announced before. Returns false, and changes nothing, if the table
 // holds no or another incarnation of the entry.
 auto ReplaceDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
--- a/libs/admission/include/filbertstair/admission/keys.h
+++ b/libs/admission/include/filbertstair/admission/keys.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -31,7 +32,7 @@
   // amount. An error of the caller's clock does not affect safety: both owners compare with the
   // same issue time.
   std::chrono::milliseconds max_skew = std::chrono::seconds(2);
-  // Records, at about 120 bytes each.
+  // Records, at about 150 bytes each.
   std::size_t max_keys = 200000;
 };
 
@@ -90,7 +91,7 @@
   WallTime started{};
   std::map<KeyHash, KeyRecord> keys;
   // Order of the records by time of issue, for eviction.
-  std::map<std::pair<WallTime, KeyHash>, bool> by_issue;
+  std::set<std::pair<WallTime, KeyHash>> by_issue;
   // Keys issued before it without a record are refused: the record may have been evicted.
   WallTime low_water{};
 };
--- a/libs/admission/src/demand.cc
+++ b/libs/admission/src/demand.cc
@@ -5,39 +5,83 @@
 namespace filbertstair::admission {
 namespace {
 
-auto FindSource(const DemandTable& table, const std::string& entry, core::Incarnation incarnation)
-    -> const DemandSource* {
+auto FindSource(DemandTable& table, const std::string& entry, core::Incarnation incarnation)
+    -> DemandSource* {
   const auto found = table.sources.find(entry);
   if (found == table.sources.end()) return nullptr;
   return found->second.incarnation == incarnation ? &found->second : nullptr;
 }
 
-auto Askable(const DemandTable& table, const std::string& entry, const DemandRow& row)
-    -> std::uint32_t {
-  const auto source = table.sources.find(entry);
-  if (source == table.sources.end() || source->second.paused) return 0;
+// Returns the waiting requests without a grant.
+auto Ungranted(const DemandRow& row) -> std::uint64_t {
   return row.waiting - std::min(row.waiting, row.granted);
 }
 
-auto FindRow(DemandTable& table, const DemandKey& key, const std::string& entry) -> DemandRow* {
-  const auto rows = table.rows.find(key);
-  if (rows == table.rows.end()) return nullptr;
-  const auto row = rows->second.find(entry);
-  return row == rows->second.end() ? nullptr : &row->second;
+// Changes a row with `change` and keeps the sums of its group and of the table.
+template <typename Change>
+auto ChangeRow(DemandTable& table, const DemandSource& source, DemandGroup& group, DemandRow& row,
+               Change change) -> void {
+  const auto before = Ungranted(row);
+  change(row);
+  if (source.paused) return;
+  group.askable += Ungranted(row) - before;
+  table.askable += Ungranted(row) - before;
+}
+
+// Removes a row once nothing waits and no grant is outstanding, so that the end of every grant is
+// counted.
+auto DropIfEmpty(DemandTable& table, DemandSource& source, const DemandKey& key,
+                 const std::string& entry) -> void {
+  const auto group = table.groups.find(key);
+  if (group == table.groups.end()) return;
+  const auto row = group->second.rows.find(entry);
+  if (row == group->second.rows.end() || row->second.waiting > 0 || row->second.granted > 0) return;
+  group->second.rows.erase(row);
+  source.keys.erase(key);
+  if (group->second.rows.empty()) table.groups.erase(group);
 }
 
-// Removes the entry's row; its source must exist.
-auto DropRow(DemandTable& table, const DemandKey& key, const std::string& entry) -> void {
-  if (const auto rows = table.rows.find(key); rows != table.rows.end()) {
-    rows->second.erase(entry);
-    if (rows->second.empty()) table.rows.erase(rows);
+auto DropRows(DemandTable& table, DemandSource& source, const std::string& entry) -> void {
+  const auto keys = source.keys;
+  for (const auto& key : keys) {
+    auto& group = table.groups[key];
+    ChangeRow(table, source, group, group.rows[entry], [](DemandRow& row) { row = {}; });
+    DropIfEmpty(table, source, key, entry);
   }
-  table.sources[entry].keys.erase(key);
 }
 
-auto DropRows(DemandTable& table, const std::string& entry) -> void {
-  const auto keys = table.sources[entry].keys;
-  for (const auto& key : keys) DropRow(table, key, entry);
+// Sets what waits for one key; creates the row if needed.
+auto SetWaiting(DemandTable& table, DemandSource& source, const DemandKey& key,
+                const std::string& entry, std::uint32_t waiting) -> void {
+  if (waiting > 0 || source.keys.contains(key)) {
+    auto& group = table.groups[key];
+    const auto [row, added] = group.rows.try_emplace(entry);
+    if (added) {
+      row->second.last_grant = table.grants;
+      source.keys.insert(key);
+    }
+    ChangeRow(table, source, group, row->second,
+              [waiting](DemandRow& changed) { changed.waiting = waiting; });
+    DropIfEmpty(table, source, key, entry);
+  }
+}
+
+auto SetItems(DemandTable& table, DemandSource& source, const std::string& entry,
+              std::span<const DemandItem> items) -> void {
+  for (const auto& item : items) {
+    SetWaiting(table, source, {item.service, item.workspace, source.region}, entry, item.waiting);
+  }
+}
+
+// Changes an existing row of an entry, if there is one.
+template <typename Change>
+auto ChangeExisting(DemandTable& table, const DemandKey& key, const std::string& entry,
+                    Change change) -> void {
+  const auto source = table.sources.find(entry);
+  if (source == table.sources.end() || !source->second.keys.contains(key)) return;
+  auto& group = table.groups[key];
+  ChangeRow(table, source->second, group, group.rows[entry], change);
+  DropIfEmpty(table, source->second, key, entry);
 }
 
 }  // namespace
@@ -46,7 +90,7 @@
                 std::uint64_t stream, const std::string& region) -> bool {
   const auto [source, added] = table.sources.try_emplace(entry);
   if (!added && source->second.incarnation > incarnation) return false;
-  if (!added) DropRows(table, entry);
+  if (!added) DropRows(table, source->second, entry);
   source->second = {
       .incarnation = incarnation, .stream = stream, .region = region, .paused = false, .keys = {}};
   return true;
@@ -55,61 +99,54 @@
 auto CloseSource(DemandTable& table, const std::string& entry, std::uint64_t stream) -> bool {
   const auto source = table.sources.find(entry);
   if (source == table.sources.end() || source->second.stream != stream) return false;
-  DropRows(table, entry);
+  DropRows(table, source->second, entry);
   table.sources.erase(source);
   return true;
 }
 
+auto UpdateDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
+                  std::span<const DemandItem> items) -> bool {
+  auto* source = FindSource(table, entry, incarnation);
+  if (source == nullptr) return false;
+  SetPaused(table, entry, incarnation, false);
+  SetItems(table, *source, entry, items);
+  return true;
+}
+
 auto ReplaceDemand(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
                    std::span<const DemandItem> items) -> bool {
-  const auto* source = FindSource(table, entry, incarnation);
+  auto* source = FindSource(table, entry, incarnation);
   if (source == nullptr) return false;
-  const auto region = source->region;
   SetPaused(table, entry, incarnation, false);
-  const auto keys = source->keys;
-  for (const auto& key : keys) FindRow(table, key, entry)->waiting = 0;
-  for (const auto& item : items) {
-    if (item.waiting == 0) continue;
-    const DemandKey key{item.service, item.workspace, region};
-    const auto [row, added] = table.rows[key].try_emplace(entry);
-    row->second.waiting = item.waiting;
-    if (added) row->second.last_grant = table.grants;
-    table.sources[entry].keys.insert(key);
-  }
-  for (const auto& key : keys) {
-    const auto* row = FindRow(table, key, entry);
-    // Rows with outstanding grants stay, so that the grants' ends are counted.
-    if (row->waiting == 0 && row->granted == 0) DropRow(table, key, entry);
-  }
+  // Rows that are announced again keep the number of their last grant.
+  auto dropped = source->keys;
+  for (const auto& item : items) dropped.erase({item.service, item.workspace, source->region});
+  SetItems(table, *source, entry, items);
+  for (const auto& key : dropped) SetWaiting(table, *source, key, entry, 0);
   return true;
 }
 
 auto Candidates(const DemandTable& table) -> std::vector<Candidate> {
   std::vector<Candidate> candidates;
-  for (const auto& [key, rows] : table.rows) {
-    std::uint32_t waiting = 0;
-    for (const auto& [entry, row] : rows) waiting += Askable(table, entry, row);
-    if (waiting > 0) candidates.push_back({key.service, key.workspace, key.region, waiting});
+  for (const auto& [key, group] : table.groups) {
+    if (group.askable > 0) {
+      candidates.push_back({key.service, key.workspace, key.region, group.askable});
+    }
   }
   return candidates;
 }
 
-auto HasDemand(const DemandTable& table) -> bool {
-  return std::any_of(table.rows.begin(), table.rows.end(), [&table](const auto& rows) {
-    return std::any_of(rows.second.begin(), rows.second.end(), [&table](const auto& row) {
-      return Askable(table, row.first, row.second) > 0;
-    });
-  });
-}
+auto HasDemand(const DemandTable& table) -> bool { return table.askable > 0; }
 
 auto ChooseEntry(const DemandTable& table, const DemandKey& key) -> std::optional<std::string> {
-  const auto rows = table.rows.find(key);
-  if (rows == table.rows.end()) return std::nullopt;
+  const auto group = table.groups.find(key);
+  if (group == table.groups.end()) return std::nullopt;
   std::optional<std::string> chosen;
   std::uint64_t most = 0;
-  for (const auto& [entry, row] : rows->second) {
+  for (const auto& [entry, row] : group->second.rows) {
+    if (table.sources.at(entry).paused) continue;
     // In the long run each entry is chosen with a frequency proportional to its waiting requests.
-    const std::uint64_t score = Askable(table, entry, row) * (table.grants - row.last_grant + 1);
+    const auto score = Ungranted(row) * (table.grants - row.last_grant + 1);
     if (score > most) {
       most = score;
       chosen = entry;
@@ -119,25 +156,32 @@
 }
 
 auto CountGrant(DemandTable& table, const DemandKey& key, const std::string& entry) -> void {
-  ++table.grants;
-  if (auto* row = FindRow(table, key, entry); row != nullptr) {
-    ++row->granted;
-    row->last_grant = table.grants;
-  }
+  const auto number = ++table.grants;
+  ChangeExisting(table, key, entry, [number](DemandRow& row) {
+    ++row.granted;
+    row.last_grant = number;
+  });
 }
 
 auto CountGrantEnd(DemandTable& table, const DemandKey& key, const std::string& entry,
                    bool answered) -> void {
-  auto* row = FindRow(table, key, entry);
-  if (row == nullptr) return;
-  if (row->granted > 0) --row->granted;
-  if (answered && row->waiting > 0) --row->waiting;
-  if (row->waiting == 0 && row->granted == 0) DropRow(table, key, entry);
+  ChangeExisting(table, key, entry, [answered](DemandRow& row) {
+    if (row.granted > 0) --row.granted;
+    if (answered && row.waiting > 0) --row.waiting;
+  });
 }
 
 auto SetPaused(DemandTable& table, const std::string& entry, core::Incarnation incarnation,
                bool paused) -> void {
-  if (FindSource(table, entry, incarnation) != nullptr) table.sources[entry].paused = paused;
+  auto* source = FindSource(table, entry, incarnation);
+  if (source == nullptr || source->paused == paused) return;
+  source->paused = paused;
+  for (const auto& key : source->keys) {
+    auto& group = table.groups[key];
+    const auto ungranted = Ungranted(group.rows[entry]);
+    group.askable += paused ? -ungranted : ungranted;
+    table.askable += paused ? -ungranted : ungranted;
+  }
 }
 
 }  // namespace filbertstair::admission
--- a/libs/admission/src/keys.cc
+++ b/libs/admission/src/keys.cc
@@ -154,7 +154,7 @@
     return Refusal{core::Reason::key_history_lost, AttemptStatus::unknown};
   }
   table.keys[hash] = {.issued = key.issued, .status = AttemptStatus::running};
-  table.by_issue[{key.issued, hash}] = true;
+  table.by_issue.emplace(key.issued, hash);
   return std::nullopt;
 }
 
@@ -178,7 +178,7 @@
   // The margin covers a correction of the wall clock backwards.
   const auto oldest = now - policy.lifetime - policy.max_skew;
   while (!table.by_issue.empty()) {
-    const auto [issued, hash] = table.by_issue.begin()->first;
+    const auto [issued, hash] = *table.by_issue.begin();
     if (issued >= oldest && table.keys.size() <= policy.max_keys) break;
     table.low_water = std::max(table.low_water, issued + std::chrono::milliseconds(1));
     table.by_issue.erase(table.by_issue.begin());
--- a/libs/admission/test/admission_test.cc
+++ b/libs/admission/test/admission_test.cc
@@ -231,11 +231,19 @@
     this->denied.insert(attempt);
   }
 
-  // Checks that the counts match the tables, and that no ended grant is outstanding again.
+  // Checks that the counts and sums match the tables, and that no ended grant is outstanding again.
   auto Check() -> void {
     RC_ASSERT(this->state.slots.running == this->running.size());
     RC_ASSERT(this->state.slots.staged == this->state.staged.size());
     RC_ASSERT(this->state.slots.granted == this->state.grants.outstanding.size());
+    std::uint64_t askable = 0;
+    for (const auto& [key, group] : this->state.demand.groups) {
+      for (const auto& [entry, row] : group.rows) {
+        if (this->state.demand.sources.at(entry).paused) continue;
+        askable += row.waiting - std::min(row.waiting, row.granted);
+      }
+    }
+    RC_ASSERT(this->state.demand.askable == askable);
     std::set<GrantId> now_outstanding;
     for (const auto& [id, grant] : this->state.grants.outstanding) now_outstanding.insert(id);
     for (const auto id : this->outstanding) {
--- a/libs/admission/test/demand_test.cc
+++ b/libs/admission/test/demand_test.cc
@@ -12,7 +12,7 @@
   CPPUNIT_ASSERT(ReplaceDemand(table, entry, table.sources.at(entry).incarnation, items));
 }
 
-auto Waiting(const DemandTable& table) -> std::uint32_t {
+auto Waiting(const DemandTable& table) -> std::uint64_t {
   const auto candidates = Candidates(table);
   CPPUNIT_ASSERT_EQUAL(HasDemand(table), !candidates.empty());
   return candidates.empty() ? 0 : candidates[0].waiting;
@@ -36,14 +36,17 @@
     CPPUNIT_ASSERT(OpenSource(table, "e2", 1, 2, "north"));
     Announce(table, "e1", 5);
     Announce(table, "e2", 2);
-    CPPUNIT_ASSERT_EQUAL(7U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, Waiting(table));
     Announce(table, "e1", 1);
-    CPPUNIT_ASSERT_EQUAL(3U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Waiting(table));
+    const std::vector<DemandItem> other{{"chat", "audit", 4}};
+    CPPUNIT_ASSERT(UpdateDemand(table, "e1", 1, other));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Candidates(table).size());
     CPPUNIT_ASSERT(ReplaceDemand(table, "e1", 1, {}));
-    CPPUNIT_ASSERT_EQUAL(2U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Waiting(table));
     CPPUNIT_ASSERT(CloseSource(table, "e2", 2));
-    CPPUNIT_ASSERT_EQUAL(0U, Waiting(table));
-    CPPUNIT_ASSERT(table.rows.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Waiting(table));
+    CPPUNIT_ASSERT(table.groups.empty() && table.askable == 0);
   }
 
   // Guards against grants for requests of an entry process that no longer exists.
@@ -53,9 +56,9 @@
     Announce(table, "e1", 5);
     CPPUNIT_ASSERT(!OpenSource(table, "e1", 1, 2, "north"));
     CPPUNIT_ASSERT(!ReplaceDemand(table, "e1", 1, {}));
-    CPPUNIT_ASSERT_EQUAL(5U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Waiting(table));
     CPPUNIT_ASSERT(OpenSource(table, "e1", 3, 3, "north"));
-    CPPUNIT_ASSERT_EQUAL(0U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Waiting(table));
   }
 
   // Guards against the late end of a replaced stream dropping the demand of its successor.
@@ -65,7 +68,7 @@
     OpenSource(table, "e1", 1, 2, "north");
     Announce(table, "e1", 5);
     CPPUNIT_ASSERT(!CloseSource(table, "e1", 1));
-    CPPUNIT_ASSERT_EQUAL(5U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Waiting(table));
   }
 
   // Guards against more grants than waiting requests, and against rows that are never removed.
@@ -77,13 +80,14 @@
     CountGrant(table, kKey, "e1");
     CPPUNIT_ASSERT(!ChooseEntry(table, kKey));
     CountGrantEnd(table, kKey, "e1", true);
-    CPPUNIT_ASSERT_EQUAL(0U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Waiting(table));
     CountGrantEnd(table, kKey, "e1", false);
-    CPPUNIT_ASSERT_EQUAL(1U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Waiting(table));
     CountGrant(table, kKey, "e1");
     CPPUNIT_ASSERT(ReplaceDemand(table, "e1", 1, {}));
     CountGrantEnd(table, kKey, "e1", true);
-    CPPUNIT_ASSERT(table.rows.empty() && table.sources.at("e1").keys.empty());
+    CPPUNIT_ASSERT(table.groups.empty() && table.askable == 0 &&
+                   table.sources.at("e1").keys.empty());
   }
 
   // Guards against a frozen entry that is asked again and again.
@@ -92,12 +96,12 @@
     OpenSource(table, "e1", 2, 1, "north");
     Announce(table, "e1", 5);
     SetPaused(table, "e1", 1, true);
-    CPPUNIT_ASSERT_EQUAL(5U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Waiting(table));
     SetPaused(table, "e1", 2, true);
-    CPPUNIT_ASSERT_EQUAL(0U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Waiting(table));
     CPPUNIT_ASSERT(!ChooseEntry(table, kKey));
     Announce(table, "e1", 5);
-    CPPUNIT_ASSERT_EQUAL(5U, Waiting(table));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Waiting(table));
   }
 
   // Guards against an entry with few waiting requests that is never chosen.
--- a/libs/admission/test/grants_test.cc
+++ b/libs/admission/test/grants_test.cc
@@ -54,7 +54,7 @@
     CPPUNIT_ASSERT(!this->Redeem(claim, 0.5));
     CPPUNIT_ASSERT_EQUAL(0U, this->slots.granted);
     CPPUNIT_ASSERT(this->Redeem(claim, 0.5) == Reason::grant_expired);
-    CPPUNIT_ASSERT_EQUAL(4U, Candidates(this->demand)[0].waiting);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Candidates(this->demand)[0].waiting);
   }
 
   // Guards against an entry that froze with a grant and uses it after the slot went to another.
@@ -94,7 +94,7 @@
     CPPUNIT_ASSERT(ReturnGrant(this->grants, this->slots, this->demand, claim, At(0)));
     CPPUNIT_ASSERT(!ReturnGrant(this->grants, this->slots, this->demand, claim, At(0)));
     CPPUNIT_ASSERT_EQUAL(0U, this->slots.granted);
-    CPPUNIT_ASSERT_EQUAL(4U, Candidates(this->demand)[0].waiting);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Candidates(this->demand)[0].waiting);
   }
 
   // Guards against a frozen entry that costs a slot for more than one time to live, and against one
@@ -104,7 +104,7 @@
     ExpireGrants(this->grants, this->slots, this->demand, At(1));
     CPPUNIT_ASSERT(!HasDemand(this->demand));
     CPPUNIT_ASSERT(!ReturnGrant(this->grants, this->slots, this->demand, claim, At(2)));
-    CPPUNIT_ASSERT_EQUAL(5U, Candidates(this->demand)[0].waiting);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Candidates(this->demand)[0].waiting);
   }
 
   // Guards against slots held by the grants of an entry that is gone.
