Adapt the exchange to counters with requests in flight

Cause: the share table now counts requests in flight over the fleet ahead of their service. Change: service rows carry the number in flight instead of the contained part. Conclusion: builds; wire round trips keep the field.

--- a/bench/harness.cc
+++ b/bench/harness.cc
@@ -549,7 +549,19 @@
 
 auto Sample(World& w) -> void {
   w.totals.gaps.push_back(Gap(w).first);
-  if (getenv("DBG") && (int(w.now)%atoi(getenv("DBG"))==0)) { double m=0; std::vector<double> x; for(size_t l=0;l<6;l++){x.push_back(w.totals.finished[l] + w.totals.running[l] * w.now - w.totals.starts[l]); m+=x.back()/6;} printf("%4.0f gap %6.1f x",w.now,Gap(w).first); for(auto v:x)printf(" %7.1f",v-m); printf("  n"); for(size_t l=0;l<6;l++)printf(" %3d",w.totals.running[l]); printf("\n");}
+  if (getenv("DBG") && (int(w.now) % atoi(getenv("DBG")) == 0)) {
+    double m = 0;
+    std::vector<double> x;
+    for (size_t l = 0; l < 6; l++) {
+      x.push_back(w.totals.finished[l] + w.totals.running[l] * w.now - w.totals.starts[l]);
+      m += x.back() / 6;
+    }
+    printf("%4.0f gap %6.1f x", w.now, Gap(w).first);
+    for (auto v : x) printf(" %7.1f", v - m);
+    printf("  n");
+    for (size_t l = 0; l < 6; l++) printf(" %3d", w.totals.running[l]);
+    printf("\n");
+  }
   At(w, 1, [&w] { Sample(w); });
 }
 
--- a/libs/endpoint/src/control.cc
+++ b/libs/endpoint/src/control.cc
@@ -52,6 +52,7 @@
       wire::ServiceRow row;
       row.index = update.workspace;
       row.counter = update.counter;
+      row.running = update.running;
       if (control.sent_names.emplace(update.workspace, 0).second) {
         row.workspace = shares.rows[update.workspace].name;
       }
@@ -95,8 +96,8 @@
       if (!row.workspace.empty()) control.heard_names[row.index] = row.workspace;
       const auto name = control.heard_names.find(row.index);
       if (name == control.heard_names.end()) continue;
-      shares::MergeTotal(shares, shares::InternWorkspace(shares, name->second), row.counter,
-                         row.contained);
+      shares::MergeOthers(shares, shares::InternWorkspace(shares, name->second), row.counter,
+                          row.running);
     }
   });
 }
--- a/libs/entry/src/service.cc
+++ b/libs/entry/src/service.cc
@@ -11,7 +11,7 @@
       wire::ServiceRow row;
       row.index = update.workspace;
       row.counter = update.counter;
-      row.contained = update.contained;
+      row.running = update.running;
       row.incarnation = update.incarnation;
       if (update.source != shares::kNone) row.source = shares.source_names[update.source];
       if (exchange.sent_names.insert(update.workspace).second) {
@@ -34,7 +34,7 @@
       const auto workspace = shares::InternWorkspace(shares, name->second);
       const auto source = shares::InternSource(shares, own ? peer.id : row.source);
       const auto incarnation = own ? peer.incarnation : row.incarnation;
-      shares::Merge(shares, workspace, source, incarnation, row.counter);
+      shares::Merge(shares, workspace, source, incarnation, row.counter, row.running);
     }
   });
 }
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -68,11 +68,12 @@
   std::string source;
   core::Incarnation incarnation = 0;
   core::Cost counter = 0;
-  // For sums: the part of `counter` that is the receiver's own counter.
-  core::Cost contained = 0;
+  // Requests in flight at the source; for sums over the fleet without the receiver.
+  std::uint32_t running = 0;
 };
 
-// Service counters. `feed` is the kind of row: 0 the sender's own, 1 rows by source, 2 sums.
+// Service counters. `feed` is the kind of row: 0 the sender's own, 1 rows by source, 2 sums over
+// the processes other than the receiver.
 struct Service {
   std::uint32_t feed = 0;
   std::vector<ServiceRow> rows;
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -64,7 +64,7 @@
     out->set_source(row.source);
     out->set_incarnation(row.incarnation);
     out->set_counter(static_cast<std::uint64_t>(row.counter));
-    out->set_contained(static_cast<std::uint64_t>(row.contained));
+    out->set_running(row.running);
   }
 }
 
@@ -138,8 +138,7 @@
   to.feed = from.feed();
   for (const auto& row : from.rows()) {
     to.rows.push_back({row.index(), row.workspace(), row.source(), row.incarnation(),
-                       static_cast<core::Cost>(row.counter()),
-                       static_cast<core::Cost>(row.contained())});
+                       static_cast<core::Cost>(row.counter()), row.running()});
   }
   return to;
 }
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -42,7 +42,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, copy.feed);
     const auto& row = copy.rows.at(0);
     CPPUNIT_ASSERT(row.index == 1 && row.workspace == "w" && row.source == "s");
-    CPPUNIT_ASSERT(row.incarnation == 3 && row.counter == 4 && row.contained == 5);
+    CPPUNIT_ASSERT(row.incarnation == 3 && row.counter == 4 && row.running == 5);
   }
 
   auto testConfiguration() -> void {
