--- a/libs/document/src/parse.cc
+++ b/libs/document/src/parse.cc
@@ -175,6 +175,7 @@
 }
 
 auto ReadOnce(const Cursor& cursor, std::vector<OnceRule>& out) -> void {
+  std::set<std::string> seen;
   schema::ReadList(cursor, [&](const Cursor& item) {
     OnceRule rule;
     schema::ReadMap(
@@ -182,6 +183,7 @@
                 [&](const Cursor& field) { schema::ReadText(field, kMethod, rule.method); }},
                {"path", false,
                 [&](const Cursor& field) { schema::ReadText(field, kOncePath, rule.path); }}});
+    CheckUnique(item, seen, rule.method + " " + rule.path);
     out.push_back(std::move(rule));
   });
 }
--- a/libs/document/test/parse_test.cc
+++ b/libs/document/test/parse_test.cc
@@ -125,6 +125,7 @@
         {"retries: {max_attempts: 0}", "retries.max_attempts"},
         {"once: [{method: post}]", "once[0].method"},
         {"once: [{path: issue}]", "once[0].path"},
+        {"once: [{path: /a}, {method: '*', path: /a}]", "once[1]"},
         {"once: [{path: /a/../b}]", "once[0].path"},
         {"paths: [/a, /a]", "paths[1]"},
         {"paths: [/a/]", "paths[0]"},
