Make the config and membership files pass the linter

Cause: scripts/lint reported defaulted three-way comparisons and loops without braces. Change: the comparisons are written out with std::tie; braces added.

--- a/libs/config/include/filbertstair/config/object.h
+++ b/libs/config/include/filbertstair/config/object.h
@@ -1,10 +1,12 @@
 #ifndef FILBERTSTAIR_CONFIG_OBJECT_H_
 #define FILBERTSTAIR_CONFIG_OBJECT_H_
 
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "filbertstair/core/names.h"
 
@@ -18,7 +20,10 @@
   ObjectKind kind = ObjectKind::document;
   std::string name;
 
-  auto operator<=>(const ObjectKey&) const = default;
+  auto operator==(const ObjectKey&) const -> bool = default;
+  auto operator<=>(const ObjectKey& other) const -> std::strong_ordering {
+    return std::tie(this->kind, this->name) <=> std::tie(other.kind, other.name);
+  }
 };
 
 // Orders the contents of one object: by version, and by hash if two contents carry one version.
@@ -26,7 +31,10 @@
   std::uint64_t version = 0;
   std::uint64_t hash = 0;
 
-  auto operator<=>(const Stamp&) const = default;
+  auto operator==(const Stamp&) const -> bool = default;
+  auto operator<=>(const Stamp& other) const -> std::strong_ordering {
+    return std::tie(this->version, this->hash) <=> std::tie(other.version, other.hash);
+  }
 };
 
 // One published object at one version. Immutable once made, so that tables, messages and the
--- a/libs/config/test/start_test.cc
+++ b/libs/config/test/start_test.cc
@@ -19,7 +19,7 @@
   CPPUNIT_TEST_SUITE_END();
 
   const core::Time start{};
-  const StartRules rules;
+  const StartRules rules{};
   StartState state;
 
  public:
--- a/libs/membership/test/table_test.cc
+++ b/libs/membership/test/table_test.cc
@@ -181,8 +181,9 @@
     Evaluate(table, kStart);
     const auto wake = kStart + seconds(60);
     CPPUNIT_ASSERT(Evaluate(table, wake).empty());
-    for (int i = 1; i < 12; ++i)
+    for (int i = 1; i < 12; ++i) {
       CPPUNIT_ASSERT(Evaluate(table, wake + milliseconds(250) * i).empty());
+    }
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Evaluate(table, wake + seconds(3)).size());
   }
 
--- a/libs/membership/test/view_test.cc
+++ b/libs/membership/test/view_test.cc
@@ -65,8 +65,9 @@
       const auto& self = entries.front();
       const auto view = [&] {
         std::vector<std::string> ids;
-        for (const auto i : View(self, entries, endpoints, copies, 1000))
+        for (const auto i : View(self, entries, endpoints, copies, 1000)) {
           ids.push_back(endpoints[i]);
+        }
         std::sort(ids.begin(), ids.end());
         return ids;
       };
