--- a/bench/config_slopes.cc
+++ b/bench/config_slopes.cc
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <functional>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -53,19 +54,18 @@
 
 // List of `count` VMs, a tenth of them entries, as the platform publishes it.
 auto ListText(std::uint64_t revision, std::size_t count) -> std::string {
-  std::string text = "{\"revision\": " + std::to_string(revision) + ", \"vms\": [";
+  std::ostringstream text;
+  text << "{\"revision\": " << revision << ", \"vms\": [";
   for (std::size_t i = 0; i < count; ++i) {
-    const bool entry = i % 10 == 0;
-    const auto region = Id("region-", i % 3);
-    text += i == 0 ? "" : ", ";
-    text += "{\"id\": \"" + Id(entry ? "entry-" : "endpoint-", i) + "\", \"role\": \"" +
-            (entry ? "entry" : "endpoint") +
-            "\", \"address\": \"127.0.0.1:" + std::to_string(1 + i) + "\", \"region\": \"" +
-            region + "\", \"failure_domain\": \"" + region + "-1\", \"pool\": \"" +
-            (entry ? "" : "chat") + "\", \"state\": \"" + (i == revision ? "leaving" : "live") +
-            "\"}";
+    const auto* role = i % 10 == 0 ? "entry" : "endpoint";
+    text << (i == 0 ? "" : ", ") << "{\"id\": \"" << role << "-" << i << "\", \"role\": \"" << role
+         << "\", \"address\": \"127.0.0.1:" << 1 + i << "\", \"region\": \"region-" << i % 3
+         << "\", \"failure_domain\": \"region-" << i % 3 << "-1\", \"pool\": \""
+         << (i % 10 == 0 ? "" : "chat") << "\", \"state\": \""
+         << (i == revision ? "leaving" : "live") << "\"}";
   }
-  return text + "]}";
+  text << "]}";
+  return text.str();
 }
 
 auto Objects(std::size_t count, std::size_t bytes, std::uint64_t version) -> config::ConfigTable {
--- a/libs/config/test/watch_test.cc
+++ b/libs/config/test/watch_test.cc
@@ -22,8 +22,10 @@
   const core::Time start{};
 
   static auto Region(int entries) -> std::vector<RegionMember> {
-    std::vector<RegionMember> members;
-    for (int i = 0; i < entries; ++i) members.push_back({"e" + std::to_string(i), false});
+    std::vector<RegionMember> members(static_cast<std::size_t>(entries));
+    for (int i = 0; i < entries; ++i) {
+      members[static_cast<std::size_t>(i)].id = "e" + std::to_string(i);
+    }
     return members;
   }
 
