--- a/libs/admission/test/admission_test.cc
+++ b/libs/admission/test/admission_test.cc
@@ -65,8 +65,10 @@
     this->now += std::chrono::hours(1);
     Expire(this->state, this->policy, this->Clock());
     this->Started(admission::StartNext(this->state, this->Clock()).started);
-    while (!this->running.empty())
-      this->FinishOne(core::AttemptId(this->running.back()), core::Outcome::ran);
+    while (!this->running.empty()) {
+      const auto attempt = this->running.back();
+      this->FinishOne(attempt, core::Outcome::ran);
+    }
     this->Check();
     RC_ASSERT(this->state.slots.running + this->state.slots.staged + this->state.slots.granted ==
               0U);
