Adapt the limit of running requests, record histories, wait for requests without polling

Cause: endpoint processes used the document's upper bound; a graceful shutdown polled every 20 ms; the history checker had nothing from the daemons. Change: endpoint runs admission's search for the limit; node counts requests in flight and waits on a condition variable; the setting history records configuration in force and leaving.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -4,6 +4,7 @@
 #include <CLI/CLI.hpp>
 #include <functional>
 #include <iostream>
+#include <thread>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/endpoint/endpoint.h"
@@ -20,26 +21,16 @@
 
 constexpr int kExitRefused = 1;
 constexpr int kExitUsage = 2;
-// Time between two looks at the requests in flight during a graceful shutdown.
-constexpr std::chrono::milliseconds kDrainCheck{20};
 // A draining daemon keeps its listeners open for this long, so that the balancer and the other
 // processes learn of it before connections are refused.
-constexpr std::chrono::milliseconds kDrainNotice{1500};
+constexpr core::Duration kDrainNotice = std::chrono::milliseconds(1500);
 
-// What main needs to know of the role.
-struct Role {
-  std::function<void()> drain;
-  std::function<std::size_t()> in_flight;
-};
-
-auto StartRole(node::Node& node) -> Role {
+// Starts the role and returns the function that begins its graceful shutdown.
+auto StartRole(node::Node& node) -> std::function<void()> {
   if (node.settings.role == core::Role::entry) {
-    const auto entry = entry::Start(node);
-    return {[entry] { entry::Drain(*entry); }, [entry] { return entry::InFlight(*entry); }};
+    return [entry = entry::Start(node)] { entry::Drain(*entry); };
   }
-  const auto endpoint = endpoint::Start(node);
-  return {[endpoint] { endpoint::Drain(*endpoint); },
-          [endpoint] { return endpoint::InFlight(*endpoint); }};
+  return [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); };
 }
 
 auto ToLevel(settings::LogLevel level) -> Level { return static_cast<Level>(level); }
@@ -65,14 +56,12 @@
   return signals;
 }
 
-// Waits for the requests in flight, at most drain_grace, after a notice to the others.
-auto FinishRequests(const node::Node& node, const Role& role) -> std::size_t {
-  const auto start = node::Now();
-  while (node::Now() - start < node.settings.drain_grace) {
-    if (role.in_flight() == 0 && node::Now() - start >= kDrainNotice) break;
-    usleep(static_cast<useconds_t>(std::chrono::microseconds(kDrainCheck).count()));
-  }
-  return role.in_flight();
+// Gives the others notice, then waits for the requests in flight, at most drain_grace in all.
+// Returns the number of requests that are left.
+auto FinishRequests(node::Node& node) -> std::size_t {
+  const auto deadline = node::Now() + node.settings.drain_grace;
+  std::this_thread::sleep_until(std::min(deadline, node::Now() + kDrainNotice));
+  return node.in_flight.WaitForNone(deadline);
 }
 
 auto Run(const settings::Settings& settings) -> int {
@@ -84,11 +73,11 @@
                   {"failure_domain", settings.failure_domain},
                   {"version", FILBERTSTAIR_VERSION}});
   try {
-    const auto role = StartRole(node);
+    const auto drain = StartRole(node);
     int signal = 0;
     sigwait(&signals, &signal);
-    role.drain();
-    const auto cut = FinishRequests(node, role);
+    drain();
+    const auto cut = FinishRequests(node);
     telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
   } catch (const core::Error& error) {
     node::LogError(Level::error, Event::start_failed, error);
--- a/libs/endpoint/include/filbertstair/endpoint/endpoint.h
+++ b/libs/endpoint/include/filbertstair/endpoint/endpoint.h
@@ -16,9 +16,6 @@
 // Begins a graceful shutdown: new work is refused with draining, admitted requests go on.
 auto Drain(Endpoint& endpoint) -> void;
 
-// Number of requests that are admitted and not finished.
-auto InFlight(Endpoint& endpoint) -> std::size_t;
-
 }  // namespace filbertstair::endpoint
 
 #endif  // FILBERTSTAIR_ENDPOINT_ENDPOINT_H_
--- a/libs/endpoint/src/dispatch.cc
+++ b/libs/endpoint/src/dispatch.cc
@@ -96,6 +96,10 @@
   if (issued) endpoint.grants_changed.Notify();
 }
 
+auto ObserveInFlight(AdmissionTable& table) -> void {
+  admission::ObserveInFlight(table.limit, table.admission.slots.running, node::Now());
+}
+
 auto StartStaged(AdmissionTable& table) -> void {
   const auto starts = admission::StartNext(table.admission, ReadClocks());
   const auto wake = [&](const core::AttemptId& id, bool started) {
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -23,6 +23,7 @@
 // Time from the start during which totals from feeders are incomplete: three exchange periods.
 constexpr std::chrono::seconds kLearningTime{3};
 constexpr std::chrono::seconds kPoolMoveTime{1};
+constexpr std::chrono::seconds kLimitInterval{1};
 
 auto ServeStream(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
   try {
@@ -61,6 +62,26 @@
   }
 }
 
+// Adapts the limit of running requests about once per second while there is work.
+auto AdaptLoop(Endpoint& endpoint) -> void {
+  while (true) {
+    if (endpoint.node.in_flight.Count() == 0) endpoint.work_began.Wait();
+    runtime::SleepFor(kLimitInterval);
+    const bool changed = endpoint.admission.With([&](AdmissionTable& table) {
+      auto& slots = table.admission.slots;
+      const auto limit = admission::UpdateLimit(table.limit_policy, table.limit, node::Now());
+      if (limit == slots.limit) return false;
+      slots.limit = limit;
+      StartStaged(table);
+      return true;
+    });
+    if (!changed) continue;
+    telemetry::Log(Level::debug, Event::limit_changed, {});
+    Dispatch(endpoint);
+    ReportLoad(endpoint);
+  }
+}
+
 auto ServiceOfPool(const node::Snapshot& snapshot, const std::string& pool)
     -> std::shared_ptr<const document::Service> {
   for (const auto& [name, service] : snapshot.services) {
@@ -180,6 +201,20 @@
 
 }  // namespace
 
+namespace {
+
+// Applies a pool's bounds; the search for the limit starts anew only if they changed.
+auto SetBounds(AdmissionTable& table, const document::Pool& pool) -> void {
+  auto& policy = table.limit_policy;
+  if (policy.min_slots == pool.min_slots && policy.max_slots == pool.max_slots) return;
+  policy.min_slots = pool.min_slots;
+  policy.max_slots = pool.max_slots;
+  table.limit = admission::StartLimit(policy, node::Now());
+  table.admission.slots.limit = pool.max_slots;
+}
+
+}  // namespace
+
 auto ReadClocks() -> admission::Now {
   return {node::Now(), std::chrono::time_point_cast<std::chrono::milliseconds>(
                            std::chrono::system_clock::now())};
@@ -213,7 +248,7 @@
       table.policy.keys.max_skew =
           std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.max_skew);
       for (const auto& pool : own->pools) {
-        if (pool.name == endpoint.node.settings.pool) state.slots.limit = pool.max_slots;
+        if (pool.name == endpoint.node.settings.pool) SetBounds(table, pool);
       }
     }
     for (const auto& [name, service] : snapshot->services) {
@@ -239,6 +274,8 @@
   auto endpoint = std::make_shared<Endpoint>(node);
   endpoint->admission.With([&](AdmissionTable& table) {
     table.admission = admission::StartAdmission(node.incarnation, kInitialLimit, ReadClocks());
+    table.limit_policy = {.min_slots = kInitialLimit, .max_slots = kInitialLimit};
+    table.limit = admission::StartLimit(table.limit_policy, node::Now());
   });
   endpoint->shares.With([&](shares::ShareTable& shares) {
     shares.salt = std::hash<std::string>{}(node.settings.id);
@@ -250,6 +287,7 @@
   }
   node::RunOnWorker(node, 0, [&] { StartAdmin(endpoint); });
   node.pool.Post(0, [endpoint] { ExpireLoop(*endpoint); });
+  node.pool.Post(0, [endpoint] { AdaptLoop(*endpoint); });
   node.pool.Post(0, [endpoint] {
     runtime::SleepFor(kLearningTime);
     endpoint->shares.With([](shares::ShareTable& shares) { shares.learning = false; });
@@ -258,14 +296,11 @@
 }
 
 auto Drain(Endpoint& endpoint) -> void {
-  if (endpoint.node.draining.exchange(true)) return;
-  telemetry::Log(Level::info, Event::stopping, {});
+  if (!node::BeginDrain(endpoint.node)) return;
   endpoint.admission.With([&](AdmissionTable& table) {
     RefundGrants(endpoint, table, admission::Drain(table.admission));
   });
   ReportLoad(endpoint);
 }
 
-auto InFlight(Endpoint& endpoint) -> std::size_t { return endpoint.in_flight; }
-
 }  // namespace filbertstair::endpoint
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -85,6 +85,7 @@
       return decision;
     }
     call.charge = charge != 0 ? charge : ChargeDirect(endpoint, table, call.submit);
+    ObserveInFlight(table);
     if (decision.verdict == admission::Verdict::staged) {
       table.pending[call.submit.attempt] = call.pending;
     }
@@ -106,7 +107,10 @@
   endpoint.admission.With([&](AdmissionTable& table) {
     table.pending.erase(call.submit.attempt);
     admission::Finish(table.admission, table.policy, call.submit.attempt, outcome, ReadClocks());
-    if (ran) admission::ObserveCompletion(table.completions, now);
+    if (ran) {
+      admission::ObserveCompletion(table.completions, now);
+      admission::ObserveWork(table.limit, 1);
+    }
     endpoint.shares.With([&](shares::ShareTable& shares) {
       if (ran) {
         shares::Settle(shares, call.charge, cost);
@@ -115,10 +119,11 @@
       }
     });
     StartStaged(table);
+    ObserveInFlight(table);
   });
   endpoint.node.metrics.Count(Metric::service_time, call.submit.workspace,
                               static_cast<double>(cost) * 1e-6);
-  --endpoint.in_flight;
+  endpoint.node.in_flight.Remove();
   Dispatch(endpoint);
   ReportLoad(endpoint);
   return cost;
@@ -221,7 +226,8 @@
     if (call.submit.grant != 0) Dispatch(endpoint);
     return;
   }
-  ++endpoint.in_flight;
+  endpoint.node.in_flight.Add();
+  endpoint.work_began.Notify();
   if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
   ReportLoad(endpoint);
   if (decision.verdict == admission::Verdict::staged) {
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "filbertstair/admission/admission.h"
+#include "filbertstair/admission/limit.h"
 #include "filbertstair/endpoint/endpoint.h"
 #include "filbertstair/net/h2.h"
 #include "filbertstair/node/node.h"
@@ -38,6 +39,8 @@
   admission::Admission admission;
   admission::Policy policy;
   admission::CompletionRate completions;
+  admission::LimitPolicy limit_policy;
+  admission::LimitState limit;
   std::map<core::AttemptId, std::shared_ptr<Pending>> pending;
   std::map<std::string, EntryLink> entries;
   std::uint64_t last_stream = 0;
@@ -54,9 +57,9 @@
   node::Node& node;
   runtime::Guarded<AdmissionTable, runtime::Rank::admission> admission;
   runtime::Guarded<shares::ShareTable, runtime::Rank::shares> shares;
-  // Wakes the fiber that expires grants.
+  // Wake the fibers that expire grants and that adapt the limit.
   runtime::Signal grants_changed;
-  std::atomic<std::size_t> in_flight = 0;
+  runtime::Signal work_began;
   // Whether this process was in the VM list, and its pool in a document, since its start.
   std::atomic<bool> was_listed = false;
   std::atomic<bool> was_named = false;
@@ -75,6 +78,9 @@
 // Issues grants while slots allow, to the workspaces with the least level. Call without locks.
 auto Dispatch(Endpoint& endpoint) -> void;
 
+// Records a change of the requests in flight. The admission table is locked.
+auto ObserveInFlight(AdmissionTable& table) -> void;
+
 // Starts staged requests while slots are free and wakes their fibers. The admission table is
 // locked.
 auto StartStaged(AdmissionTable& table) -> void;
--- a/libs/entry/include/filbertstair/entry/entry.h
+++ b/libs/entry/include/filbertstair/entry/entry.h
@@ -1,7 +1,6 @@
 #ifndef FILBERTSTAIR_ENTRY_ENTRY_H_
 #define FILBERTSTAIR_ENTRY_ENTRY_H_
 
-#include <cstddef>
 #include <memory>
 
 #include "filbertstair/node/node.h"
@@ -18,9 +17,6 @@
 // kept connections are closed after their current request.
 auto Drain(Entry& entry) -> void;
 
-// Number of callers' requests that have not been answered.
-auto InFlight(Entry& entry) -> std::size_t;
-
 }  // namespace filbertstair::entry
 
 #endif  // FILBERTSTAIR_ENTRY_ENTRY_H_
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -66,7 +66,7 @@
 
 auto Status(Entry& entry) -> std::string {
   boost::json::object status;
-  status["in_flight"] = entry.in_flight.load();
+  status["in_flight"] = entry.node.in_flight.Count();
   entry.queue.With([&](const QueueState& state) {
     boost::json::array queues;
     for (const auto& [key, queue] : state.queues.queues) {
@@ -125,11 +125,6 @@
   return entry;
 }
 
-auto Drain(Entry& entry) -> void {
-  if (entry.node.draining.exchange(true)) return;
-  telemetry::Log(Level::info, Event::stopping, {});
-}
-
-auto InFlight(Entry& entry) -> std::size_t { return entry.in_flight; }
+auto Drain(Entry& entry) -> void { node::BeginDrain(entry.node); }
 
 }  // namespace filbertstair::entry
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -372,7 +372,7 @@
 
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void {
-  ++entry.in_flight;
+  entry.node.in_flight.Add();
   const auto shared = std::make_shared<Call>();
   auto& call = *shared;
   call.id = NextRequestId(entry);
@@ -395,7 +395,7 @@
     node::LogError(Level::debug, Event::answer_cut, error, call.id);
     responder.Abort();
   }
-  --entry.in_flight;
+  entry.node.in_flight.Remove();
 }
 
 }  // namespace filbertstair::entry
--- a/libs/entry/src/state.h
+++ b/libs/entry/src/state.h
@@ -81,7 +81,6 @@
   // Wakes the fiber that opens and closes links.
   runtime::Signal links_changed;
   std::atomic<std::uint64_t> last_serial = 0;
-  std::atomic<std::size_t> in_flight = 0;
 };
 
 // A caller's request on its way through the entry. Used by the fiber that handles it, and by the
--- /dev/null
+++ b/libs/node/include/filbertstair/node/in_flight.h
@@ -0,0 +1,30 @@
+#ifndef FILBERTSTAIR_NODE_IN_FLIGHT_H_
+#define FILBERTSTAIR_NODE_IN_FLIGHT_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <mutex>
+
+namespace filbertstair::node {
+
+// Counts the requests that a process has accepted and not finished, for a graceful shutdown.
+class InFlight {
+ public:
+  auto Add() -> void;
+  auto Remove() -> void;
+  auto Count() -> std::size_t;
+
+  // Blocks the calling thread, which must not be a worker, until there are none or the deadline has
+  // passed. Returns how many there are.
+  auto WaitForNone(std::chrono::steady_clock::time_point deadline) -> std::size_t;
+
+ private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::size_t count = 0;
+};
+
+}  // namespace filbertstair::node
+
+#endif  // FILBERTSTAIR_NODE_IN_FLIGHT_H_
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -16,6 +16,8 @@
 #include "filbertstair/document/service.h"
 #include "filbertstair/membership/table.h"
 #include "filbertstair/membership/vm.h"
+#include "filbertstair/node/history.h"
+#include "filbertstair/node/in_flight.h"
 #include "filbertstair/node/outbox.h"
 #include "filbertstair/runtime/pool.h"
 #include "filbertstair/runtime/ranked_mutex.h"
@@ -63,6 +65,8 @@
   const core::Incarnation incarnation;
   telemetry::Metrics metrics;
   std::atomic<bool> draining = false;
+  InFlight in_flight;
+  runtime::Guarded<History, runtime::Rank::traces> history;
   runtime::Guarded<ConfigState, runtime::Rank::config> config;
   runtime::Guarded<membership::MemberTable, runtime::Rank::members> members;
   runtime::Guarded<LinkTable, runtime::Rank::links> links;
@@ -74,6 +78,9 @@
 // Time on the process's monotonic clock.
 auto Now() -> core::Time;
 
+// Marks the process as draining, logs and records it. Returns false if it was draining already.
+auto BeginDrain(Node& node) -> bool;
+
 auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot>;
 
 // Logs an event with the fields of an error: step, peer and message.
--- a/libs/node/src/configuration.cc
+++ b/libs/node/src/configuration.cc
@@ -197,6 +197,9 @@
   }
   node.metrics.Set(telemetry::Metric::config_version, static_cast<double>(object->stamp.version),
                    name);
+  node.history.With([&](History& history) {
+    RecordConfig(history, Now(), node.settings.id, name, object->stamp.version);
+  });
   UpdateMembers(node);
   Announce(node, *object, from);
   if (node.on_configuration) node.on_configuration();
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -9,12 +9,21 @@
       incarnation(incarnation),
       pool(this->settings.workers, [](const std::exception& error) {
         LogError(telemetry::Level::error, telemetry::Event::internal_error, error);
-      }) {}
+      }) {
+  this->history.With([&](History& h) { OpenHistory(h, this->settings.history); });
+}
 
 auto Now() -> core::Time {
   return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
 }
 
+auto BeginDrain(Node& node) -> bool {
+  if (node.draining.exchange(true)) return false;
+  telemetry::Log(telemetry::Level::info, telemetry::Event::stopping, {});
+  node.history.With([&](History& h) { RecordLeaving(h, Now(), node.settings.id); });
+  return true;
+}
+
 auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot> {
   return node.config.With([](const ConfigState& state) { return state.snapshot; });
 }
