Correct a literal in the test of YAML values

Cause: the linter takes adjacent string literals in a list for a missing comma. Change: the literals are written as one.

--- a/libs/schema/test/value_test.cc
+++ b/libs/schema/test/value_test.cc
@@ -34,19 +34,14 @@
   // Guards against text in another encoding or with damaged characters, which the YAML library
   // converts silently.
   auto testNotUtf8() -> void {
-    for (const std::string text : {"\xef", "\xef\xbb", "\xfe", "\xff",
-                                   "\xff\xfe"
-                                   "a",
-                                   "a: \xe9", "\xc0\x80"}) {
+    for (const std::string text :
+         {"\xef", "\xef\xbb", "\xfe", "\xff", "\xff\xfe:", "a: \xe9", "\xc0\x80"}) {
       Report report{.file = "a"};
       CPPUNIT_ASSERT(!Load(text, 100, report));
       CPPUNIT_ASSERT_EQUAL(std::string("UTF-8 text"), report.problems.at(0).allowed);
     }
     Report report{.file = "a"};
-    const auto marked = Load(
-        "\xef\xbb\xbf"
-        "a: \u00e9",
-        100, report);
+    const auto marked = Load("\xef\xbb\xbf\x61: \u00e9", 100, report);
     CPPUNIT_ASSERT(marked && marked->items.at(0).text == "\u00e9");
   }
 
