Read configuration and leaving events from the daemons' logs

Change: the harness sets the daemons' log format to JSON, and ReadEvents adds started, stopping (as leaving) and object_accepted (as config). A start clears what the checks know about the process before it.

--- a/tests/fleet/checker.cc
+++ b/tests/fleet/checker.cc
@@ -80,6 +80,7 @@
       }
       break;
     }
+    case EventKind::started:
     case EventKind::leaving:
     case EventKind::config:
       break;
@@ -141,6 +142,8 @@
     -> void {
   std::map<std::string, std::int64_t> signs;
   for (const auto& event : events) {
+    // A new process in the place of one that left is not leaving.
+    if (event.kind == EventKind::started) signs.erase(event.source);
     if (event.kind == EventKind::leaving) signs.emplace(event.source, event.at);
     const auto found = signs.find(event.source);
     if (event.kind != EventKind::start || found == signs.end()) continue;
@@ -155,6 +158,9 @@
 auto CheckConfig(std::span<const Event> events, std::vector<Violation>& out) -> void {
   std::map<std::pair<std::string, std::string>, std::uint64_t> versions;
   for (const auto& event : events) {
+    if (event.kind == EventKind::started) {
+      std::erase_if(versions, [&](const auto& row) { return row.first.first == event.source; });
+    }
     if (event.kind != EventKind::config) continue;
     auto& version = versions[{event.source, event.object}];
     if (event.version < version) {
--- a/tests/fleet/checker_test.cc
+++ b/tests/fleet/checker_test.cc
@@ -63,6 +63,10 @@
   return event;
 }
 
+auto Started(std::int64_t at, const std::string& process) -> Event {
+  return Make(at, EventKind::started, process, "", "");
+}
+
 auto Leaving(std::int64_t at) -> Event { return Make(at, EventKind::leaving, "r1", "", ""); }
 
 // Two workspaces take turns at one slot, 1 s each, with one more request of each always waiting.
@@ -159,6 +163,8 @@
     CPPUNIT_ASSERT_EQUAL(0, Count({Leaving(1), Start(1 + 3 * kSecond, "x")}, check));
     CPPUNIT_ASSERT_EQUAL(0, Count({Leaving(1), Start(9 * kSecond, "x", "r2")}, check));
     CPPUNIT_ASSERT_EQUAL(1, Count({Leaving(1), Start(2 + 3 * kSecond, "x")}, check));
+    CPPUNIT_ASSERT_EQUAL(
+        0, Count({Leaving(1), Started(kSecond, "r1"), Start(9 * kSecond, "x")}, check));
     // The first sign counts, not the last one.
     CPPUNIT_ASSERT_EQUAL(1,
                          Count({Leaving(1), Leaving(2 * kSecond), Start(4 * kSecond, "x")}, check));
@@ -170,6 +176,11 @@
         0, Count({Config(1, "e1", 1), Config(2, "e1", 1), Config(3, "e1", 4), Config(4, "e2", 2)},
                  check));
     CPPUNIT_ASSERT_EQUAL(1, Count({Config(1, "e1", 4), Config(2, "e1", 3)}, check));
+    // A new process has nothing in force; another process that starts changes nothing.
+    CPPUNIT_ASSERT_EQUAL(0,
+                         Count({Config(1, "e1", 4), Started(2, "e1"), Config(3, "e1", 3)}, check));
+    CPPUNIT_ASSERT_EQUAL(1,
+                         Count({Config(1, "e1", 4), Started(2, "e2"), Config(3, "e1", 3)}, check));
   }
 
   auto testStarvation() -> void {
--- a/tests/fleet/event.h
+++ b/tests/fleet/event.h
@@ -27,6 +27,8 @@
   end,
   // A replica dropped a request because its peer left.
   cancel,
+  // The daemon in `source` started, with nothing in memory.
+  started,
   // The first sign anywhere that the endpoint in `source` leaves.
   leaving,
   // The process in `source` has version `version` of `object` in force.
@@ -77,7 +79,7 @@
 }  // namespace filbertstair::fleet
 
 template <>
-inline constexpr filbertstair::core::NameTable<filbertstair::fleet::EventKind, 9>
+inline constexpr filbertstair::core::NameTable<filbertstair::fleet::EventKind, 10>
     filbertstair::core::kNames<filbertstair::fleet::EventKind>{{
         {filbertstair::fleet::EventKind::invoke, "invoke"},
         {filbertstair::fleet::EventKind::answer, "answer"},
@@ -86,6 +88,7 @@
         {filbertstair::fleet::EventKind::start, "start"},
         {filbertstair::fleet::EventKind::end, "end"},
         {filbertstair::fleet::EventKind::cancel, "cancel"},
+        {filbertstair::fleet::EventKind::started, "started"},
         {filbertstair::fleet::EventKind::leaving, "leaving"},
         {filbertstair::fleet::EventKind::config, "config"},
     }};
--- a/tests/fleet/harness.cc
+++ b/tests/fleet/harness.cc
@@ -18,6 +18,8 @@
 #include <thread>
 #include <utility>
 
+#include "tests/fleet/daemon_log.h"
+
 namespace filbertstair::fleet {
 namespace {
 
@@ -73,7 +75,8 @@
   } else {
     text += "pool: " + spec.pool + "\nreplica: " + node.replica_address + "\n";
   }
-  return text + spec.settings;
+  // The log of a daemon is part of the history, see ReadDaemonLog.
+  return text + "log:\n  format: json\n" + spec.settings;
 }
 
 auto VmListOf(const Fleet& fleet) -> std::string {
@@ -348,7 +351,14 @@
     const auto path = HistoryPath(fleet, node->spec.id);
     if (std::filesystem::exists(path)) paths.push_back(path);
   }
-  return ReadHistories(paths);
+  auto events = ReadHistories(paths);
+  for (const auto& node : fleet.nodes) {
+    const auto log = ReadDaemonLog(LogPath(fleet, node->spec.id));
+    events.insert(events.end(), log.begin(), log.end());
+  }
+  std::stable_sort(events.begin(), events.end(),
+                   [](const Event& a, const Event& b) { return a.at < b.at; });
+  return events;
 }
 
 }  // namespace filbertstair::fleet
--- a/tests/fleet/harness.h
+++ b/tests/fleet/harness.h
@@ -56,7 +56,7 @@
   ReplicaKind replica = ReplicaKind::none;
   // Further arguments of the replica's stand-in.
   std::vector<std::string> replica_arguments;
-  // Further lines of the daemon's settings.
+  // Further lines of the daemon's settings, but for `log`.
   std::string settings;
   // Puts a relay in front of the daemon's peer listener, so that links to it can be cut.
   bool relayed = false;
@@ -145,7 +145,7 @@
 // those that had to be killed or ended with another code than 0.
 auto StopAll(Fleet& fleet, std::chrono::milliseconds time) -> std::vector<std::string>;
 
-// All events of the callers, replicas and the test so far.
+// All events of the callers, replicas, daemons and the test so far, sorted by time.
 auto ReadEvents(const Fleet& fleet) -> std::vector<Event>;
 
 }  // namespace filbertstair::fleet
