--- a/bench/harness.h
+++ b/bench/harness.h
@@ -69,10 +69,12 @@
   double local_delay = 0.00025;
   double region_delay = 0.04;
   double period = 1;
-  std::size_t budget = 1000;
+  std::size_t budget = 100;
   // Entries per endpoint that exchange counters with it.
   std::size_t feeders = 2;
   double seconds = 400;
+  // Whether endpoints expect the others to react to reports as they do.
+  bool extrapolate = true;
   shares::Settings settings;
 };
 
@@ -80,6 +82,8 @@
 struct Result {
   double gap_end = 0;
   double gap_max = 0;
+  // Largest gap after the first 60 s, when requests admitted to the idle fleet have ended.
+  double gap_steady = 0;
   // Largest gap within the last 400 s.
   double gap_late = 0;
   double gap_mean = 0;
@@ -89,6 +93,13 @@
   // Sent and received, of the node with the most; and between regions, per second over the fleet.
   double node_bytes = 0;
   double region_bytes = 0;
+  // Sent and received, on average per node and second.
+  double node_messages = 0;
+  // Over the fleet per second, by kind of message.
+  double demand_bytes = 0;
+  double grant_bytes = 0;
+  double room_bytes = 0;
+  double counter_bytes = 0;
   double wait_p50 = 0;
   double wait_p95 = 0;
   double wait_p99 = 0;
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -133,4 +133,41 @@
   return all;
 }
 
+auto Alternatives() -> std::vector<Scenario> {
+  std::vector<Scenario> all;
+  const Scenario six = SixWorkspaces(400);
+  for (const auto& [publish, name] : core::kNames<shares::Publish>) {
+    Scenario s = six;
+    s.name = "estimates, publish " + std::string(name);
+    s.settings.lookahead = 0;
+    s.settings.publish = publish;
+    all.push_back(s);
+  }
+  Scenario s = six;
+  s.name = "no exchange";
+  s.feeders = 0;
+  all.push_back(s);
+  for (const double period : {0.25, 2.0, 4.0}) {
+    s = six;
+    s.name = "period " + std::to_string(period).substr(0, 4) + " s";
+    s.period = period;
+    all.push_back(s);
+  }
+  for (const core::Cost lookahead : {1, 2, 8, 16}) {
+    s = six;
+    s.name = "lookahead " + std::to_string(lookahead) + " s";
+    s.settings.lookahead = lookahead * 1'000'000;
+    all.push_back(s);
+  }
+  s = six;
+  s.name = "no dither";
+  s.settings.dither = 0;
+  all.push_back(s);
+  s = six;
+  s.name = "no extrapolation";
+  s.extrapolate = false;
+  all.push_back(s);
+  return all;
+}
+
 }  // namespace filbertstair::bench
--- a/bench/scenarios.h
+++ b/bench/scenarios.h
@@ -20,6 +20,9 @@
 // Variants of the first two that stress one assumption each.
 auto Refuting() -> std::vector<Scenario>;
 
+// The first scenario with other ways to charge and to exchange counters.
+auto Alternatives() -> std::vector<Scenario>;
+
 }  // namespace filbertstair::bench
 
 #endif  // FILBERTSTAIR_BENCH_SCENARIOS_H_
--- a/libs/shares/include/filbertstair/shares/exchange.h
+++ b/libs/shares/include/filbertstair/shares/exchange.h
@@ -9,15 +9,19 @@
 
 namespace filbertstair::shares {
 
-// What one process sends to another: its own counters (endpoint to entry), all rows it knows (entry
-// to entry), or sums over the fleet (entry to endpoint).
-enum class Feed { own, rows, totals };
+// What one process sends to another: its own counters (endpoint to entry), the rows of the sources
+// linked to it (entry to entry), their sum as the counter of its domain (entry to entry of another
+// domain), or sums over the fleet (entry to endpoint).
+enum class Feed { own, rows, domain, totals };
 }  // namespace filbertstair::shares
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<shares::Feed, 3> kNames<shares::Feed>{
-    {{shares::Feed::own, "own"}, {shares::Feed::rows, "rows"}, {shares::Feed::totals, "totals"}}};
+inline constexpr NameTable<shares::Feed, 4> kNames<shares::Feed>{
+    {{shares::Feed::own, "own"},
+     {shares::Feed::rows, "rows"},
+     {shares::Feed::domain, "domain"},
+     {shares::Feed::totals, "totals"}}};
 }  // namespace filbertstair::core
 
 namespace filbertstair::shares {
@@ -47,21 +51,26 @@
   // The peer as a source and its incarnation, for Feed::totals and to send it nothing of its own.
   Source peer = kNone;
   Incarnation incarnation = 0;
-  std::vector<Sent> sent;
+  std::vector<Sent> sent{};
   // Rows that changed but did not fit the budget, and the table's version at the last selection.
-  std::vector<Workspace> backlog;
+  std::vector<Workspace> backlog{};
   std::uint64_t scanned = 0;
 };
 
-// Encoded size of an update without the workspace's name: tags, lengths, workspace number and one
-// or two counters as varints. The name is sent once per connection.
-inline constexpr std::size_t kUpdateBytes = 20;
+// Encoded size of an update without the workspace's name: tags, length, workspace number, counter and
+// requests in flight as varints; and what a row adds for its source and incarnation. The name is sent
+// once per connection.
+inline constexpr std::size_t kUpdateBytes = 14;
+inline constexpr std::size_t kSourceBytes = 12;
 
 // Returns the updates that carry the largest unreported changes and fit into `budget` bytes, and
 // marks them as sent. Takes time in proportion to the rows changed since the last call. Call
 // Advance first.
 auto SelectUpdates(const ShareTable& table, Link& link, std::size_t budget) -> std::vector<Update>;
 
+// Marks a source as linked to this process, so that its rows are passed on to others.
+auto SetDirect(ShareTable& table, Source source) -> void;
+
 // Takes the counter of a source into account. Idempotent and independent of the order of calls.
 auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
            Cost counter, std::uint32_t running) -> void;
--- a/libs/shares/include/filbertstair/shares/shares.h
+++ b/libs/shares/include/filbertstair/shares/shares.h
@@ -65,7 +65,9 @@
   Cost lookahead = 4'000'000;
   // Other endpoints that are expected to react to the same reports in the same way.
   double peers = 0;
-  double dither = 0;
+  // Part of the step that one grant makes which is added to levels at random, so that endpoints with
+  // the same view do not all choose alike and small differences still count.
+  double dither = 0.75;
   Publish publish = Publish::elapsed;
 };
 
@@ -155,6 +157,7 @@
   Names sources;
   std::vector<double> service_means;
   std::vector<std::string> source_names;
+  std::vector<bool> direct;
   std::unordered_map<ChargeId, Charged> charges;
   // Workspaces with demand here.
   std::vector<Workspace> active;
--- a/libs/shares/src/exchange.cc
+++ b/libs/shares/src/exchange.cc
@@ -16,10 +16,32 @@
   return {};
 }
 
-// Sum of what a link may report about a row.
-auto Reportable(const Row& row, const Link& link) -> Cost {
-  if (link.feed == Feed::own) return row.own;
-  return Total(row) - Contained(row, link).counter;
+// Counter and requests in flight of the sources linked to this process, without those of the peer.
+auto Direct(const ShareTable& table, const Row& row, const Link& link) -> Heard {
+  Heard sum{.counter = row.own, .running = row.running};
+  if (link.feed == Feed::domain) sum.counter += row.past;
+  for (const Heard& heard : row.heard) {
+    if (!table.direct[heard.source] || heard.source == link.peer) continue;
+    sum.counter += heard.counter;
+    sum.running += heard.running;
+  }
+  return sum;
+}
+
+// What a link may report about a row.
+auto Reportable(const ShareTable& table, const Row& row, const Link& link) -> Heard {
+  switch (link.feed) {
+    case Feed::own:
+      return {.counter = row.own, .running = row.running};
+    case Feed::rows:
+    case Feed::domain:
+      return Direct(table, row, link);
+    case Feed::totals:
+      break;
+  }
+  const Heard contained = Contained(row, link);
+  return {.counter = Total(row) - contained.counter,
+          .running = row.running + row.heard_running - contained.running};
 }
 
 // Collects the rows that changed since the last selection.
@@ -33,24 +55,30 @@
   link.scanned = table.version;
 }
 
-// Appends the updates about one row.
+// Appends the updates about one row and returns their size.
 auto Append(const ShareTable& table, const Link& link, Workspace workspace,
-            std::vector<Update>& updates) -> void {
+            std::vector<Update>& updates) -> std::size_t {
   const Row& row = table.rows[workspace];
-  if (link.feed == Feed::totals) {
-    const Heard contained = Contained(row, link);
-    updates.push_back({workspace, kNone, 0, Total(row) - contained.counter,
-                       row.running + row.heard_running - contained.running});
-    return;
+  const Sent& sent = link.sent[workspace];
+  const std::size_t name = sent.total < 0 ? row.name.size() : 0;
+  if (link.feed != Feed::rows) {
+    const Heard sum = Reportable(table, row, link);
+    updates.push_back({workspace, kNone, 0, sum.counter, sum.running});
+    return kUpdateBytes + name;
+  }
+  const std::size_t before = updates.size();
+  if (row.own_version > sent.version) {
+    updates.push_back({workspace, kNone, 0, row.own, row.running});
   }
-  const std::uint64_t since = link.sent[workspace].version;
-  if (row.own_version > since) updates.push_back({workspace, kNone, 0, row.own, row.running});
-  if (link.feed == Feed::own) return;
   for (const Heard& heard : row.heard) {
-    if (heard.version > since && heard.source != link.peer) {
-      updates.push_back({workspace, heard.source, heard.incarnation, heard.counter, heard.running});
+    if (heard.version <= sent.version || !table.direct[heard.source] ||
+        heard.source == link.peer) {
+      continue;
     }
+    updates.push_back(
+        {workspace, heard.source, heard.incarnation, heard.counter, heard.running});
   }
+  return (updates.size() - before) * (kUpdateBytes + kSourceBytes) + name;
 }
 
 }  // namespace
@@ -60,7 +88,8 @@
   std::vector<std::pair<Cost, Workspace>> changes;
   changes.reserve(link.backlog.size());
   for (const Workspace w : link.backlog) {
-    const Cost change = Reportable(table.rows[w], link) - std::max<Cost>(link.sent[w].total, 0);
+    const Cost change = Reportable(table, table.rows[w], link).counter -
+                        std::max<Cost>(link.sent[w].total, 0);
     if (change > 0) {
       changes.emplace_back(change, w);
     } else {
@@ -79,23 +108,20 @@
     const Workspace w = changes[i].second;
     const std::size_t before = updates.size();
     Sent& sent = link.sent[w];
-    std::size_t bytes = 0;
-    if (i < fitting) {
-      Append(table, link, w, updates);
-      bytes = (updates.size() - before) * kUpdateBytes +
-              (sent.total < 0 ? table.rows[w].name.size() : 0);
-    }
+    const std::size_t bytes = i < fitting ? Append(table, link, w, updates) : 0;
     if (i >= fitting || bytes > budget) {
       updates.resize(before);
       link.backlog.push_back(w);
       continue;
     }
     budget -= bytes;
-    sent = {Reportable(table.rows[w], link), table.rows[w].version, false};
+    sent = {Reportable(table, table.rows[w], link).counter, table.rows[w].version, false};
   }
   return updates;
 }
 
+auto SetDirect(ShareTable& table, Source source) -> void { table.direct[source] = true; }
+
 auto Merge(ShareTable& table, Workspace workspace, Source source, Incarnation incarnation,
            Cost counter, std::uint32_t running) -> void {
   Row& row = table.rows[workspace];
@@ -116,11 +142,11 @@
     -> void {
   Row& row = table.rows[workspace];
   if (others <= row.others) return;
-  const Level before = LevelOf(table, workspace);
+  const Level before = ServiceLevel(row);
   row.others = others;
   row.others_running = running;
   row.running_then = row.running;
-  if (table.learning) row.lift += before - LevelOf(table, workspace);
+  if (table.learning) row.lift += before - ServiceLevel(row);
   detail::Touch(table, workspace);
 }
 
--- a/libs/shares/src/shares.cc
+++ b/libs/shares/src/shares.cc
@@ -100,7 +100,10 @@
 
 auto InternSource(ShareTable& table, std::string_view name) -> Source {
   const auto [index, added] = Intern(table.sources, name);
-  if (added) table.source_names.emplace_back(name);
+  if (added) {
+    table.source_names.emplace_back(name);
+    table.direct.push_back(false);
+  }
   return index;
 }
 
