--- a/bench/harness.h
+++ b/bench/harness.h
@@ -84,7 +84,7 @@
   double gap_max = 0;
   // Largest gap after the first 60 s, when requests admitted to the idle fleet have ended.
   double gap_steady = 0;
-  // Largest gap within the last 400 s.
+  // Largest gap within the last 340 s.
   double gap_late = 0;
   double gap_mean = 0;
   double ratio = 0;
