Stop the stand-ins without touching freed state

Cause: the stand-ins destroyed their state before the I/O context, which then ended pending requests that refer to it; the platform crashed on SIGTERM with a watch pending. Change: the state outlives the I/O context in all three.

--- a/tests/standins/app.cc
+++ b/tests/standins/app.cc
@@ -72,8 +72,9 @@
 }
 
 auto Run(const Options& options) -> void {
-  asio::io_context io(1);
   Application app{.options = options, .history = History(options.history, options.id)};
+  // Destroyed before the application, because it ends the requests under way.
+  asio::io_context io(1);
   Listen(io, options.listen, [&](beast::tcp_stream& stream, const Request& request) {
     return Handle(app, stream, request);
   });
--- a/tests/standins/engine.cc
+++ b/tests/standins/engine.cc
@@ -218,13 +218,14 @@
 }
 
 auto Run(const Options& options) -> void {
-  asio::io_context io(1);
   Engine engine{.options = options,
                 .history = History(options.history, options.id),
                 .random = std::mt19937_64(options.seed),
                 .batch = Batch(options.batch),
                 .models = {options.models.begin(), options.models.end()},
                 .fencing = {}};
+  // Destroyed before the engine, because it ends the requests under way.
+  asio::io_context io(1);
   Listen(io, options.listen, [&](beast::tcp_stream& stream, const Request& request) {
     return Handle(engine, stream, request);
   });
--- a/tests/standins/platform.cc
+++ b/tests/standins/platform.cc
@@ -43,6 +43,8 @@
   // Calls by kind since the start; a pending watch is counted when it arrives.
   std::map<std::string, std::uint64_t> counts{{"watch", 0}, {"read", 0}, {"refused", 0}};
   std::set<beast::tcp_stream*> open;
+  // Destroyed before `open`, because it ends the requests under way, which are in `open`.
+  asio::io_context io{1};
   // Expires on a change of revision, which wakes all pending watches.
   std::unique_ptr<asio::steady_timer> changed;
 };
@@ -214,8 +216,8 @@
 }
 
 auto Run(Options options) -> void {
-  asio::io_context io(1);
   Platform platform;
+  auto& io = platform.io;
   platform.options = std::move(options);
   platform.changed =
       std::make_unique<asio::steady_timer>(io, asio::steady_timer::time_point::max());
