Compute the log's time zone in one integer type

Cause: the linter reports an implicit widening in daemon_log.cc. Change: the offset is an int, as its factors are. Conclusion: no change of behaviour.

--- a/tests/fleet/daemon_log.cc
+++ b/tests/fleet/daemon_log.cc
@@ -28,7 +28,7 @@
   const auto milliseconds = std::strtol(rest + 1, &zone, 10);
   std::tm offset{};
   if (strptime(zone + (*zone != '\0' ? 1 : 0), "%H:%M", &offset) == nullptr) return 0;
-  const std::int64_t east = (offset.tm_hour * 60 + offset.tm_min) * (*zone == '-' ? -60 : 60);
+  const int east = (offset.tm_hour * 60 + offset.tm_min) * (*zone == '-' ? -60 : 60);
   return ((timegm(&fields) - east) * 1000 + milliseconds) * 1000;
 }
 
