Fix a lost wake-up between workers

Cause: Scheduler::pick_next polls the io_context after the dispatcher has looked for fibers woken by other threads. Change: notify sets a flag that suspend_until checks before it waits. Conclusion: the test is the guard; it stays as it is.

--- a/libs/runtime/include/filbertstair/runtime/scheduler.h
+++ b/libs/runtime/include/filbertstair/runtime/scheduler.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSTAIR_RUNTIME_SCHEDULER_H_
 #define FILBERTSTAIR_RUNTIME_SCHEDULER_H_
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/fiber/algo/algorithm.hpp>
 #include <boost/fiber/scheduler.hpp>
@@ -27,6 +28,9 @@
 
  private:
   boost::asio::io_context& io;
+  // Set by notify and cleared before waiting. The handler that notify posts may already have run in
+  // the poll of pick_next, after the dispatcher last looked for fibers woken by other threads.
+  std::atomic<bool> notified = false;
   boost::fibers::scheduler::ready_queue_type ready;
 };
 
--- a/libs/runtime/src/scheduler.cc
+++ b/libs/runtime/src/scheduler.cc
@@ -27,6 +27,7 @@
 
 auto Scheduler::suspend_until(const std::chrono::steady_clock::time_point& deadline) noexcept
     -> void {
+  if (this->notified.exchange(false)) return;
   if (deadline == std::chrono::steady_clock::time_point::max()) {
     this->io.run_one();
   } else {
@@ -35,6 +36,7 @@
 }
 
 auto Scheduler::notify() noexcept -> void {
+  this->notified = true;
   boost::asio::post(this->io, [] {});
 }
 
