Fix names and an allocation that the linter reports

Cause: scripts/lint reported a constant's name in admission.cc and a growing vector in rendezvous_test.cc. Change: renamed; reserved. Conclusion: scripts/lint is clean for libs/admission and the rendezvous files.

--- a/libs/admission/src/admission.cc
+++ b/libs/admission/src/admission.cc
@@ -38,10 +38,10 @@
 auto CheckKey(Admission& state, const Policy& policy, const Submission& submission, WallTime now)
     -> std::optional<Refusal> {
   if (!submission.key) return std::nullopt;
-  static const OwnerHistory kNoHistory;
+  static const OwnerHistory no_history;
   const auto owners = state.owners.find(submission.service);
   auto refusal =
-      AdmitKey(state.keys, owners == state.owners.end() ? kNoHistory : owners->second, policy.keys,
+      AdmitKey(state.keys, owners == state.owners.end() ? no_history : owners->second, policy.keys,
                submission.service, submission.workspace, *submission.key, now);
   if (!refusal) {
     state.attempt_keys[submission.attempt] =
--- a/libs/core/test/rendezvous_test.cc
+++ b/libs/core/test/rendezvous_test.cc
@@ -9,6 +9,7 @@
 
 auto Ids(int count) -> std::vector<std::string> {
   std::vector<std::string> ids;
+  ids.reserve(count);
   for (int i = 0; i < count; ++i) ids.push_back("endpoint-" + std::to_string(i));
   return ids;
 }
