--- a/bench/harness.cc
+++ b/bench/harness.cc
@@ -501,7 +501,8 @@
     });
     const auto picked = shares::Pick(e.table, candidates, now);
     if (!picked) return;
-    const auto [load, entry] = places[*picked];
+    const std::size_t load = places[*picked].first;
+    const std::size_t entry = places[*picked].second;
     if (!local && !candidates[*picked].remote) return;
     const std::uint64_t id = ++w.grants;
     const Load& l = w.scenario.loads[load];
@@ -661,7 +662,9 @@
 auto Arrive(World& w, std::size_t load, bool closed) -> void {
   const Load& l = w.scenario.loads[load];
   const std::size_t entry =
-      Uniform(w) < l.at_home ? l.home : static_cast<std::size_t>(Uniform(w) * w.entries.size());
+      Uniform(w) < l.at_home
+          ? l.home
+          : static_cast<std::size_t>(Uniform(w) * static_cast<double>(w.entries.size()));
   Request request{load, entry, w.now, SampleCost(w, l), closed, 0, 0};
   if (!closed && w.entries[entry].queues[load].size() >= l.max_waiting) {
     ++w.result.refused;
@@ -834,7 +837,8 @@
 
 auto Percentile(std::vector<double>& values, double share) -> double {
   if (values.empty()) return 0;
-  const auto at = values.begin() + static_cast<std::ptrdiff_t>(share * (values.size() - 1));
+  const auto at =
+      values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
   std::ranges::nth_element(values, at);
   return *at;
 }
@@ -847,7 +851,8 @@
   const auto late = t.gaps.size() > kLateWindow ? t.gaps.end() - kLateWindow : t.gaps.begin();
   r.gap_max = t.gaps.empty() ? 0 : *std::ranges::max_element(t.gaps);
   r.gap_late = t.gaps.empty() ? 0 : *std::max_element(late, t.gaps.end());
-  r.gap_mean = std::accumulate(t.gaps.begin(), t.gaps.end(), 0.0) / t.gaps.size();
+  r.gap_mean =
+      std::accumulate(t.gaps.begin(), t.gaps.end(), 0.0) / static_cast<double>(t.gaps.size());
   r.busy = std::accumulate(t.busy.begin(), t.busy.end(), 0.0) /
            std::max(std::accumulate(t.usable.begin(), t.usable.end(), 0.0), 1e-9);
   r.node_bytes = *std::ranges::max_element(t.bytes) / w.scenario.seconds;
--- a/bench/scenarios.cc
+++ b/bench/scenarios.cc
@@ -58,7 +58,7 @@
     s.loads.push_back(application);
   }
   if (flood) {
-    Load& model = s.loads[2 * 15];
+    Load& model = s.loads[30];
     model.rate = 200;
     model.max_waiting = 100;
     // Not among the small workspaces whose waiting time is measured.
@@ -97,8 +97,9 @@
 
   s = SixWorkspaces(400);
   s.name = "weights";
-  for (std::size_t l = 0; l < s.loads.size(); ++l)
+  for (std::size_t l = 0; l < s.loads.size(); ++l) {
     s.loads[l].weight = 1 + static_cast<double>(l % 3);
+  }
   all.push_back(s);
 
   // A workspace with one request at a time is entitled to one slot only; the short ones compete.
--- a/libs/shares/include/filbertstair/shares/exchange.h
+++ b/libs/shares/include/filbertstair/shares/exchange.h
@@ -57,9 +57,9 @@
   std::uint64_t scanned = 0;
 };
 
-// Encoded size of an update without the workspace's name: tags, length, workspace number, counter and
-// requests in flight as varints; and what a row adds for its source and incarnation. The name is sent
-// once per connection.
+// Encoded size of an update without the workspace's name: tags, length, workspace number, counter
+// and requests in flight as varints; and what a row adds for its source and incarnation. The name
+// is sent once per connection.
 inline constexpr std::size_t kUpdateBytes = 14;
 inline constexpr std::size_t kSourceBytes = 12;
 
--- a/libs/shares/include/filbertstair/shares/shares.h
+++ b/libs/shares/include/filbertstair/shares/shares.h
@@ -61,12 +61,14 @@
   // A workspace without demand for less than this time stays active, so that short gaps between
   // requests do not cost it the service it is owed.
   Duration linger{1'000'000};
-  // Service that each request in flight counts ahead, over the fleet.
+  // Service that each request in flight counts ahead, over the fleet; four exchange periods. Less
+  // lets endpoints react to a gap faster than they learn of the reaction. With 0, the estimates
+  // that Charge was given count instead.
   Cost lookahead = 4'000'000;
-  // Other endpoints that are expected to react to the same reports in the same way.
+  // Other endpoints of the pool, which are expected to react to the same reports in the same way.
   double peers = 0;
-  // Part of the step that one grant makes which is added to levels at random, so that endpoints with
-  // the same view do not all choose alike and small differences still count.
+  // Part of the step that one grant makes which is added to levels at random, so that endpoints
+  // with the same view do not all choose alike and small differences still count.
   double dither = 0.75;
   Publish publish = Publish::elapsed;
 };
--- a/libs/shares/src/exchange.cc
+++ b/libs/shares/src/exchange.cc
@@ -71,12 +71,10 @@
     updates.push_back({workspace, kNone, 0, row.own, row.running});
   }
   for (const Heard& heard : row.heard) {
-    if (heard.version <= sent.version || !table.direct[heard.source] ||
-        heard.source == link.peer) {
+    if (heard.version <= sent.version || !table.direct[heard.source] || heard.source == link.peer) {
       continue;
     }
-    updates.push_back(
-        {workspace, heard.source, heard.incarnation, heard.counter, heard.running});
+    updates.push_back({workspace, heard.source, heard.incarnation, heard.counter, heard.running});
   }
   return (updates.size() - before) * (kUpdateBytes + kSourceBytes) + name;
 }
@@ -88,8 +86,8 @@
   std::vector<std::pair<Cost, Workspace>> changes;
   changes.reserve(link.backlog.size());
   for (const Workspace w : link.backlog) {
-    const Cost change = Reportable(table, table.rows[w], link).counter -
-                        std::max<Cost>(link.sent[w].total, 0);
+    const Cost change =
+        Reportable(table, table.rows[w], link).counter - std::max<Cost>(link.sent[w].total, 0);
     if (change > 0) {
       changes.emplace_back(change, w);
     } else {
--- a/libs/shares/src/shares.cc
+++ b/libs/shares/src/shares.cc
@@ -45,8 +45,9 @@
 auto LeastActive(ShareTable& table) -> Level {
   if (!table.active.empty()) {
     table.floor = std::numeric_limits<Level>::infinity();
-    for (const Workspace w : table.active)
+    for (const Workspace w : table.active) {
       table.floor = std::min(table.floor, ServiceLevel(table.rows[w]));
+    }
   }
   return table.floor;
 }
@@ -187,11 +188,11 @@
 
 auto LevelOf(const ShareTable& table, Workspace workspace) -> Level {
   const Row& row = table.rows[workspace];
-  const double ahead = InFlight(table, row) * static_cast<double>(table.settings.lookahead);
+  if (table.settings.lookahead == 0) {
+    return ServiceLevel(row) + static_cast<Level>(row.charged - row.elapsed) / row.weight;
+  }
   return ServiceLevel(row) +
-         (ahead +
-          (table.settings.lookahead > 0 ? 0 : static_cast<double>(row.charged - row.elapsed))) /
-             row.weight;
+         InFlight(table, row) * static_cast<Level>(table.settings.lookahead) / row.weight;
 }
 
 auto Activate(ShareTable& table, Workspace workspace, double weight, Time now) -> void {
@@ -228,6 +229,8 @@
     if (c.count > 0) Activate(table, c.workspace, c.weight, now);
   }
   const Level limit = LeastActive(table) + table.settings.max_lead;
+  const Level dither = table.settings.dither * static_cast<Level>(table.settings.lookahead) *
+                       (table.settings.peers + 1);
   std::optional<std::size_t> best;
   Level best_level = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -240,8 +243,7 @@
       level -= lead;
     }
     if (c.remote) level += table.settings.link_price;
-    level += table.settings.dither * table.settings.lookahead * (table.settings.peers + 1) /
-             row.weight * static_cast<double>(TieBreak(table, row) >> 11) * 0x1p-53;
+    level += dither / row.weight * static_cast<double>(TieBreak(table, row) >> 11) * 0x1p-53;
     if (best && level == best_level &&
         TieBreak(table, row) >= TieBreak(table, table.rows[candidates[*best].workspace])) {
       continue;
--- a/libs/shares/test/exchange_test.cc
+++ b/libs/shares/test/exchange_test.cc
@@ -17,8 +17,9 @@
 auto NewTable(std::size_t workspaces, std::size_t sources) -> ShareTable {
   ShareTable table;
   InternService(table, "service");
-  for (std::size_t i = 0; i < workspaces; ++i)
+  for (std::size_t i = 0; i < workspaces; ++i) {
     InternWorkspace(table, "w" + std::to_string(1000 + i));
+  }
   for (std::size_t i = 0; i < sources; ++i) {
     SetDirect(table, InternSource(table, "e" + std::to_string(i)));
   }
@@ -81,10 +82,10 @@
       ShareTable once = NewTable(3, 3);
       MergeAll(once, reports);
       auto shuffled = reports;
-      std::ranges::reverse(shuffled);
-      std::ranges::rotate(
-          shuffled, shuffled.begin() + *rc::gen::inRange<std::ptrdiff_t>(
-                                           0, static_cast<std::ptrdiff_t>(shuffled.size()) + 1));
+      std::reverse(shuffled.begin(), shuffled.end());
+      const auto middle = *rc::gen::inRange<std::size_t>(0, shuffled.size() + 1);
+      std::rotate(shuffled.begin(), shuffled.begin() + static_cast<std::ptrdiff_t>(middle),
+                  shuffled.end());
       ShareTable twice = NewTable(3, 3);
       MergeAll(twice, shuffled);
       MergeAll(twice, reports);
@@ -119,8 +120,9 @@
     ShareTable endpoint = NewTable(1, 0);
     Link link{.feed = Feed::own};
     Serve(endpoint, 0, 70);
-    for (const Update& u : SelectUpdates(endpoint, link, kEnough))
+    for (const Update& u : SelectUpdates(endpoint, link, kEnough)) {
       Merge(entry, 0, 0, 1, u.counter, 0);
+    }
     Serve(endpoint, 0, 5);
     ShareTable restarted = NewTable(1, 0);
     Link new_link{.feed = Feed::own};
