--- a/bench/harness.cc
+++ b/bench/harness.cc
@@ -52,6 +52,7 @@
 // s.
 constexpr std::ptrdiff_t kSettling = 60;
 constexpr std::ptrdiff_t kLateWindow = 340;
+constexpr std::ptrdiff_t kBlock = 34;
 
 struct Request {
   std::size_t load = 0;
@@ -501,7 +502,8 @@
     });
     const auto picked = shares::Pick(e.table, candidates, now);
     if (!picked) return;
-    const auto [load, entry] = places[*picked];
+    const std::size_t load = places[*picked].first;
+    const std::size_t entry = places[*picked].second;
     if (!local && !candidates[*picked].remote) return;
     const std::uint64_t id = ++w.grants;
     const Load& l = w.scenario.loads[load];
@@ -661,7 +663,9 @@
 auto Arrive(World& w, std::size_t load, bool closed) -> void {
   const Load& l = w.scenario.loads[load];
   const std::size_t entry =
-      Uniform(w) < l.at_home ? l.home : static_cast<std::size_t>(Uniform(w) * w.entries.size());
+      Uniform(w) < l.at_home
+          ? l.home
+          : static_cast<std::size_t>(Uniform(w) * static_cast<double>(w.entries.size()));
   Request request{load, entry, w.now, SampleCost(w, l), closed, 0, 0};
   if (!closed && w.entries[entry].queues[load].size() >= l.max_waiting) {
     ++w.result.refused;
@@ -834,20 +838,37 @@
 
 auto Percentile(std::vector<double>& values, double share) -> double {
   if (values.empty()) return 0;
-  const auto at = values.begin() + static_cast<std::ptrdiff_t>(share * (values.size() - 1));
+  const auto at =
+      values.begin() + static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
   std::ranges::nth_element(values, at);
   return *at;
 }
 
+// Means of consecutive blocks of gaps, kLateWindow samples from `first`.
+auto Blocks(const std::vector<double>& gaps, std::ptrdiff_t first) -> std::vector<double> {
+  std::vector<double> means;
+  for (std::ptrdiff_t i = 0; i + kBlock <= kLateWindow; i += kBlock) {
+    const auto begin = gaps.begin() + first + i;
+    means.push_back(std::accumulate(begin, begin + kBlock, 0.0) / kBlock);
+  }
+  return means;
+}
+
 auto Summarise(World& w) -> Result {
   Integrate(w);
   Totals& t = w.totals;
   Result& r = w.result;
   std::tie(r.gap_end, r.ratio) = Gap(w);
   const auto late = t.gaps.size() > kLateWindow ? t.gaps.end() - kLateWindow : t.gaps.begin();
+  const auto samples = static_cast<std::ptrdiff_t>(t.gaps.size());
+  if (samples >= kSettling + kLateWindow) {
+    r.early_blocks = Blocks(t.gaps, kSettling);
+    r.late_blocks = Blocks(t.gaps, samples - kLateWindow);
+  }
   r.gap_max = t.gaps.empty() ? 0 : *std::ranges::max_element(t.gaps);
   r.gap_late = t.gaps.empty() ? 0 : *std::max_element(late, t.gaps.end());
-  r.gap_mean = std::accumulate(t.gaps.begin(), t.gaps.end(), 0.0) / t.gaps.size();
+  r.gap_mean =
+      std::accumulate(t.gaps.begin(), t.gaps.end(), 0.0) / static_cast<double>(t.gaps.size());
   r.busy = std::accumulate(t.busy.begin(), t.busy.end(), 0.0) /
            std::max(std::accumulate(t.usable.begin(), t.usable.end(), 0.0), 1e-9);
   r.node_bytes = *std::ranges::max_element(t.bytes) / w.scenario.seconds;
