Join the final share decisions to the roles

Change: endpoints set peers from the documents and the VM list, entries mark linked endpoints as direct; removed objects at the platform are ignored.

--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -260,9 +260,12 @@
     StartStaged(table);
   });
   if (own) {
+    const auto endpoints = LiveEndpoints(*snapshot, *own).size();
+    const auto others = endpoints > 0 ? endpoints - 1 : 0;
     endpoint.shares.With([&](shares::ShareTable& shares) {
       shares.settings.link_price = static_cast<double>(own->link_price.count());
       shares.settings.max_lead = static_cast<double>(own->max_lead.count());
+      shares.settings.peers = static_cast<double>(others);
     });
   }
   DrainIfLeaving(endpoint, *snapshot);
--- a/libs/entry/src/links.cc
+++ b/libs/entry/src/links.cc
@@ -120,8 +120,11 @@
     task->outbox = outbox;
     control->exchange.link.feed = shares::Feed::totals;
     control->exchange.link.incarnation = peer.incarnation;
-    control->exchange.link.peer = entry.shares.With(
-        [&](shares::ShareTable& table) { return shares::InternSource(table, peer.id); });
+    control->exchange.link.peer = entry.shares.With([&](shares::ShareTable& table) {
+      const auto source = shares::InternSource(table, peer.id);
+      shares::SetDirect(table, source);
+      return source;
+    });
     entry.queue.With([&](QueueState& state) {
       state.endpoints[peer.id] = {peer.incarnation, outbox, 0, false};
     });
--- a/libs/entry/src/platform.cc
+++ b/libs/entry/src/platform.cc
@@ -67,6 +67,9 @@
     const auto& object = value.as_object();
     changes.revision = object.at("revision").to_number<std::uint64_t>();
     for (const auto& item : object.at("objects").as_array()) {
+      const auto* removed = item.as_object().if_contains("removed");
+      // A removed document stays in force: a version is only replaced by a higher one.
+      if (removed != nullptr && removed->is_bool() && removed->as_bool()) continue;
       changes.names.emplace_back(item.as_object().at("name").as_string());
     }
   } catch (const std::exception& failure) {
