Finish answers before a graceful shutdown ends, restart key histories after a gap

Cause: reading the roles: an endpoint process counted a request as finished before its End message was sent; key histories were not restarted after a pause or isolation; a retry after a long attempt found its queue timeout over; answers without a body were chunked. Change: requests count until their stream is closed; digests mark contact, and a gap of the quiet period restarts the histories; the queue timeout starts with each wait; HEAD, 204 and 304 are not chunked.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -21,9 +21,8 @@
 
 constexpr int kExitRefused = 1;
 constexpr int kExitUsage = 2;
-// A draining daemon keeps its listeners open for this long, so that the balancer and the other
-// processes learn of it before connections are refused.
-constexpr core::Duration kDrainNotice = std::chrono::milliseconds(1500);
+// Time for the last answers to reach the kernel's socket buffers before the process exits.
+constexpr std::chrono::milliseconds kFlushTime{100};
 
 // Starts the role and returns the function that begins its graceful shutdown.
 auto StartRole(node::Node& node) -> std::function<void()> {
@@ -60,8 +59,10 @@
 // Returns the number of requests that are left.
 auto FinishRequests(node::Node& node) -> std::size_t {
   const auto deadline = node::Now() + node.settings.drain_grace;
-  std::this_thread::sleep_until(std::min(deadline, node::Now() + kDrainNotice));
-  return node.in_flight.WaitForNone(deadline);
+  std::this_thread::sleep_until(std::min(deadline, node::Now() + node::kDrainNotice));
+  const auto left = node.in_flight.WaitForNone(deadline);
+  std::this_thread::sleep_for(kFlushTime);
+  return left;
 }
 
 auto Run(const settings::Settings& settings) -> int {
--- a/libs/endpoint/src/dispatch.cc
+++ b/libs/endpoint/src/dispatch.cc
@@ -96,6 +96,17 @@
   if (issued) endpoint.grants_changed.Notify();
 }
 
+auto CheckContact(AdmissionTable& table, bool contact) -> void {
+  const auto now = ReadClocks();
+  if (now.steady - table.last_contact >= table.policy.keys.quiet) {
+    for (auto& [service, history] : table.admission.owners) {
+      admission::RestartHistory(history, now.wall);
+    }
+    table.last_contact = now.steady;
+  }
+  if (contact) table.last_contact = now.steady;
+}
+
 auto ObserveInFlight(AdmissionTable& table) -> void {
   admission::ObserveInFlight(table.limit, table.admission.slots.running, node::Now());
 }
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -277,6 +277,7 @@
   auto endpoint = std::make_shared<Endpoint>(node);
   endpoint->admission.With([&](AdmissionTable& table) {
     table.admission = admission::StartAdmission(node.incarnation, kInitialLimit, ReadClocks());
+    table.last_contact = node::Now();
     table.limit_policy = {.min_slots = kInitialLimit, .max_slots = kInitialLimit};
     table.limit = admission::StartLimit(table.limit_policy, node::Now());
   });
@@ -284,6 +285,9 @@
     shares.salt = std::hash<std::string>{}(node.settings.id);
     shares.learning = true;
   });
+  node.on_contact = [endpoint] {
+    endpoint->admission.With([](AdmissionTable& table) { CheckContact(table, true); });
+  };
   node.on_configuration = [endpoint] { ApplyConfiguration(*endpoint); };
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
     node::RunOnWorker(node, i, [&] { ListenPeers(endpoint); });
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -75,6 +75,7 @@
 
 auto Admit(Endpoint& endpoint, Call& call) -> admission::Decision {
   return endpoint.admission.With([&](AdmissionTable& table) {
+    if (!call.submit.key.empty()) CheckContact(table, false);
     const auto decision =
         admission::Submit(table.admission, table.policy, ToSubmission(call.submit), ReadClocks());
     const auto charge = TakeGrantCharge(table, call.submit);
@@ -123,7 +124,6 @@
   });
   endpoint.node.metrics.Count(Metric::service_time, call.submit.workspace,
                               static_cast<double>(cost) * 1e-6);
-  endpoint.node.in_flight.Remove();
   Dispatch(endpoint);
   ReportLoad(endpoint);
   return cost;
@@ -216,8 +216,20 @@
   end.cost = Finish(endpoint, call, end.outcome);
   Send(*call.stream, end);
   call.stream->Finish();
+  // A graceful shutdown must not end the process before the end of the answer has left it.
+  call.stream->WaitClosed();
 }
 
+// Counts a request as in flight while it exists.
+struct InFlightGuard {
+  explicit InFlightGuard(node::InFlight& count) : count(count) { this->count.Add(); }
+  ~InFlightGuard() { this->count.Remove(); }
+  InFlightGuard(const InFlightGuard&) = delete;
+  auto operator=(const InFlightGuard&) -> InFlightGuard& = delete;
+
+  node::InFlight& count;
+};
+
 auto HandleSubmit(Endpoint& endpoint, Call& call) -> void {
   const auto decision = Admit(endpoint, call);
   if (decision.verdict == admission::Verdict::refused) {
@@ -226,7 +238,7 @@
     if (call.submit.grant != 0) Dispatch(endpoint);
     return;
   }
-  endpoint.node.in_flight.Add();
+  const InFlightGuard in_flight(endpoint.node.in_flight);
   endpoint.work_began.Notify();
   if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
   ReportLoad(endpoint);
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -47,6 +47,9 @@
   std::uint64_t last_charge = 0;
   // Time of issue and charge of each outstanding grant.
   std::map<admission::GrantId, std::pair<core::Time, shares::ChargeId>> grant_charges;
+  // Time of the last control message from any entry. Without one for the quiet period this process
+  // was paused or cut off, and may have missed changes of the endpoint set.
+  core::Time last_contact{};
   // Accounts with demand when grants were last dispatched.
   std::map<std::string, shares::Workspace> active;
 };
@@ -78,6 +81,10 @@
 // Issues grants while slots allow, to the workspaces with the least level. Call without locks.
 auto Dispatch(Endpoint& endpoint) -> void;
 
+// Notes contact with an entry or a keyed call, and restarts the key owners' histories after a gap
+// of the quiet period or more. The admission table is locked.
+auto CheckContact(AdmissionTable& table, bool contact) -> void;
+
 // Records a change of the requests in flight. The admission table is locked.
 auto ObserveInFlight(AdmissionTable& table) -> void;
 
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -206,7 +206,7 @@
 
 // Waits in the queue until an endpoint grants a slot.
 auto WaitForGrant(Entry& entry, Call& call) -> Acquired {
-  const auto deadline = std::min(call.deadline, call.arrived + call.service->timeouts.queue);
+  const auto deadline = std::min(call.deadline, node::Now() + call.service->timeouts.queue);
   const routing::QueueKey key{call.service->name, call.workspace.id, call.owner};
   call.waiting = std::make_shared<Waiting>();
   const auto waiting = call.waiting;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -22,6 +22,7 @@
   beast::tcp_stream& stream;
   std::string peer;
   bool keep_alive;
+  bool head_only = false;
   bool begun = false;
   bool ended = false;
   bool chunked = false;
@@ -156,6 +157,7 @@
       }
       break;
     }
+    exchange.head_only = parser.get().method() == http::verb::head;
     exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.closing();
     HandleRequest(*listener, exchange, ToRequest(parser.release(), peer));
     keep = exchange.keep_alive && !exchange.aborted;
@@ -194,7 +196,9 @@
   http::response<http::empty_body> message;
   message.result(static_cast<unsigned>(status));
   detail::SetHeaders(message, headers);
-  this->exchange.chunked = FindHeader(headers, "Content-Length").empty();
+  // Answers to HEAD and with these statuses have no body, not even an empty chunked one.
+  const bool bodiless = this->exchange.head_only || status == 204 || status == 304;
+  this->exchange.chunked = !bodiless && FindHeader(headers, "Content-Length").empty();
   if (this->exchange.chunked) message.chunked(true);
   message.keep_alive(this->exchange.keep_alive);
   this->exchange.begun = true;
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -72,12 +72,18 @@
   runtime::Guarded<LinkTable, runtime::Rank::links> links;
   // Called without locks after the configuration in force changed. Set before the workers start.
   std::function<void()> on_configuration;
+  // Called without locks for each digest from a peer. Set before the workers start.
+  std::function<void()> on_contact;
   runtime::Pool pool;
 };
 
 // Time on the process's monotonic clock.
 auto Now() -> core::Time;
 
+// A draining process keeps its listeners open for this long, so that the balancer and the other
+// processes learn of it before connections are refused.
+inline constexpr core::Duration kDrainNotice = std::chrono::milliseconds(1500);
+
 // Marks the process as draining, logs and records it. Returns false if it was draining already.
 auto BeginDrain(Node& node) -> bool;
 
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -90,6 +90,7 @@
     });
     if (freshness == membership::Freshness::stale) return;
     replies = HandleDigest(node, *digest, peer.id);
+    if (node.on_contact) node.on_contact();
   } else if (const auto* fetch = std::get_if<wire::FetchRequest>(&message)) {
     replies = HandleFetch(node, *fetch);
   } else if (const auto* published = std::get_if<wire::Published>(&message)) {
