Close idle connections at the end of an entry's drain notice

Cause: an idle kept connection could carry a new request at the moment the process exits. Change: after the notice, each worker stops accepting and closes connections without a request. Conclusion: builds; the drain scenario of the fault tests covers it.

--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -125,6 +125,14 @@
   return entry;
 }
 
-auto Drain(Entry& entry) -> void { node::BeginDrain(entry.node); }
+auto Drain(Entry& entry) -> void {
+  if (!node::BeginDrain(entry.node)) return;
+  for (std::size_t i = 0; i < entry.workers.size(); ++i) {
+    entry.node.pool.Post(i, [&entry, i] {
+      runtime::SleepFor(node::kDrainNotice);
+      if (entry.workers[i].callers) entry.workers[i].callers->Drain();
+    });
+  }
+}
 
 }  // namespace filbertstair::entry
