Add subcommands of the command line that talk to daemons, and traces of requests

Cause: operators could check documents, but not see or drain running processes, nor find out what happened to a request. Change: status, explain, drain, top, trace and completion in libs/cli; a table of at most 4096 recent requests in each daemon, served at /trace?id=ID; in_flight moves to the part of /status that both roles have; docs/refusals.md with a test that compares it with the table of reasons.

--- /dev/null
+++ b/libs/cli/include/filbertstair/cli/completion.h
@@ -0,0 +1,24 @@
+#ifndef FILBERTSTAIR_CLI_COMPLETION_H_
+#define FILBERTSTAIR_CLI_COMPLETION_H_
+
+#include <string>
+#include <vector>
+
+namespace filbertstair::cli {
+
+// A subcommand and the options that may follow it, with their dashes.
+struct CommandWords {
+  std::string name;
+  std::vector<std::string> options;
+  // Whether its other arguments are file names.
+  bool files = false;
+};
+
+// Returns a bash script that completes `program`: subcommands first, then the options of the
+// subcommand and file names.
+auto BashCompletion(const std::string& program, const std::vector<CommandWords>& commands)
+    -> std::string;
+
+}  // namespace filbertstair::cli
+
+#endif  // FILBERTSTAIR_CLI_COMPLETION_H_
--- /dev/null
+++ b/libs/cli/src/fields.h
@@ -0,0 +1,52 @@
+#ifndef FILBERTSTAIR_CLI_SRC_FIELDS_H_
+#define FILBERTSTAIR_CLI_SRC_FIELDS_H_
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <string>
+
+// Access to members of a daemon's JSON. A member that is absent or of another type, as from a
+// daemon of another release, counts as empty.
+namespace filbertstair::cli::detail {
+
+inline auto Text(const boost::json::object& object, std::string_view name) -> std::string {
+  const auto* value = object.if_contains(name);
+  return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
+}
+
+inline auto Flag(const boost::json::object& object, std::string_view name) -> bool {
+  const auto* value = object.if_contains(name);
+  return value != nullptr && value->is_bool() && value->get_bool();
+}
+
+// Negative numbers, fractions and numbers out of range count as 0.
+inline auto Number(const boost::json::object& object, std::string_view name) -> std::uint64_t {
+  const auto* value = object.if_contains(name);
+  if (value == nullptr || !value->is_number()) return 0;
+  boost::system::error_code error;
+  const auto number = value->to_number<std::uint64_t>(error);
+  return error ? 0 : number;
+}
+
+// Calls `use` for each object in the array called `name`.
+template <typename Use>
+auto ForEach(const boost::json::object& object, std::string_view name, Use use) -> void {
+  const auto* value = object.if_contains(name);
+  if (value == nullptr || !value->is_array()) return;
+  for (const auto& item : value->get_array()) {
+    if (item.is_object()) use(item.get_object());
+  }
+}
+
+// Seconds with three decimals.
+inline auto Seconds(std::uint64_t microseconds) -> std::string {
+  const auto milliseconds = microseconds / 1000;
+  auto fraction = std::to_string(milliseconds % 1000);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(milliseconds / 1000) + "." + fraction + " s";
+}
+
+}  // namespace filbertstair::cli::detail
+
+#endif  // FILBERTSTAIR_CLI_SRC_FIELDS_H_
--- a/libs/cli/src/run.cc
+++ b/libs/cli/src/run.cc
@@ -6,8 +6,16 @@
 #include <ostream>
 #include <utility>
 
+#include "filbertstair/cli/admin.h"
 #include "filbertstair/cli/check.h"
+#include "filbertstair/cli/completion.h"
 #include "filbertstair/cli/diff.h"
+#include "filbertstair/cli/drain.h"
+#include "filbertstair/cli/explain.h"
+#include "filbertstair/cli/status.h"
+#include "filbertstair/cli/top.h"
+#include "filbertstair/cli/trace.h"
+#include "filbertstair/settings/settings.h"
 
 namespace filbertstair::cli {
 namespace {
@@ -18,6 +26,24 @@
   std::vector<std::string> files;
   std::string old_file;
   std::string new_file;
+  // Admin addresses, and a file with further ones.
+  std::vector<std::string> addresses;
+  std::string from;
+  std::uint32_t timeout_ms = 2000;
+  std::uint32_t wait_limit_s = 600;
+  std::string request;
+  std::string shell;
+  double interval_s = 2;
+  DrainOptions drain;
+  ExplainOptions explain;
+  TopOptions top;
+};
+
+// What a subcommand needs besides its arguments.
+struct Context {
+  const CLI::App& app;
+  // For what is written before the answer.
+  std::ostream& out;
 };
 
 // One subcommand: declares its arguments, and answers once they are read.
@@ -25,7 +51,9 @@
   const char* name;
   const char* description;
   void (*declare)(CLI::App& app, Arguments& arguments);
-  Answer (*answer)(const Arguments& arguments);
+  Answer (*answer)(const Arguments& arguments, const Context& context);
+  // Whether arguments that are not options are file names.
+  bool files = false;
 };
 
 auto DeclareCheck(CLI::App& app, Arguments& arguments) -> void {
@@ -37,13 +65,159 @@
   app.add_option("NEW", arguments.new_file, "Service document to replace it")->required();
 }
 
+auto IsAddress() -> CLI::Validator {
+  return {[](std::string& text) -> std::string {
+            return settings::ParseAddress(text) ? "" : "\"" + text + "\" is not an address";
+          },
+          "IP:PORT", "address"};
+}
+
+auto DeclareTimeout(CLI::App& app, Arguments& arguments) -> void {
+  app.add_option("--timeout", arguments.timeout_ms, "Milliseconds for each process to answer")
+      ->check(CLI::Range(1, 600'000))
+      ->option_text("MS");
+}
+
+auto DeclareAdmins(CLI::App& app, Arguments& arguments) -> void {
+  auto* group = app.add_option_group("Processes", "Admin listeners to ask");
+  group->add_option("--admin", arguments.addresses, "Addresses of admin listeners")
+      ->check(IsAddress());
+  group->add_option("--from", arguments.from, "File with one address a line");
+  group->require_option(1, 2);
+  DeclareTimeout(app, arguments);
+}
+
+auto DeclareTrace(CLI::App& app, Arguments& arguments) -> void {
+  app.add_option("ID", arguments.request, "Value of the response's X-Request-Id")->required();
+  DeclareAdmins(app, arguments);
+}
+
+auto DeclareTop(CLI::App& app, Arguments& arguments) -> void {
+  DeclareAdmins(app, arguments);
+  app.add_option("--interval", arguments.interval_s, "Seconds between two views")
+      ->check(CLI::Range(0.1, 3600.0))
+      ->option_text("S");
+  app.add_option("--count", arguments.top.count, "Views to show; 0 for no end")->option_text("N");
+}
+
+auto DeclareDrain(CLI::App& app, Arguments& arguments) -> void {
+  app.add_option("--admin", arguments.drain.address, "Address of the process's admin listener")
+      ->required()
+      ->check(IsAddress());
+  app.add_flag("--wait", arguments.drain.wait,
+               "Wait until the process has no request in flight or is gone");
+  app.add_option("--wait-limit", arguments.wait_limit_s, "Longest wait in seconds")
+      ->check(CLI::Range(0, 86'400))
+      ->option_text("S");
+  DeclareTimeout(app, arguments);
+}
+
+auto DeclareExplain(CLI::App& app, Arguments& arguments) -> void {
+  auto& options = arguments.explain;
+  app.add_option("--documents", options.documents, "Service documents")->required();
+  app.add_option("--vms", options.vms, "VM list in the platform's form");
+  app.add_option("--host", options.host, "Host header");
+  app.add_option("--path", options.path, "Path of the request");
+  app.add_option("--service", options.service, "X-Service header");
+  app.add_option("--model", options.model, "Field `model` of the body");
+  app.add_option("--workspace", options.workspace, "X-Workspace header");
+  app.add_option("--method", options.method, "Method of the request");
+}
+
+auto DeclareCompletion(CLI::App& app, Arguments& arguments) -> void {
+  app.add_option("SHELL", arguments.shell, "Shell: bash")
+      ->required()
+      ->check(CLI::IsMember({"bash"}));
+}
+
+auto Timeout(const Arguments& arguments) -> std::chrono::milliseconds {
+  return std::chrono::milliseconds(arguments.timeout_ms);
+}
+
+// Throws core::Error if the file with addresses can't be used.
+auto Addresses(const Arguments& arguments) -> std::vector<std::string> {
+  auto addresses = arguments.addresses;
+  if (arguments.from.empty()) return addresses;
+  for (auto& address : ReadAddresses(arguments.from)) addresses.push_back(std::move(address));
+  return addresses;
+}
+
+auto RunDrain(const Arguments& arguments, const Context&) -> Answer {
+  auto options = arguments.drain;
+  options.limit = std::chrono::seconds(arguments.wait_limit_s);
+  options.timeout = Timeout(arguments);
+  return Drain(options);
+}
+
+auto RunTop(const Arguments& arguments, const Context& context) -> Answer {
+  auto options = arguments.top;
+  options.addresses = Addresses(arguments);
+  options.timeout = Timeout(arguments);
+  options.interval = std::chrono::milliseconds(static_cast<int>(arguments.interval_s * 1000));
+  return Top(options, [&](const Answer& view) {
+    // Returns the cursor to the top and clears the terminal, so that each view replaces the last.
+    const bool clear = options.count == 0 && arguments.output == Output::text;
+    if (clear) context.out << "\x1b[H\x1b[2J";
+    context.out << Render(view, arguments.output) << std::flush;
+    return !context.out.fail();
+  });
+}
+
+auto RunCompletion(const Arguments&, const Context& context) -> Answer;
+
 constexpr Command kCommands[] = {
     {"check", "Check service documents and daemon settings, and names that several services claim",
-     DeclareCheck, [](const Arguments& arguments) { return Check(arguments.files); }},
+     DeclareCheck,
+     [](const Arguments& arguments, const Context&) { return Check(arguments.files); }, true},
     {"diff", "List the differences between two documents of one service", DeclareDiff,
-     [](const Arguments& arguments) { return Diff(arguments.old_file, arguments.new_file); }},
+     [](const Arguments& arguments, const Context&) {
+       return Diff(arguments.old_file, arguments.new_file);
+     },
+     true},
+    {"status", "Show the state of processes, and which differ in configuration", DeclareAdmins,
+     [](const Arguments& arguments, const Context&) {
+       return Status({Addresses(arguments), Timeout(arguments)});
+     }},
+    {"explain", "Tell what a request would meet, from document files", DeclareExplain,
+     [](const Arguments& arguments, const Context&) { return Explain(arguments.explain); }, true},
+    {"drain", "Begin the graceful shutdown of one process", DeclareDrain, RunDrain},
+    {"top", "Show queues, slots and service of processes again and again", DeclareTop, RunTop},
+    {"trace", "Tell what happened to a recent request", DeclareTrace,
+     [](const Arguments& arguments, const Context&) {
+       return Trace({arguments.request, Addresses(arguments), Timeout(arguments)});
+     }},
+    {"completion", "Write a completion script for a shell", DeclareCompletion, RunCompletion},
 };
 
+auto OptionsOf(const CLI::App& app) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto* option : app.get_options()) {
+    for (const auto& name : option->get_lnames()) names.push_back("--" + name);
+  }
+  return names;
+}
+
+auto RunCompletion(const Arguments&, const Context& context) -> Answer {
+  std::vector<CommandWords> words;
+  for (const auto& command : kCommands) {
+    const auto* subcommand = context.app.get_subcommand(command.name);
+    auto options = OptionsOf(*subcommand);
+    for (const auto* group : subcommand->get_subcommands([](const CLI::App*) { return true; })) {
+      for (auto& name : OptionsOf(*group)) {
+        if (name != "--help") options.push_back(std::move(name));
+      }
+    }
+    options.emplace_back("--output");
+    words.push_back({command.name, std::move(options), command.files});
+  }
+  const auto script = BashCompletion(context.app.get_name(), words);
+  Answer answer;
+  // Render ends each line.
+  answer.lines.push_back(script.substr(0, script.size() - 1));
+  answer.json["script"] = script;
+  return answer;
+}
+
 auto DeclareOutput(CLI::App& app, Output& output) -> void {
   std::vector<std::string> names;
   for (const auto& [value, name] : core::kNames<Output>) names.emplace_back(name);
@@ -81,7 +255,12 @@
     return app.exit(error, out, err) == 0 ? Exit::done : Exit::usage;
   }
 
-  const auto answer = selected->answer(arguments);
+  Answer answer;
+  try {
+    answer = selected->answer(arguments, {app, out});
+  } catch (const core::Error& error) {
+    answer = {Exit::refused, {error.what()}, {{"error", ToJson(error)}}};
+  }
   out << Render(answer, arguments.output);
   return answer.exit;
 }
--- /dev/null
+++ b/libs/cli/test/drain_test.cc
@@ -0,0 +1,55 @@
+#include "filbertstair/cli/drain.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "responder.h"
+
+namespace filbertstair::cli {
+namespace {
+
+class DrainTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(DrainTest);
+  CPPUNIT_TEST(testWaitsForRequests);
+  CPPUNIT_TEST(testWaitLimit);
+  CPPUNIT_TEST(testRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a VM that is replaced while it still has requests.
+  auto testWaitsForRequests() -> void {
+    int left = 2;
+    Responder process([&](const std::string& request) -> Responder::Response {
+      if (request == "POST /drain") return {202, "draining\n"};
+      return {200, "{\"in_flight\":" + std::to_string(left--) + "}"};
+    });
+    const auto answer = Drain({.address = process.Address(), .wait = true});
+    CPPUNIT_ASSERT(answer.exit == Exit::done);
+    CPPUNIT_ASSERT_EQUAL(-1, left);
+    CPPUNIT_ASSERT_EQUAL(process.Address() + ": none in flight", answer.lines.back());
+  }
+
+  auto testWaitLimit() -> void {
+    Responder process([](const std::string& request) -> Responder::Response {
+      if (request == "POST /drain") return {202, "draining\n"};
+      return {200, "{\"in_flight\":3}"};
+    });
+    const auto answer =
+        Drain({.address = process.Address(), .wait = true, .limit = std::chrono::milliseconds(0)});
+    CPPUNIT_ASSERT(answer.exit == Exit::refused);
+    CPPUNIT_ASSERT_EQUAL(process.Address() + ": still 3 in flight", answer.lines.back());
+  }
+
+  // Guards against a drain that did not begin and is reported as done.
+  auto testRefused() -> void {
+    Responder process([](const std::string&) { return Responder::Response{404, "not found\n"}; });
+    CPPUNIT_ASSERT(Drain({.address = process.Address()}).exit == Exit::refused);
+    const auto missing = Drain({.address = ClosedAddress()});
+    CPPUNIT_ASSERT(missing.exit == Exit::refused);
+    CPPUNIT_ASSERT(!missing.json.at("draining").as_bool());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainTest);
+
+}  // namespace
+}  // namespace filbertstair::cli
--- a/libs/cli/test/run_test.cc
+++ b/libs/cli/test/run_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(testUsage);
   CPPUNIT_TEST(testHelpAndVersion);
   CPPUNIT_TEST(testOutputForms);
+  CPPUNIT_TEST(testErrorsAreAnswers);
   CPPUNIT_TEST_SUITE_END();
 
   struct Outcome {
@@ -30,13 +31,21 @@
  public:
   // Guards against a script that takes wrong use for an accepted document.
   auto testUsage() -> void {
-    const std::vector<std::vector<std::string>> cases{{},
-                                                      {"chekc"},
-                                                      {"check"},
-                                                      {"diff", "a"},
-                                                      {"diff", "a", "b", "c"},
-                                                      {"--outptu", "json"},
-                                                      {"check", "--output", "xml", "a"}};
+    const std::vector<std::vector<std::string>> cases{
+        {},
+        {"chekc"},
+        {"check"},
+        {"diff", "a"},
+        {"diff", "a", "b", "c"},
+        {"--outptu", "json"},
+        {"check", "--output", "xml", "a"},
+        {"status"},
+        {"status", "--admin", "localhost:1"},
+        {"drain", "--wait"},
+        {"trace", "--admin", "127.0.0.1:1"},
+        {"top", "--admin", "127.0.0.1:1", "--interval", "0"},
+        {"explain", "--host", "a"},
+        {"completion", "fish"}};
     for (const auto& args : cases) {
       const auto outcome = RunWith(args);
       CPPUNIT_ASSERT(outcome.exit == Exit::usage);
@@ -62,6 +71,13 @@
     CPPUNIT_ASSERT(json.exit == Exit::done && json.out.starts_with("{\"files\":[{"));
     CPPUNIT_ASSERT_EQUAL(json.out, RunWith({"check", file, "--output", "json"}).out);
   }
+
+  // Guards against a wrong file of addresses that ends the program without an answer.
+  auto testErrorsAreAnswers() -> void {
+    const auto outcome = RunWith({"status", "--from", "/missing", "--output", "json"});
+    CPPUNIT_ASSERT(outcome.exit == Exit::refused);
+    CPPUNIT_ASSERT(outcome.out.starts_with("{\"error\":{\"step\":\"read\""));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RunTest);
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -93,8 +93,25 @@
   });
 }
 
+// Adds an event to the record of the call's request.
+auto Record(Endpoint& endpoint, const Call& call, node::TraceEvent event) -> void {
+  node::RecordEvent(endpoint.node, call.submit.request_id, std::move(event));
+}
+
+// Adds the verdict on the call, with what it is for.
+auto RecordVerdict(Endpoint& endpoint, const Call& call, node::TraceEvent event) -> void {
+  const auto& submit = call.submit;
+  event.peer = submit.attempt.entry;
+  Record(endpoint, call, std::move(event));
+  endpoint.node.traces.With([&](node::TraceTable& table) {
+    node::SetTarget(table, submit.request_id, submit.service, submit.workspace);
+  });
+}
+
 auto Refuse(Endpoint& endpoint, Call& call, core::Reason reason, core::Outcome status) -> void {
   endpoint.node.metrics.Count(Metric::refusals, core::Name(reason));
+  RecordVerdict(endpoint, call,
+                {.kind = node::TraceKind::refused, .outcome = status, .reason = reason});
   Send(*call.stream, wire::Verdict{false, reason, status});
   call.stream->Finish();
 }
@@ -197,6 +214,7 @@
     if (*running != nullptr) (*running)->Cancel();
   });
   call.started = node::Now();
+  Record(endpoint, call, {.kind = node::TraceKind::started});
   endpoint.shares.With(
       [&](shares::ShareTable& shares) { shares::Start(shares, call.charge, call.started); });
   try {
@@ -214,6 +232,11 @@
   }
   *running = nullptr;
   end.cost = Finish(endpoint, call, end.outcome);
+  Record(endpoint, call,
+         {.kind = node::TraceKind::finished,
+          .outcome = end.outcome,
+          .reason = end.complete ? std::nullopt : std::optional(end.reason),
+          .cost = end.cost});
   Send(*call.stream, end);
   call.stream->Finish();
 }
@@ -227,6 +250,7 @@
     return;
   }
   endpoint.node.in_flight.Add();
+  RecordVerdict(endpoint, call, {.kind = node::TraceKind::admitted});
   endpoint.work_began.Notify();
   if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
   ReportLoad(endpoint);
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -180,11 +180,23 @@
 
 auto Attempt(Entry& entry, Call& call, const Target& target, net::Responder& responder)
     -> std::optional<AttemptFailure> {
+  node::RecordEvent(entry.node, call.id,
+                    {.kind = node::TraceKind::attempted, .peer = target.endpoint});
   auto failure = OpenStream(entry, call, target);
   if (!failure) failure = Submit(entry, call, target);
-  if (failure) return failure;
-  entry.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
-  return RelayAnswer(entry, call, target, responder);
+  if (!failure) {
+    entry.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
+    failure = RelayAnswer(entry, call, target, responder);
+  }
+  if (failure) {
+    node::RecordEvent(entry.node, call.id,
+                      {.kind = node::TraceKind::failed,
+                       .peer = target.endpoint,
+                       .step = failure->step,
+                       .outcome = failure->failure.outcome,
+                       .reason = failure->failure.reason});
+  }
+  return failure;
 }
 
 }  // namespace filbertstair::entry
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -66,7 +66,6 @@
 
 auto Status(Entry& entry) -> std::string {
   boost::json::object status;
-  status["in_flight"] = entry.node.in_flight.Count();
   entry.queue.With([&](const QueueState& state) {
     boost::json::array queues;
     for (const auto& [key, queue] : state.queues.queues) {
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -81,7 +81,7 @@
 }
 
 // Finds service, workspace and class of the request. Returns a refusal if one of them is missing.
-auto Resolve(const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
+auto Resolve(Entry& entry, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (!call.snapshot->configured) {
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet");
   }
@@ -96,6 +96,9 @@
                       "\" (header X-Workspace)");
   }
   call.workspace = *workspace;
+  entry.node.traces.With([&](node::TraceTable& table) {
+    node::SetTarget(table, call.id, call.service->name, call.workspace.id);
+  });
   if (request.body.size() > call.service->max_body_bytes) {
     return Refuse(Reason::request_too_large, Step::route,
                   "body of " + std::to_string(request.body.size()) + " bytes; allowed " +
@@ -325,10 +328,21 @@
   });
 }
 
+auto RecordEnd(Entry& entry, const Call& call, const std::optional<Refused>& refused) -> void {
+  node::TraceEvent event{.kind = node::TraceKind::ended, .outcome = Outcome::ran};
+  if (refused) {
+    event.peer = refused->peer;
+    event.step = refused->step;
+    event.outcome = refused->outcome;
+    event.reason = refused->reason;
+  }
+  node::RecordEvent(entry.node, call.id, std::move(event));
+}
+
 auto Handle(Entry& entry, const net::HttpRequest& request, const std::shared_ptr<Call>& shared,
             net::Responder& responder) -> std::optional<Refused> {
   auto& call = *shared;
-  if (auto refused = Resolve(request, call)) return refused;
+  if (auto refused = Resolve(entry, request, call)) return refused;
   if (auto refused = ResolveKey(request, call)) return refused;
   FillSubmit(request, call);
   entry.queue.With([&](QueueState& state) {
@@ -378,8 +392,10 @@
   call.id = NextRequestId(entry);
   call.arrived = node::Now();
   call.snapshot = node::CurrentSnapshot(entry.node);
+  node::RecordEvent(entry.node, call.id, {.kind = node::TraceKind::arrived});
   try {
     const auto refused = Handle(entry, request, shared, responder);
+    RecordEnd(entry, call, refused);
     if (!refused) {
       entry.node.metrics.Count(Metric::requests, core::Name(Outcome::ran));
       telemetry::Log(Level::debug, Event::request_finished,
@@ -393,6 +409,11 @@
   } catch (const core::Error& error) {
     if (call.stream) call.stream->Reset();
     node::LogError(Level::debug, Event::answer_cut, error, call.id);
+    node::RecordEvent(entry.node, call.id,
+                      {.kind = node::TraceKind::ended,
+                       .peer = error.Peer(),
+                       .step = error.GetStep(),
+                       .reason = Reason::answer_cut});
     responder.Abort();
   }
   entry.node.in_flight.Remove();
--- a/libs/node/include/filbertstair/node/admin.h
+++ b/libs/node/include/filbertstair/node/admin.h
@@ -21,7 +21,7 @@
   std::function<void()> drain;
 };
 
-// Serves /metrics, /healthz, /readyz, /status and POST /drain on the admin address.
+// Serves /metrics, /healthz, /readyz, /status, /trace?id=ID and POST /drain on the admin address.
 auto ListenAdmin(Node& node, AdminHandlers handlers) -> void;
 
 // Members of the /status object that both roles have.
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -19,6 +19,7 @@
 #include "filbertstair/node/history.h"
 #include "filbertstair/node/in_flight.h"
 #include "filbertstair/node/outbox.h"
+#include "filbertstair/node/trace.h"
 #include "filbertstair/runtime/pool.h"
 #include "filbertstair/runtime/ranked_mutex.h"
 #include "filbertstair/settings/settings.h"
@@ -66,7 +67,9 @@
   telemetry::Metrics metrics;
   std::atomic<bool> draining = false;
   InFlight in_flight;
+  // `history` and `traces` have one rank: no thread locks both.
   runtime::Guarded<History, runtime::Rank::traces> history;
+  runtime::Guarded<TraceTable, runtime::Rank::traces> traces;
   runtime::Guarded<ConfigState, runtime::Rank::config> config;
   runtime::Guarded<membership::MemberTable, runtime::Rank::members> members;
   runtime::Guarded<LinkTable, runtime::Rank::links> links;
@@ -81,6 +84,9 @@
 // Marks the process as draining, logs and records it. Returns false if it was draining already.
 auto BeginDrain(Node& node) -> bool;
 
+// Adds an event of now to the request's record. Call without locks of rank `traces` or above.
+auto RecordEvent(Node& node, std::string_view request, TraceEvent event) -> void;
+
 auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot>;
 
 // Logs an event with the fields of an error: step, peer and message.
--- a/libs/node/src/admin.cc
+++ b/libs/node/src/admin.cc
@@ -4,11 +4,15 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "filbertstair/node/trace.h"
 #include "filbertstair/settings/settings.h"
 
 namespace filbertstair::node {
 namespace {
 
+// Followed by the value of X-Request-Id, whose characters need no encoding.
+constexpr std::string_view kTraceTarget = "/trace?id=";
+
 auto Objects(Node& node) -> boost::json::array {
   boost::json::array objects;
   node.config.With([&](const ConfigState& state) {
@@ -48,6 +52,19 @@
   node.metrics.Set(telemetry::Metric::config_age, static_cast<double>(age.count()) * 1e-6);
 }
 
+auto AnswerTrace(Node& node, std::string_view request, net::Responder& responder) -> void {
+  const auto trace = node.traces.With([&](const TraceTable& table) {
+    const auto* found = FindTrace(table, request);
+    return found == nullptr ? std::nullopt : std::optional(*found);
+  });
+  if (!trace) {
+    responder.Respond(404, {{"Content-Type", "text/plain; charset=utf-8"}}, "not found\n");
+    return;
+  }
+  responder.Respond(200, {{"Content-Type", "application/json"}},
+                    ToJson(*trace, node.settings.id) + "\n");
+}
+
 auto Answer(Node& node, const AdminHandlers& handlers, const net::HttpRequest& request,
             net::Responder& responder) -> void {
   const net::Headers text = {{"Content-Type", "text/plain; charset=utf-8"}};
@@ -63,6 +80,8 @@
     responder.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, node.metrics.Render());
   } else if (request.target == "/status") {
     responder.Respond(200, json, "{" + CommonStatus(node) + "," + handlers.status() + "}\n");
+  } else if (request.target.starts_with(kTraceTarget)) {
+    AnswerTrace(node, std::string_view(request.target).substr(kTraceTarget.size()), responder);
   } else if (request.target == "/drain" && request.method == "POST") {
     handlers.drain();
     responder.Respond(202, text, "draining\n");
@@ -81,6 +100,7 @@
                                       {"failure_domain", s.failure_domain},
                                       {"incarnation", node.incarnation},
                                       {"draining", node.draining.load()},
+                                      {"in_flight", node.in_flight.Count()},
                                       {"objects", Objects(node)},
                                       {"members", Members(node)}};
   const auto text = boost::json::serialize(status);
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,5 +1,7 @@
 #include "filbertstair/node/node.h"
 
+#include <utility>
+
 #include "filbertstair/core/error.h"
 
 namespace filbertstair::node {
@@ -24,6 +26,12 @@
   return true;
 }
 
+auto RecordEvent(Node& node, std::string_view request, TraceEvent event) -> void {
+  event.at =
+      std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+  node.traces.With([&](TraceTable& table) { AddEvent(table, request, std::move(event)); });
+}
+
 auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot> {
   return node.config.With([](const ConfigState& state) { return state.snapshot; });
 }
