--- a/libs/cli/test/check_test.cc
+++ b/libs/cli/test/check_test.cc
@@ -26,9 +26,10 @@
   auto testExamples() -> void {
     const std::string examples = FILBERTSTAIR_EXAMPLES;
     const auto answer = Check({examples + "/reports.yaml", examples + "/certificates.yaml",
-                               examples + "/entry.yaml", examples + "/endpoint.yaml"});
+                               examples + "/entry.yaml", examples + "/endpoint.yaml",
+                               examples + "/certificates-endpoint.yaml"});
     CPPUNIT_ASSERT(answer.exit == Exit::done);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, answer.lines.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, answer.lines.size());
     CPPUNIT_ASSERT(answer.json.at("accepted").as_bool());
   }
 
--- a/libs/cli/test/explain_test.cc
+++ b/libs/cli/test/explain_test.cc
@@ -40,6 +40,8 @@
     CPPUNIT_ASSERT(answer.json.at("scheme") == "path");
     CPPUNIT_ASSERT(answer.json.at("path") == "/issue");
     CPPUNIT_ASSERT(answer.json.at("class") == "once");
+    options.vms = std::string(FILBERTSTAIR_EXAMPLES) + "/vms.json";
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Explain(options).json.at("endpoints").as_array().size());
     CPPUNIT_ASSERT_EQUAL(0.5, answer.json.at("workspace").as_object().at("share").as_double());
   }
 
