--- a/libs/cli/src/admin.cc
+++ b/libs/cli/src/admin.cc
@@ -64,7 +64,7 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(kMaxBody);
     co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
-    result.status = parser.get().result_int();
+    result.status = static_cast<int>(parser.get().result_int());
     result.body = std::move(parser.get().body());
   } catch (const boost::system::system_error& error) {
     result.error = ToError(step, result.address, error.code(), call.timeout);
--- a/libs/cli/src/explain.cc
+++ b/libs/cli/src/explain.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/array.hpp>
+#include <cmath>
 #include <optional>
 
 #include "filbertstair/core/reason.h"
@@ -89,7 +90,7 @@
   const auto queue_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(service.timeouts.queue).count();
   // Per mille, so that small shares do not show as 0 %.
-  const auto share = static_cast<int>(1000 * found->weight / weights + 0.5);
+  const auto share = std::lround(1000 * found->weight / weights);
   answer.lines.push_back("workspace " + id + ": share " + std::to_string(share / 10) + "." +
                          std::to_string(share % 10) + " % if all are backlogged, at most " +
                          std::to_string(found->max_waiting) +
--- a/libs/cli/src/status.cc
+++ b/libs/cli/src/status.cc
@@ -1,7 +1,9 @@
 #include "filbertstair/cli/status.h"
 
+#include <algorithm>
 #include <compare>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "fields.h"
@@ -21,7 +23,10 @@
   std::uint64_t version = 0;
   std::string hash;
 
-  auto operator<=>(const Stamp&) const = default;
+  auto operator==(const Stamp&) const -> bool = default;
+  auto operator<=>(const Stamp& other) const -> std::strong_ordering {
+    return std::tie(this->version, this->hash) <=> std::tie(other.version, other.hash);
+  }
 };
 
 // Status of one process that answered.
@@ -94,11 +99,11 @@
       if (found != process.objects.end() && found->second == stamp) continue;
       const auto version = found == process.objects.end() ? 0 : found->second.version;
       answer.exit = Exit::refused;
-      const auto own = version == 0 ? "no version" : "version " + std::to_string(version);
-      const auto* same = version == stamp.version ? " with another hash" : "";
-      answer.lines.push_back(process.id + " differs: " + name + " has " + own +
-                             " in force, others have version " + std::to_string(stamp.version) +
-                             same);
+      auto line = process.id + " differs: " + name + " has ";
+      line += version == 0 ? "no version" : "version " + std::to_string(version);
+      line += " in force, others have version " + std::to_string(stamp.version);
+      if (version == stamp.version) line += " with another hash";
+      answer.lines.push_back(std::move(line));
       answer.json["differences"].as_array().emplace_back(
           boost::json::object{{"process", process.id},
                               {"object", name},
--- a/libs/cli/src/top.cc
+++ b/libs/cli/src/top.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/array.hpp>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <thread>
@@ -40,7 +41,7 @@
 }
 
 auto Decimal(double value) -> std::string {
-  const auto tenths = static_cast<std::uint64_t>(value * 10 + 0.5);
+  const auto tenths = std::lround(value * 10);
   return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
 }
 
--- a/libs/cli/src/trace.cc
+++ b/libs/cli/src/trace.cc
@@ -74,9 +74,13 @@
     answer.exit = Exit::refused;
     answer.lines.push_back("no process remembers request " + options.request);
   } else {
-    answer.lines.push_back("request " + options.request + ": service " +
-                           Text(answer.json, "service") + ", workspace " +
-                           Text(answer.json, "workspace"));
+    auto line = "request " + options.request;
+    // An entry refuses some requests before it knows what they are for.
+    const auto service = Text(answer.json, "service");
+    if (!service.empty()) {
+      line += ": service " + service + ", workspace " + Text(answer.json, "workspace");
+    }
+    answer.lines.push_back(std::move(line));
   }
   boost::json::array list;
   for (auto& event : events) {
