Freeze and kill entries and freeze endpoint processes under load

Cause: grants held by a frozen entry, streams of a killed entry and an endpoint process that resumes with stale state were not checked with real processes. Change: scenarios freeze_entry, kill_entry and freeze_endpoint. The callers' load balancer stops offering a frozen or killed entry after 500 ms.

--- a/tests/fleet/faults.cc
+++ b/tests/fleet/faults.cc
@@ -153,14 +153,6 @@
   StartDaemon(run.fleet, node);
 }
 
-auto Freeze(Run& run, Node& node, int least_ms, int most_ms) -> void {
-  Note("SIGSTOP " + node.spec.id);
-  node.daemon->Signal(SIGSTOP);
-  Pause(run, least_ms, most_ms);
-  Note("SIGCONT " + node.spec.id);
-  node.daemon->Signal(SIGCONT);
-}
-
 // Repeats `step` under load until the time of the run is over.
 auto Repeat(Run& run, const std::function<void()>& step) -> void {
   const auto end = Clock::now() + seconds(run.options.seconds);
@@ -193,15 +185,6 @@
   }
 }
 
-// Every call must have been answered by its service. A key's repetition may be refused.
-auto ExpectNoFailure(Run& run) -> void {
-  for (const auto& event : run.load.outcomes) {
-    if (event.kind == EventKind::answer && event.status == 200) continue;
-    if (event.kind == EventKind::refuse && !event.key.empty()) continue;
-    run.faults.push_back("call " + event.id + " failed: " + FormatEvent(event));
-  }
-}
-
 auto KillEndpoint(Run& run) -> void {
   StartFleet(run);
   StartLoad(run.load, kCallers);
@@ -216,9 +199,67 @@
   CheckRecovery(run);
 }
 
-}  // namespace
+// The callers' load balancer stops offering a frozen or killed entry after this time.
+constexpr auto kHealthCheck = milliseconds(500);
 
-namespace {
+auto TargetOf(Run& run, const Node& entry) -> Target& {
+  for (const auto& target : run.load.targets) {
+    if (target->address == entry.callers) return *target;
+  }
+  throw std::runtime_error("no callers' address of " + entry.spec.id);
+}
+
+auto FreezeEntry(Run& run) -> void {
+  StartFleet(run);
+  StartLoad(run.load, kCallers);
+  Repeat(run, [&] {
+    Pause(run, 300, 800);
+    auto& node = Pick(run, Ids(run.fleet, core::Role::entry));
+    Note("SIGSTOP " + node.spec.id);
+    node.daemon->Signal(SIGSTOP);
+    std::this_thread::sleep_for(kHealthCheck);
+    TargetOf(run, node).open = false;
+    Pause(run, 1500, 3500);
+    Note("SIGCONT " + node.spec.id);
+    node.daemon->Signal(SIGCONT);
+    TargetOf(run, node).open = true;
+  });
+  StopLoad(run.load);
+  CheckRecovery(run);
+}
+
+auto KillEntry(Run& run) -> void {
+  StartFleet(run);
+  StartLoad(run.load, kCallers);
+  Repeat(run, [&] {
+    Pause(run, 300, 900);
+    auto& node = Pick(run, Ids(run.fleet, core::Role::entry));
+    KillDaemon(node);
+    std::this_thread::sleep_for(kHealthCheck);
+    TargetOf(run, node).open = false;
+    Restart(run, node);
+    if (!WaitReady(node.admin, kReady)) run.faults.push_back(node.spec.id + " is not ready");
+    TargetOf(run, node).open = true;
+  });
+  StopLoad(run.load);
+  CheckRecovery(run);
+}
+
+auto FreezeEndpoint(Run& run) -> void {
+  StartFleet(run);
+  StartLoad(run.load, kCallers);
+  Repeat(run, [&] {
+    Pause(run, 300, 800);
+    auto& node = Pick(run, Ids(run.fleet, core::Role::endpoint));
+    Note("SIGSTOP " + node.spec.id);
+    node.daemon->Signal(SIGSTOP);
+    Pause(run, 1000, 4000);
+    Note("SIGCONT " + node.spec.id);
+    node.daemon->Signal(SIGCONT);
+  });
+  StopLoad(run.load);
+  CheckRecovery(run);
+}
 
 struct Scenario {
   std::string name;
@@ -228,6 +269,9 @@
 auto Scenarios() -> std::vector<Scenario> {
   return {
       {"kill_endpoint", KillEndpoint},
+      {"freeze_entry", FreezeEntry},
+      {"kill_entry", KillEntry},
+      {"freeze_endpoint", FreezeEndpoint},
   };
 }
 
