Refuse calls whose key's owner is not linked, and name an exhausted retry budget

Cause: both reasons were in the table and unused; a keyed call waited for an owner that was not linked. Change: entries refuse at once with owner_unreachable (not_run), and with retry_budget_exhausted once the budget is spent.

--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -241,12 +241,22 @@
                                "no slot became free before the queue timeout")};
 }
 
+auto IsLinked(Entry& entry, const std::string& endpoint) -> bool {
+  return entry.queue.With(
+      [&](const QueueState& state) { return state.endpoints.contains(endpoint); });
+}
+
 auto Acquire(Entry& entry, Call& call, const std::set<std::string>& tried, bool queue_only)
     -> Acquired {
   if (EndpointsOf(*call.snapshot, *call.service).empty()) {
     return {std::nullopt,
             Refuse(Reason::no_endpoint, Step::route, "the service has no live endpoint")};
   }
+  if (!call.owner.empty() && !IsLinked(entry, call.owner)) {
+    return {std::nullopt, Refuse(Reason::owner_unreachable, Step::connect,
+                                 "the endpoint process " + call.owner +
+                                     ", which owns the idempotency key, is not reachable")};
+  }
   if (!queue_only) {
     if (auto target = ChooseNow(entry, call, tried)) return {target, std::nullopt};
   }
@@ -290,7 +300,12 @@
                                   failure->failure);
     });
     if (verdict != routing::RetryVerdict::retry || call.caller_gone) {
-      return ToRefused(*acquired.target, *failure);
+      auto refused = ToRefused(*acquired.target, *failure);
+      if (verdict == routing::RetryVerdict::budget_exhausted) {
+        refused.message += "; the retry budget is exhausted";
+        refused.reason = Reason::retry_budget_exhausted;
+      }
+      return refused;
     }
     LogRetry(entry, call, *acquired.target, *failure);
     queue_only = failure->failure.reason == Reason::no_room;
--- a/tests/fleet/faults.cc
+++ b/tests/fleet/faults.cc
@@ -564,10 +564,10 @@
   for (int i = 0; i < kFlood; ++i) {
     threads.emplace_back([&, i] {
       for (int serial = 0; !stop; ++serial) {
-        auto call = MakeCall(i % 2 == 0 ? CallKind::whole : CallKind::streamed,
-                             FindNode(run.fleet, i % 10 == 0 ? "entry-s1" : "entry-n1").callers,
-                             "flood-" + std::to_string(i) + "-" + std::to_string(serial),
-                             "vendors", 0);
+        auto call =
+            MakeCall(i % 2 == 0 ? CallKind::whole : CallKind::streamed,
+                     FindNode(run.fleet, i % 10 == 0 ? "entry-s1" : "entry-n1").callers,
+                     "flood-" + std::to_string(i) + "-" + std::to_string(serial), "vendors", 0);
         call.headers["X-Test-Tokens"] = "150";
         Reply reply;
         const auto event = Invoke(call, "flood", *run.fleet.recorder, &reply);
