--- a/bench/processes.cc
+++ b/bench/processes.cc
@@ -40,6 +40,8 @@
   std::string directory = "bench";
   std::set<std::string> parts{"latency", "idle", "load", "configuration"};
   int seconds = 10;
+  // Numbers of workspaces of the load cases to run; all if empty.
+  std::set<std::size_t> workspaces;
 };
 
 struct Table {
@@ -361,6 +363,7 @@
       {}};
   for (const LoadCase load_case : {LoadCase{16, 64}, LoadCase{16, 1024}, LoadCase{64, 1024},
                                    LoadCase{256, 1024}, LoadCase{1000, 1024}}) {
+    if (!options.workspaces.empty() && !options.workspaces.contains(load_case.workspaces)) continue;
     MeasureLoadCase(options, table, totals, load_case);
   }
   return {table, totals};
@@ -511,6 +514,7 @@
   CLI::App app("Measures the cost of the daemons as processes on loopback");
   app.add_option("--out", options.directory, "Directory for processes.json and processes.md");
   app.add_option("--parts", options.parts, "Parts: latency, idle, load, configuration");
+  app.add_option("--workspaces", options.workspaces, "Numbers of workspaces of the load cases");
   app.add_option("--seconds", options.seconds, "Length of each measurement");
   CLI11_PARSE(app, argc, argv);
   try {
