Look weights up by account when dispatching grants

Cause: for each candidate workspace, Dispatch searched the document's list of workspaces, so one dispatch was quadratic in the backlogged workspaces. What remains still grows with the backlogged workspaces; its cause is not yet measured.

--- a/libs/endpoint/src/dispatch.cc
+++ b/libs/endpoint/src/dispatch.cc
@@ -21,15 +21,33 @@
   shares::Candidate candidate;
 };
 
-auto CollectChoices(Endpoint& endpoint, const AdmissionTable& table, const node::Snapshot& snapshot,
-                    shares::ShareTable& shares) -> std::vector<Choice> {
+auto RefreshWeights(Weights& weights, const std::shared_ptr<const node::Snapshot>& snapshot)
+    -> void {
+  if (weights.snapshot == snapshot) return;
+  weights.snapshot = snapshot;
+  weights.accounts.clear();
+  for (const auto& [name, service] : snapshot->services) {
+    for (const auto& workspace : service->workspaces) {
+      weights.accounts[Account(name, workspace.id)] = workspace.weight;
+    }
+  }
+}
+
+// Weight of an account; 1 if the documents in force do not know it.
+auto WeightOf(const Weights& weights, const std::string& account) -> double {
+  const auto found = weights.accounts.find(account);
+  return found == weights.accounts.end() ? 1 : found->second;
+}
+
+auto CollectChoices(Endpoint& endpoint, const AdmissionTable& table, shares::ShareTable& shares)
+    -> std::vector<Choice> {
   std::vector<Choice> choices;
   for (const auto& row : admission::Candidates(table.admission.demand)) {
     Choice choice;
     choice.key = {std::string(row.service), std::string(row.workspace), std::string(row.region)};
     choice.account = Account(choice.key.service, choice.key.workspace);
     choice.candidate.workspace = shares::InternWorkspace(shares, choice.account);
-    choice.candidate.weight = WeightOf(snapshot, choice.key.service, choice.key.workspace);
+    choice.candidate.weight = WeightOf(table.weights, choice.account);
     choice.candidate.remote = row.region != endpoint.node.settings.region;
     choice.candidate.count = row.waiting;
     choices.push_back(std::move(choice));
@@ -80,7 +98,8 @@
       const auto allowance =
           admission::GrantAllowance(table.admission.slots, rate, LargestRoundTrip(table));
       shares::Advance(shares, now.steady);
-      auto choices = CollectChoices(endpoint, table, *snapshot, shares);
+      RefreshWeights(table.weights, snapshot);
+      auto choices = CollectChoices(endpoint, table, shares);
       UpdateActive(table, shares, choices, now.steady);
       while (admission::MayGrant(table.admission.slots, allowance)) {
         std::vector<shares::Candidate> candidates;
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -224,16 +224,6 @@
   return service + "/" + workspace;
 }
 
-auto WeightOf(const node::Snapshot& snapshot, const std::string& service,
-              const std::string& workspace) -> double {
-  const auto found = snapshot.services.find(service);
-  if (found == snapshot.services.end()) return 1;
-  for (const auto& candidate : found->second->workspaces) {
-    if (candidate.id == workspace) return candidate.weight;
-  }
-  return 1;
-}
-
 auto ApplyConfiguration(Endpoint& endpoint) -> void {
   const auto snapshot = node::CurrentSnapshot(endpoint.node);
   const auto now = ReadClocks();
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "filbertstair/admission/admission.h"
 #include "filbertstair/admission/limit.h"
@@ -35,6 +36,13 @@
   core::Duration round_trip = std::chrono::milliseconds(2);
 };
 
+// Weights of the workspaces by account. Kept for the snapshot they were read from: a search through
+// the document per candidate made a dispatch quadratic in the workspaces.
+struct Weights {
+  std::shared_ptr<const node::Snapshot> snapshot;
+  std::unordered_map<std::string, double> accounts;
+};
+
 struct AdmissionTable {
   admission::Admission admission;
   admission::Policy policy;
@@ -49,6 +57,7 @@
   std::map<admission::GrantId, std::pair<core::Time, shares::ChargeId>> grant_charges;
   // Accounts with demand when grants were last dispatched.
   std::map<std::string, shares::Workspace> active;
+  Weights weights;
 };
 
 struct Endpoint {
@@ -71,10 +80,6 @@
 // Name of the account under which a workspace's service is counted: shares are kept per service.
 auto Account(const std::string& service, const std::string& workspace) -> std::string;
 
-// Weight of a workspace within a service; 1 if the document in force does not know it.
-auto WeightOf(const node::Snapshot& snapshot, const std::string& service,
-              const std::string& workspace) -> double;
-
 // Issues grants while slots allow, to the workspaces with the least level. Call without locks.
 auto Dispatch(Endpoint& endpoint) -> void;
 
