--- a/bench/load.cc
+++ b/bench/load.cc
@@ -68,7 +68,9 @@
         ++this->load->result.failed;
         lost = true;
       }
-      if (lost) co_await standins::Sleep(kReconnectWait);
+      if (lost) {
+        co_await standins::Sleep(kReconnectWait);
+      }
     }
   }
 
--- a/bench/processes.cc
+++ b/bench/processes.cc
@@ -36,6 +36,12 @@
 
 using Row = std::vector<json::value>;
 
+constexpr int kRounds = 20;
+constexpr std::size_t kCallsPerRound = 400;
+// More slots than callers, so that no request waits for one.
+constexpr int kLatencySlots = 64;
+constexpr int kLoadSlots = 4;
+
 struct Options {
   std::string directory = "bench";
   std::set<std::string> parts{"latency", "idle", "load", "configuration"};
@@ -57,6 +63,9 @@
   std::size_t endpoints = 1;
 };
 
+constexpr Size kLoadSize{2, 4};
+constexpr Size kConfigurationSize{4, 8};
+
 auto Cell(std::string_view text) -> json::value { return json::string(text.data(), text.size()); }
 
 auto Round(double value, int digits) -> double {
@@ -141,7 +150,6 @@
 // Alternates short rounds of both ways, so that a change of the machine's load meets both.
 auto MeasurePair(LoadSpec spec, const std::string& direct, const std::string& entry)
     -> LatencyPair {
-  constexpr int kRounds = 20;
   LatencyPair pair;
   for (int round = 0; round < kRounds; ++round) {
     spec.addresses = {direct};
@@ -155,8 +163,6 @@
 }
 
 auto MeasureLatency() -> Table {
-  constexpr std::size_t kCallsPerRound = 400;
-  constexpr int kSlots = 64;
   Table table{
       "latency",
       "Added latency in ms: one entry and one endpoint process against the stand-in",
@@ -164,7 +170,7 @@
        "fleet p95", "fleet p99", "added p50", "added p95", "added p99", "load average"},
       {}};
   fleet::Fleet fleet;
-  StartFleet(fleet, {1, 1}, Document(1, Workspaces(1), kSlots), false);
+  StartFleet(fleet, {1, 1}, Document(1, Workspaces(1), kLatencySlots), false);
   for (const std::size_t callers : {1, 8}) {
     LoadSpec spec;
     spec.workspaces = Workspaces(1);
@@ -302,10 +308,8 @@
 
 auto MeasureLoadCase(const Options& options, Table& table, Table& totals, LoadCase load_case)
     -> void {
-  constexpr Size kSize{2, 4};
-  constexpr int kSlots = 4;
   fleet::Fleet fleet;
-  StartFleet(fleet, kSize, Document(1, Workspaces(load_case.workspaces), kSlots), false);
+  StartFleet(fleet, kLoadSize, Document(1, Workspaces(load_case.workspaces), kLoadSlots), false);
   const auto idle = TakeSample(fleet, Bound::begin);
   LoadSpec spec;
   spec.addresses = EntryAddresses(fleet);
@@ -399,7 +403,6 @@
 }
 
 auto MeasureConfiguration(const Options& options) -> Table {
-  constexpr Size kSize{4, 8};
   Table table{"configuration",
               "A document changed every 200 ms, 4 entries and 8 endpoints",
               {"document bytes", "changes", "processes", "in force p50 ms", "p95 ms", "largest ms",
@@ -409,7 +412,7 @@
               {}};
   for (const std::size_t workspaces : {16, 1000}) {
     fleet::Fleet fleet;
-    StartFleet(fleet, kSize, Document(1, Workspaces(workspaces), 4), false);
+    StartFleet(fleet, kConfigurationSize, Document(1, Workspaces(workspaces), 4), false);
     const auto idle = TakeSample(fleet, Bound::begin);
     std::this_thread::sleep_for(kSettle);
     const auto begin = TakeSample(fleet, Bound::begin);
--- a/libs/endpoint/src/dispatch.cc
+++ b/libs/endpoint/src/dispatch.cc
@@ -103,6 +103,7 @@
       UpdateActive(table, shares, choices, now.steady);
       while (admission::MayGrant(table.admission.slots, allowance)) {
         std::vector<shares::Candidate> candidates;
+        candidates.reserve(choices.size());
         for (const auto& choice : choices) candidates.push_back(choice.candidate);
         const auto picked = shares::Pick(shares, candidates, now.steady);
         if (!picked) break;
