Fix lint findings and races between workers

Cause: read-through after an entry ended without a log line in one freeze_entry run. Found: the outbox of a link was read and written by two workers; two workers could apply configurations in the wrong order; an exception other than core::Error left the watcher of a caller with a dangling reference. Change: atomic outbox, configuration applied under its lock, watcher stopped on every path; lint findings.

--- a/libs/endpoint/src/control.cc
+++ b/libs/endpoint/src/control.cc
@@ -79,8 +79,9 @@
                                     peer.incarnation, message.service, message.workspace};
   endpoint.admission.With([&](AdmissionTable& table) {
     auto& state = table.admission;
-    if (!admission::ReturnGrant(state.grants, state.slots, state.demand, claim, node::Now()))
+    if (!admission::ReturnGrant(state.grants, state.slots, state.demand, claim, node::Now())) {
       return;
+    }
     admission::Grant ended;
     ended.id = message.grant;
     RefundGrants(endpoint, table, {ended});
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -224,40 +224,55 @@
   return service + "/" + workspace;
 }
 
-auto ApplyConfiguration(Endpoint& endpoint) -> void {
-  const auto snapshot = node::CurrentSnapshot(endpoint.node);
-  const auto now = ReadClocks();
-  const auto own = ServiceOfPool(*snapshot, endpoint.node.settings.pool);
-  endpoint.admission.With([&](AdmissionTable& table) {
-    auto& state = table.admission;
-    if (own) {
-      table.policy.keys.lifetime =
-          std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.protect);
-      table.policy.keys.quiet =
-          std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.quiet);
-      table.policy.keys.max_skew =
-          std::chrono::duration_cast<std::chrono::milliseconds>(own->idempotency.max_skew);
-      for (const auto& pool : own->pools) {
-        if (pool.name == endpoint.node.settings.pool) SetBounds(table, pool);
-      }
-    }
-    for (const auto& [name, service] : snapshot->services) {
-      auto& history = state.owners[name];
-      history.self = endpoint.node.settings.id;
-      admission::ObserveEndpoints(history, table.policy.keys, LiveEndpoints(*snapshot, *service),
-                                  now.wall);
+namespace {
+
+auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+auto ApplyToAdmission(Endpoint& endpoint, AdmissionTable& table, const node::Snapshot& snapshot,
+                      const document::Service* own) -> void {
+  auto& keys = table.policy.keys;
+  if (own != nullptr) {
+    keys.lifetime = ToMilliseconds(own->idempotency.protect);
+    keys.quiet = ToMilliseconds(own->idempotency.quiet);
+    keys.max_skew = ToMilliseconds(own->idempotency.max_skew);
+    for (const auto& pool : own->pools) {
+      if (pool.name == endpoint.node.settings.pool) SetBounds(table, pool);
     }
-    StartStaged(table);
+  }
+  const auto now = ReadClocks();
+  for (const auto& [name, service] : snapshot.services) {
+    auto& history = table.admission.owners[name];
+    history.self = endpoint.node.settings.id;
+    admission::ObserveEndpoints(history, keys, LiveEndpoints(snapshot, *service), now.wall);
+  }
+  StartStaged(table);
+}
+
+auto ApplyToShares(Endpoint& endpoint, const node::Snapshot& snapshot, const document::Service& own)
+    -> void {
+  const auto endpoints = LiveEndpoints(snapshot, own).size();
+  endpoint.shares.With([&](shares::ShareTable& shares) {
+    shares.settings.link_price = static_cast<double>(own.link_price.count());
+    shares.settings.max_lead = static_cast<double>(own.max_lead.count());
+    shares.settings.peers = endpoints > 0 ? static_cast<double>(endpoints - 1) : 0;
   });
-  if (own) {
-    const auto endpoints = LiveEndpoints(*snapshot, *own).size();
-    const auto others = endpoints > 0 ? endpoints - 1 : 0;
-    endpoint.shares.With([&](shares::ShareTable& shares) {
-      shares.settings.link_price = static_cast<double>(own->link_price.count());
-      shares.settings.max_lead = static_cast<double>(own->max_lead.count());
-      shares.settings.peers = static_cast<double>(others);
+}
+
+}  // namespace
+
+auto ApplyConfiguration(Endpoint& endpoint) -> void {
+  // The configuration stays locked, so that of two workers with new versions the later one is
+  // applied last.
+  const auto snapshot = endpoint.node.config.With([&](const node::ConfigState& state) {
+    const auto own = ServiceOfPool(*state.snapshot, endpoint.node.settings.pool);
+    endpoint.admission.With([&](AdmissionTable& table) {
+      ApplyToAdmission(endpoint, table, *state.snapshot, own.get());
     });
-  }
+    if (own) ApplyToShares(endpoint, *state.snapshot, *own);
+    return state.snapshot;
+  });
   DrainIfLeaving(endpoint, *snapshot);
   Dispatch(endpoint);
   ReportLoad(endpoint);
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -243,16 +243,6 @@
   call.stream->WaitClosed();
 }
 
-// Counts a request as in flight while it exists.
-struct InFlightGuard {
-  explicit InFlightGuard(node::InFlight& count) : count(count) { this->count.Add(); }
-  ~InFlightGuard() { this->count.Remove(); }
-  InFlightGuard(const InFlightGuard&) = delete;
-  auto operator=(const InFlightGuard&) -> InFlightGuard& = delete;
-
-  node::InFlight& count;
-};
-
 auto HandleSubmit(Endpoint& endpoint, Call& call) -> void {
   const auto decision = Admit(endpoint, call);
   if (decision.verdict == admission::Verdict::refused) {
@@ -261,7 +251,7 @@
     if (call.submit.grant != 0) Dispatch(endpoint);
     return;
   }
-  const InFlightGuard in_flight(endpoint.node.in_flight);
+  const node::InFlightGuard in_flight(endpoint.node.in_flight);
   RecordVerdict(endpoint, call, {.kind = node::TraceKind::admitted});
   endpoint.work_began.Notify();
   if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
--- a/libs/entry/src/links.cc
+++ b/libs/entry/src/links.cc
@@ -200,15 +200,15 @@
 
 using Tasks = std::map<std::string, std::shared_ptr<LinkTask>>;
 
-auto StopLink(const LinkTask& task) -> void {
-  if (task.outbox) task.outbox->Close();
+auto StopLink(LinkTask& task) -> void {
+  task.stopped = true;
+  if (const auto outbox = task.outbox.load()) outbox->Close();
 }
 
 auto StartLink(Entry& entry, Tasks& tasks, const membership::Vm& vm) -> void {
   auto& task = tasks[vm.id];
   if (task && task->address == vm.address) return;
   if (task) {
-    task->stopped = true;
     StopLink(*task);
   }
   task = std::make_shared<LinkTask>();
@@ -237,6 +237,7 @@
   std::vector<std::string> endpoint_ids;
   std::vector<std::string> entry_ids;
   std::vector<config::Peer> peers;
+  endpoint_ids.reserve(endpoints.size());
   for (const auto& vm : endpoints) endpoint_ids.push_back(vm.id);
   for (const auto& vm : entries) {
     entry_ids.push_back(vm.id);
@@ -263,7 +264,6 @@
       ++it;
       continue;
     }
-    it->second->stopped = true;
     StopLink(*it->second);
     it = tasks.erase(it);
   }
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -401,7 +401,7 @@
 
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void {
-  entry.node.in_flight.Add();
+  const node::InFlightGuard in_flight(entry.node.in_flight);
   const auto shared = std::make_shared<Call>();
   auto& call = *shared;
   call.id = NextRequestId(entry);
@@ -431,7 +431,6 @@
                        .reason = Reason::answer_cut});
     responder.Abort();
   }
-  entry.node.in_flight.Remove();
 }
 
 }  // namespace filbertstair::entry
--- a/libs/entry/src/state.h
+++ b/libs/entry/src/state.h
@@ -61,7 +61,8 @@
   std::string address;
   core::Role role = core::Role::endpoint;
   std::atomic<bool> stopped = false;
-  std::shared_ptr<node::Outbox> outbox;
+  // Set by the link's worker, closed by the one that manages links.
+  std::atomic<std::shared_ptr<node::Outbox>> outbox;
 };
 
 // Connections for requests; used by one worker only.
--- a/libs/net/src/h2.cc
+++ b/libs/net/src/h2.cc
@@ -5,7 +5,6 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <cstring>
 #include <deque>
 #include <unordered_map>
 #include <vector>
@@ -97,7 +96,7 @@
                   std::uint32_t* flags, nghttp2_data_source* source, void*) -> ssize_t {
   auto& state = *static_cast<StreamState*>(source->ptr);
   const std::size_t count = std::min(length, state.outgoing.size() - state.sent);
-  std::memcpy(buffer, state.outgoing.data() + state.sent, count);
+  std::copy_n(state.outgoing.data() + state.sent, count, buffer);
   state.sent += count;
   if (state.sent == state.outgoing.size()) {
     state.outgoing.clear();
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -128,6 +128,10 @@
   } catch (const core::Error& error) {
     // The caller is gone, or the handler failed after the answer had begun.
     exchange.aborted = true;
+  } catch (...) {
+    // The watcher refers to the exchange, which ends with this connection.
+    StopWatching(exchange);
+    throw;
   }
   if (!exchange.ended) exchange.aborted = true;
   StopWatching(exchange);
--- a/libs/net/test/h2_test.cc
+++ b/libs/net/test/h2_test.cc
@@ -59,8 +59,9 @@
   auto testMessagesKeepBoundariesAndOrder() -> void {
     RunPair(Echo, [](Connection& connection) {
       const auto stream = connection.Open("/echo");
-      for (int i = 0; i < 100; ++i)
-        stream->Send(std::string(static_cast<std::size_t>(i) * 100, 'a'));
+      for (std::size_t i = 0; i < 100; ++i) {
+        stream->Send(std::string(i * 100, 'a'));
+      }
       stream->Finish();
       for (std::size_t i = 0; i < 100; ++i) {
         CPPUNIT_ASSERT_EQUAL(i * 100, stream->Receive().value().size());
--- a/libs/node/include/filbertstair/node/in_flight.h
+++ b/libs/node/include/filbertstair/node/in_flight.h
@@ -25,6 +25,16 @@
   std::size_t count = 0;
 };
 
+// Counts one request as in flight while it exists.
+struct InFlightGuard {
+  explicit InFlightGuard(InFlight& count) : count(count) { this->count.Add(); }
+  ~InFlightGuard() { this->count.Remove(); }
+  InFlightGuard(const InFlightGuard&) = delete;
+  auto operator=(const InFlightGuard&) -> InFlightGuard& = delete;
+
+  InFlight& count;
+};
+
 }  // namespace filbertstair::node
 
 #endif  // FILBERTSTAIR_NODE_IN_FLIGHT_H_
--- a/libs/node/src/configuration.cc
+++ b/libs/node/src/configuration.cc
@@ -90,14 +90,17 @@
 }
 
 auto UpdateMembers(Node& node) -> void {
-  const auto snapshot = CurrentSnapshot(node);
-  LogChanges(node.members.With([&](membership::MemberTable& table) {
-    auto changes = membership::Observe(table, snapshot->vms);
-    if (!snapshot->services.empty()) {
-      const auto more = membership::SetPools(table, PoolsOf(*snapshot));
-      changes.insert(changes.end(), more.begin(), more.end());
-    }
-    return changes;
+  // Both tables are locked, so that of two workers with new versions the later snapshot is applied
+  // last.
+  LogChanges(node.config.With([&](const ConfigState& state) {
+    return node.members.With([&](membership::MemberTable& table) {
+      auto changes = membership::Observe(table, state.snapshot->vms);
+      if (!state.snapshot->services.empty()) {
+        const auto more = membership::SetPools(table, PoolsOf(*state.snapshot));
+        changes.insert(changes.end(), more.begin(), more.end());
+      }
+      return changes;
+    });
   }));
 }
 
--- a/libs/routing/include/filbertstair/routing/queue.h
+++ b/libs/routing/include/filbertstair/routing/queue.h
@@ -23,7 +23,7 @@
   std::string workspace;
   std::string owner;
 
-  auto operator<=>(const QueueKey&) const = default;
+  auto operator<=>(const QueueKey&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 struct Waiter {
--- a/libs/runtime/include/filbertstair/runtime/pool.h
+++ b/libs/runtime/include/filbertstair/runtime/pool.h
@@ -26,7 +26,7 @@
 // while no fiber is ready.
 class Pool {
  public:
-  Pool(std::size_t workers, ErrorHandler on_error);
+  Pool(std::size_t workers, const ErrorHandler& on_error);
   ~Pool();
   Pool(const Pool&) = delete;
   auto operator=(const Pool&) -> Pool& = delete;
--- a/libs/runtime/src/pool.cc
+++ b/libs/runtime/src/pool.cc
@@ -77,7 +77,7 @@
 
 }  // namespace
 
-Pool::Pool(std::size_t workers, ErrorHandler on_error) {
+Pool::Pool(std::size_t workers, const ErrorHandler& on_error) {
   for (std::size_t i = 0; i < workers; ++i) {
     auto worker = std::make_unique<detail::Worker>();
     worker->index = i;
--- a/libs/runtime/test/pool_test.cc
+++ b/libs/runtime/test/pool_test.cc
@@ -41,16 +41,16 @@
     Signal ping;
     Signal pong;
     std::promise<void> done;
-    constexpr int kRounds = 2000;
+    constexpr int rounds = 2000;
     pool.Post(0, [&] {
-      for (int i = 0; i < kRounds; ++i) {
+      for (int i = 0; i < rounds; ++i) {
         ping.Notify();
         pong.Wait();
       }
       done.set_value();
     });
     pool.Post(1, [&] {
-      for (int i = 0; i < kRounds; ++i) {
+      for (int i = 0; i < rounds; ++i) {
         ping.Wait();
         pong.Notify();
       }
