--- a/libs/entry/src/links.cc
+++ b/libs/entry/src/links.cc
@@ -98,12 +98,24 @@
   return kServiceBytesPerSecond / links;
 }
 
+// Wakes the requests that only this endpoint may serve, for them to check whether it still does.
+auto WakeOwned(const QueueState& state, const std::string& endpoint) -> void {
+  for (const auto& [key, queue] : state.queues.queues) {
+    if (key.owner != endpoint) continue;
+    for (const auto& waiter : queue) {
+      const auto found = state.waiting.find(waiter.id);
+      if (found != state.waiting.end()) found->second->changed.Notify();
+    }
+  }
+}
+
 auto HandleLoad(Entry& entry, const wire::Hello& peer, const wire::Load& load) -> void {
   entry.queue.With([&](QueueState& state) {
     const auto link = state.endpoints.find(peer.id);
     if (link == state.endpoints.end() || link->second.incarnation != peer.incarnation) return;
     link->second.free = load.free;
     link->second.draining = load.draining;
+    if (load.draining) WakeOwned(state, peer.id);
   });
   entry.node.members.With([&](membership::MemberTable& table) {
     membership::Heard(table, peer.id, peer.incarnation, load.draining, node::Now());
@@ -154,6 +166,7 @@
       const auto link = state.endpoints.find(peer.id);
       if (link != state.endpoints.end() && link->second.incarnation == peer.incarnation) {
         state.endpoints.erase(link);
+        WakeOwned(state, peer.id);
       }
     });
   };
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -207,6 +207,21 @@
   std::optional<Refused> refused;
 };
 
+// Returns a refusal if the call's key has an owner that admits nothing now: no other process may
+// run the call, so waiting for it helps no one.
+auto CheckOwner(Entry& entry, const Call& call) -> std::optional<Refused> {
+  if (call.owner.empty()) return std::nullopt;
+  return entry.queue.With([&](const QueueState& state) -> std::optional<Refused> {
+    const auto link = state.endpoints.find(call.owner);
+    const std::string owner = "the endpoint process " + call.owner + ", which owns the key,";
+    if (link == state.endpoints.end()) {
+      return Refuse(Reason::owner_unreachable, Step::connect, owner + " is not reachable");
+    }
+    if (link->second.draining) return Refuse(Reason::draining, Step::queue, owner + " is leaving");
+    return std::nullopt;
+  });
+}
+
 // Waits in the queue until an endpoint grants a slot.
 auto WaitForGrant(Entry& entry, Call& call) -> Acquired {
   const auto deadline = std::min(call.deadline, node::Now() + call.service->timeouts.queue);
@@ -226,8 +241,10 @@
   }
   AnnounceDemand(entry);
   const auto target_of = [&](QueueState&) { return waiting->target; };
-  while (!call.caller_gone && !entry.queue.With(target_of) &&
+  std::optional<Refused> owner_refused;
+  while (!call.caller_gone && !entry.queue.With(target_of) && !owner_refused &&
          waiting->changed.WaitUntil(deadline)) {
+    owner_refused = CheckOwner(entry, call);
   }
   const auto target = entry.queue.With([&](QueueState& state) {
     routing::Remove(state.queues, key, enqueued.id);
@@ -237,26 +254,18 @@
   AnnounceDemand(entry);
   if (target && call.caller_gone) ReturnGrant(entry, call, *target);
   if (target) return {target, std::nullopt};
+  if (owner_refused) return {std::nullopt, owner_refused};
   return {std::nullopt, Refuse(Reason::deadline_exceeded, Step::queue,
                                "no slot became free before the queue timeout")};
 }
 
-auto IsLinked(Entry& entry, const std::string& endpoint) -> bool {
-  return entry.queue.With(
-      [&](const QueueState& state) { return state.endpoints.contains(endpoint); });
-}
-
 auto Acquire(Entry& entry, Call& call, const std::set<std::string>& tried, bool queue_only)
     -> Acquired {
   if (EndpointsOf(*call.snapshot, *call.service).empty()) {
     return {std::nullopt,
             Refuse(Reason::no_endpoint, Step::route, "the service has no live endpoint")};
   }
-  if (!call.owner.empty() && !IsLinked(entry, call.owner)) {
-    return {std::nullopt, Refuse(Reason::owner_unreachable, Step::connect,
-                                 "the endpoint process " + call.owner +
-                                     ", which owns the idempotency key, is not reachable")};
-  }
+  if (const auto refused = CheckOwner(entry, call)) return {std::nullopt, refused};
   if (!queue_only) {
     if (auto target = ChooseNow(entry, call, tried)) return {target, std::nullopt};
   }
