Report a port that another process listens on

Cause: listeners use SO_REUSEPORT, so a second daemon on the same port would start and share its connections.

--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -5,6 +5,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/net/address.h"
 #include "filbertstair/net/h2.h"
 #include "filbertstair/node/admin.h"
 #include "filbertstair/node/control.h"
@@ -294,6 +295,8 @@
     endpoint->admission.With([](AdmissionTable& table) { CheckContact(table, true); });
   };
   node.on_configuration = [endpoint] { ApplyConfiguration(*endpoint); };
+  net::CheckFree(settings::FormatAddress(node.settings.peers));
+  net::CheckFree(settings::FormatAddress(node.settings.admin));
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
     node::RunOnWorker(node, i, [&] { ListenPeers(endpoint); });
   }
--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -21,8 +21,7 @@
 inline constexpr std::chrono::milliseconds kAcceptBackoff{100};
 
 // Opens an acceptor with SO_REUSEPORT, so that every worker can listen on the same address and the
-// kernel spreads connections over them. A bind without SO_REUSEPORT comes first, to report an
-// address that another process uses.
+// kernel spreads connections over them.
 inline auto OpenAcceptor(const std::string& address) -> std::shared_ptr<Tcp::acceptor> {
   auto acceptor = std::make_shared<Tcp::acceptor>(runtime::Io());
   const auto endpoint = ParseAddress(address);
--- a/libs/net/src/address.cc
+++ b/libs/net/src/address.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/net/address.h"
 
+#include <boost/asio/io_context.hpp>
 #include <charconv>
 
 #include "filbertstair/core/error.h"
@@ -26,4 +27,15 @@
   return {ip, port};
 }
 
+auto CheckFree(const std::string& address) -> void {
+  const auto endpoint = ParseAddress(address);
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor probe(io);
+  boost::system::error_code error;
+  probe.open(endpoint.protocol(), error);
+  if (!error) probe.set_option(boost::asio::socket_base::reuse_address(true), error);
+  if (!error) probe.bind(endpoint, error);
+  if (error) throw core::Error(core::Step::listen, address, error.message());
+}
+
 }  // namespace filbertstair::net
