Share service exchange, refusals and endpoint look-ups between the roles

Both roles had their own copies of the exchange of service counters, of the error object and of the list of live endpoints. They live in node now; the endpoint lists of entries and endpoint processes must agree for key owners.

--- a/libs/document/include/filbertstair/document/service.h
+++ b/libs/document/include/filbertstair/document/service.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "filbertstair/core/types.h"
@@ -81,6 +82,14 @@
   core::Duration max_lead = std::chrono::seconds(60);
 };
 
+// Returns the service's pool called `name`, or null.
+inline auto FindPool(const Service& service, std::string_view name) -> const Pool* {
+  for (const auto& pool : service.pools) {
+    if (pool.name == name) return &pool;
+  }
+  return nullptr;
+}
+
 }  // namespace filbertstair::document
 
 #endif  // FILBERTSTAIR_DOCUMENT_SERVICE_H_
--- a/libs/endpoint/src/control.cc
+++ b/libs/endpoint/src/control.cc
@@ -1,6 +1,6 @@
 #include "filbertstair/node/control.h"
 
-#include "filbertstair/shares/exchange.h"
+#include "filbertstair/node/exchange.h"
 #include "state.h"
 
 namespace filbertstair::endpoint {
@@ -15,10 +15,7 @@
 struct ControlState {
   wire::Load sent;
   bool load_sent = false;
-  shares::Link exchange;
-  std::map<shares::Workspace, std::uint32_t> sent_names;
-  // Accounts by the peer's numbers.
-  std::map<std::uint32_t, std::string> heard_names;
+  node::Exchange exchange;
   std::uint64_t stream = 0;
 };
 
@@ -43,21 +40,9 @@
 auto SendService(Endpoint& endpoint, ControlState& control, node::Outbox& outbox) -> void {
   const std::size_t entries = endpoint.admission.With(
       [](const AdmissionTable& table) { return std::max<std::size_t>(1, table.entries.size()); });
-  wire::Service message;
-  message.feed = static_cast<std::uint32_t>(shares::Feed::own);
-  endpoint.shares.With([&](shares::ShareTable& shares) {
+  auto message = endpoint.shares.With([&](shares::ShareTable& shares) {
     shares::Advance(shares, node::Now());
-    for (const auto& update :
-         shares::SelectUpdates(shares, control.exchange, kServiceBytesPerSecond / entries)) {
-      wire::ServiceRow row;
-      row.index = update.workspace;
-      row.counter = update.counter;
-      row.running = update.running;
-      if (control.sent_names.emplace(update.workspace, 0).second) {
-        row.workspace = shares.rows[update.workspace].name;
-      }
-      message.rows.push_back(std::move(row));
-    }
+    return node::SelectService(shares, control.exchange, kServiceBytesPerSecond / entries);
   });
   if (!message.rows.empty()) outbox.Push(std::move(message));
 }
@@ -94,10 +79,9 @@
   if (message.feed != static_cast<std::uint32_t>(shares::Feed::totals)) return;
   endpoint.shares.With([&](shares::ShareTable& shares) {
     for (const auto& row : message.rows) {
-      if (!row.workspace.empty()) control.heard_names[row.index] = row.workspace;
-      const auto name = control.heard_names.find(row.index);
-      if (name == control.heard_names.end()) continue;
-      shares::MergeOthers(shares, shares::InternWorkspace(shares, name->second), row.counter,
+      const auto* account = node::AccountOf(control.exchange, row);
+      if (account == nullptr) continue;
+      shares::MergeOthers(shares, shares::InternWorkspace(shares, *account), row.counter,
                           row.running);
     }
   });
@@ -137,7 +121,7 @@
 
 auto ServeControl(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
   const auto control = std::make_shared<ControlState>();
-  control->exchange.feed = shares::Feed::own;
+  control->exchange.link.feed = shares::Feed::own;
   node::ControlHandlers handlers;
   handlers.open = [&endpoint, control](const wire::Hello& peer,
                                        const std::shared_ptr<node::Outbox>& outbox) {
--- a/libs/endpoint/src/dispatch.cc
+++ b/libs/endpoint/src/dispatch.cc
@@ -99,16 +99,16 @@
           admission::GrantAllowance(table.admission.slots, rate, LargestRoundTrip(table));
       shares::Advance(shares, now.steady);
       RefreshWeights(table.weights, snapshot);
-      auto choices = CollectChoices(endpoint, table, shares);
+      const auto choices = CollectChoices(endpoint, table, shares);
       UpdateActive(table, shares, choices, now.steady);
+      std::vector<shares::Candidate> candidates;
+      candidates.reserve(choices.size());
+      for (const auto& choice : choices) candidates.push_back(choice.candidate);
       while (admission::MayGrant(table.admission.slots, allowance)) {
-        std::vector<shares::Candidate> candidates;
-        candidates.reserve(choices.size());
-        for (const auto& choice : choices) candidates.push_back(choice.candidate);
         const auto picked = shares::Pick(shares, candidates, now.steady);
         if (!picked) break;
         if (!IssueGrant(endpoint, table, shares, choices[*picked], allowance, now)) break;
-        --choices[*picked].candidate.count;
+        --candidates[*picked].count;
         issued = true;
       }
     });
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -2,7 +2,6 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -86,28 +85,12 @@
 auto ServiceOfPool(const node::Snapshot& snapshot, const std::string& pool)
     -> std::shared_ptr<const document::Service> {
   for (const auto& [name, service] : snapshot.services) {
-    for (const auto& candidate : service->pools) {
-      if (candidate.name == pool) return service;
-    }
+    if (document::FindPool(*service, pool) != nullptr) return service;
   }
   return nullptr;
 }
 
-auto LiveEndpoints(const node::Snapshot& snapshot, const document::Service& service)
-    -> std::vector<std::string> {
-  std::vector<std::string> ids;
-  for (const auto& vm : snapshot.vms.vms) {
-    const auto serves = [&](const document::Pool& pool) { return pool.name == vm.pool; };
-    if (vm.role == core::Role::endpoint && vm.state == membership::VmState::live &&
-        std::any_of(service.pools.begin(), service.pools.end(), serves)) {
-      ids.push_back(vm.id);
-    }
-  }
-  return ids;
-}
-
-auto Status(Endpoint& endpoint) -> std::string {
-  boost::json::object status;
+auto AddStatus(Endpoint& endpoint, boost::json::object& status) -> void {
   endpoint.admission.With([&](const AdmissionTable& table) {
     const auto& slots = table.admission.slots;
     status["limit"] = slots.limit;
@@ -133,8 +116,6 @@
     }
     status["shares"] = std::move(accounts);
   });
-  const auto text = boost::json::serialize(status);
-  return text.substr(1, text.size() - 2);
 }
 
 auto SetGauges(Endpoint& endpoint) -> void {
@@ -194,16 +175,12 @@
   handlers.ready = [endpoint] {
     return !endpoint->node.draining && node::CurrentSnapshot(endpoint->node)->configured;
   };
-  handlers.status = [endpoint] { return Status(*endpoint); };
+  handlers.status = [endpoint](boost::json::object& status) { AddStatus(*endpoint, status); };
   handlers.refresh = [endpoint] { SetGauges(*endpoint); };
   handlers.drain = [endpoint] { Drain(*endpoint); };
   node::ListenAdmin(endpoint->node, handlers);
 }
 
-}  // namespace
-
-namespace {
-
 // Applies a pool's bounds; the search for the limit starts anew only if they changed.
 auto SetBounds(AdmissionTable& table, const document::Pool& pool) -> void {
   auto& policy = table.limit_policy;
@@ -238,22 +215,20 @@
     keys.lifetime = ToMilliseconds(own->idempotency.protect);
     keys.quiet = ToMilliseconds(own->idempotency.quiet);
     keys.max_skew = ToMilliseconds(own->idempotency.max_skew);
-    for (const auto& pool : own->pools) {
-      if (pool.name == endpoint.node.settings.pool) SetBounds(table, pool);
-    }
+    SetBounds(table, *document::FindPool(*own, endpoint.node.settings.pool));
   }
   const auto now = ReadClocks();
   for (const auto& [name, service] : snapshot.services) {
     auto& history = table.admission.owners[name];
     history.self = endpoint.node.settings.id;
-    admission::ObserveEndpoints(history, keys, LiveEndpoints(snapshot, *service), now.wall);
+    admission::ObserveEndpoints(history, keys, node::LiveEndpointIds(snapshot, *service), now.wall);
   }
   StartStaged(table);
 }
 
 auto ApplyToShares(Endpoint& endpoint, const node::Snapshot& snapshot, const document::Service& own)
     -> void {
-  const auto endpoints = LiveEndpoints(snapshot, own).size();
+  const auto endpoints = node::LiveEndpoints(snapshot, own).size();
   endpoint.shares.With([&](shares::ShareTable& shares) {
     shares.settings.link_price = static_cast<double>(own.link_price.count());
     shares.settings.max_lead = static_cast<double>(own.max_lead.count());
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -2,7 +2,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
+#include <random>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -20,27 +20,6 @@
 // Largest body that any document may allow.
 constexpr std::uint64_t kMaxBody = std::uint64_t{64} << 20;
 
-auto ToRefused(net::RequestFault fault) -> Refused {
-  Refused refused;
-  refused.step = core::Step::read;
-  switch (fault) {
-    case net::RequestFault::body_too_large:
-      refused.reason = core::Reason::request_too_large;
-      refused.message = "the body is larger than any service allows";
-      break;
-    case net::RequestFault::header_too_large:
-      refused.reason = core::Reason::request_too_large;
-      refused.message = "the header is too large";
-      break;
-    case net::RequestFault::malformed:
-    case net::RequestFault::none:
-      refused.reason = core::Reason::malformed_request;
-      refused.message = "the request is not valid HTTP/1.1";
-      break;
-  }
-  return refused;
-}
-
 auto ListenCallers(const std::shared_ptr<Entry>& entry) -> void {
   const auto address = settings::FormatAddress(entry->node.settings.callers);
   net::HttpLimits limits;
@@ -50,7 +29,7 @@
     HandleRequest(*entry, request, responder);
   };
   handlers.fault = [entry](net::RequestFault fault, net::Responder& responder) {
-    RespondRefused(*entry, "", "", ToRefused(fault), responder);
+    node::AnswerRefused(entry->node, "", "", node::ToRefused(fault), responder);
   };
   handlers.closing = [entry] { return entry->node.draining.load(); };
   entry->workers[runtime::WorkerIndex()].callers =
@@ -65,8 +44,7 @@
   telemetry::Log(Level::info, Event::listening, {{"purpose", "peers"}, {"address", address}});
 }
 
-auto Status(Entry& entry) -> std::string {
-  boost::json::object status;
+auto AddStatus(Entry& entry, boost::json::object& status) -> void {
   entry.queue.With([&](const QueueState& state) {
     boost::json::array queues;
     for (const auto& [key, queue] : state.queues.queues) {
@@ -89,8 +67,6 @@
     }
     status["shares"] = std::move(accounts);
   });
-  const auto text = boost::json::serialize(status);
-  return text.substr(1, text.size() - 2);
 }
 
 auto StartAdmin(const std::shared_ptr<Entry>& entry) -> void {
@@ -98,7 +74,7 @@
   handlers.ready = [entry] {
     return !entry->node.draining && node::CurrentSnapshot(entry->node)->configured;
   };
-  handlers.status = [entry] { return Status(*entry); };
+  handlers.status = [entry](boost::json::object& status) { AddStatus(*entry, status); };
   handlers.refresh = [entry] {
     const auto waiting =
         entry->queue.With([](const QueueState& state) { return state.queues.waiting; });
@@ -110,6 +86,11 @@
 
 }  // namespace
 
+auto RandomShare() -> double {
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 auto Start(node::Node& node) -> std::shared_ptr<Entry> {
   auto entry = std::make_shared<Entry>(node);
   node.on_configuration = [entry] { entry->links_changed.Notify(); };
--- a/libs/entry/src/links.cc
+++ b/libs/entry/src/links.cc
@@ -33,16 +33,14 @@
   // Waiting requests that the endpoint knows of: the last Demand message less the grants since.
   std::map<DemandKey, std::uint32_t> believed;
   core::Time demand_sent{};
-  Exchange exchange;
+  node::Exchange exchange;
 };
 
 auto ServicesFor(const node::Snapshot& snapshot, const std::string& pool)
     -> std::vector<std::string> {
   std::vector<std::string> out;
   for (const auto& [name, service] : snapshot.services) {
-    for (const auto& candidate : service->pools) {
-      if (candidate.name == pool) out.push_back(name);
-    }
+    if (document::FindPool(*service, pool) != nullptr) out.push_back(name);
   }
   return out;
 }
@@ -174,7 +172,7 @@
 }
 
 auto PeerHandlers(Entry& entry) -> node::ControlHandlers {
-  const auto exchange = std::make_shared<Exchange>();
+  const auto exchange = std::make_shared<node::Exchange>();
   exchange->link.feed = shares::Feed::rows;
   node::ControlHandlers handlers;
   handlers.open = [&entry](const wire::Hello& peer, const std::shared_ptr<node::Outbox>&) {
@@ -221,9 +219,7 @@
 auto StartLink(Entry& entry, Tasks& tasks, const membership::Vm& vm) -> void {
   auto& task = tasks[vm.id];
   if (task && task->address == vm.address) return;
-  if (task) {
-    StopLink(*task);
-  }
+  if (task) StopLink(*task);
   task = std::make_shared<LinkTask>();
   task->id = vm.id;
   task->address = vm.address;
@@ -232,19 +228,13 @@
   entry.node.pool.Post(worker, [&entry, task = task] { RunLink(entry, task); });
 }
 
-auto IsSuspected(Entry& entry, const std::string& id) -> bool {
-  return entry.node.members.With([&](const membership::MemberTable& table) {
-    return membership::StateOf(table, id) == membership::MemberState::suspected;
-  });
-}
-
 // VMs that this entry should be linked to: endpoints of its view, and some other entries.
-auto WantedLinks(Entry& entry, std::size_t& copies) -> std::vector<membership::Vm> {
-  const auto snapshot = node::CurrentSnapshot(entry.node);
+auto WantedLinks(Entry& entry, const node::Snapshot& snapshot, std::size_t& copies)
+    -> std::vector<membership::Vm> {
   const auto& self = entry.node.settings.id;
   std::vector<membership::Vm> endpoints;
   std::vector<membership::Vm> entries;
-  for (const auto& vm : snapshot->vms.vms) {
+  for (const auto& vm : snapshot.vms.vms) {
     (vm.role == core::Role::endpoint ? endpoints : entries).push_back(vm);
   }
   std::vector<std::string> endpoint_ids;
@@ -252,10 +242,13 @@
   std::vector<config::Peer> peers;
   endpoint_ids.reserve(endpoints.size());
   for (const auto& vm : endpoints) endpoint_ids.push_back(vm.id);
-  for (const auto& vm : entries) {
-    entry_ids.push_back(vm.id);
-    peers.push_back({vm.id, vm.region, IsSuspected(entry, vm.id)});
-  }
+  entry.node.members.With([&](const membership::MemberTable& table) {
+    for (const auto& vm : entries) {
+      const auto state = membership::StateOf(table, vm.id);
+      entry_ids.push_back(vm.id);
+      peers.push_back({vm.id, vm.region, state == membership::MemberState::suspected});
+    }
+  });
   copies = membership::Copies(entry_ids.size(), endpoint_ids.size(), kMaxEndpointLinks, copies);
   std::vector<membership::Vm> wanted;
   for (const auto i : membership::View(self, entry_ids, endpoint_ids, copies, kMaxEndpointLinks)) {
@@ -265,8 +258,9 @@
   return wanted;
 }
 
-auto Reconcile(Entry& entry, Tasks& tasks, std::size_t& copies) -> void {
-  const auto wanted = WantedLinks(entry, copies);
+auto Reconcile(Entry& entry, const node::Snapshot& snapshot, Tasks& tasks, std::size_t& copies)
+    -> void {
+  const auto wanted = WantedLinks(entry, snapshot, copies);
   std::set<std::string> ids;
   for (const auto& vm : wanted) {
     ids.insert(vm.id);
@@ -300,20 +294,31 @@
       waiting->second->changed.Notify();
       return;
     }
-    const auto link = state.endpoints.find(endpoint);
-    if (link == state.endpoints.end()) return;
-    link->second.outbox->Push(
-        wire::GrantReturn{grant.grant, grant.granter, grant.service, grant.workspace});
+    ReturnGrant(state, endpoint, {grant.grant, grant.granter, grant.service, grant.workspace});
   });
 }
 
+auto ReturnGrant(const QueueState& state, const std::string& endpoint,
+                 const wire::GrantReturn& message) -> void {
+  const auto link = state.endpoints.find(endpoint);
+  if (link != state.endpoints.end()) link->second.outbox->Push(message);
+}
+
 auto LinkLoop(Entry& entry) -> void {
   Tasks tasks;
   std::size_t copies = 0;
+  std::shared_ptr<const node::Snapshot> linked;
   while (true) {
-    Reconcile(entry, tasks, copies);
-    node::LogChanges(entry.node.members.With(
-        [](membership::MemberTable& table) { return membership::Evaluate(table, node::Now()); }));
+    const auto changes = entry.node.members.With(
+        [](membership::MemberTable& table) { return membership::Evaluate(table, node::Now()); });
+    node::LogChanges(changes);
+    // The view depends on the VM list and on suspicion only; at 10,000 endpoints it takes 3.6 ms,
+    // too much for every evaluation.
+    auto snapshot = node::CurrentSnapshot(entry.node);
+    if (snapshot != linked || !changes.empty()) {
+      Reconcile(entry, *snapshot, tasks, copies);
+      linked = std::move(snapshot);
+    }
     entry.links_changed.WaitUntil(std::chrono::steady_clock::now() + kEvaluateInterval);
   }
 }
--- a/libs/entry/src/platform.cc
+++ b/libs/entry/src/platform.cc
@@ -2,7 +2,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <charconv>
-#include <random>
 
 #include "filbertstair/config/start.h"
 #include "filbertstair/core/error.h"
@@ -138,8 +137,7 @@
       members.push_back({id, membership::StateOf(table, id) == membership::MemberState::suspected});
     }
   });
-  static const double jitter =
-      std::uniform_real_distribution<double>(0, 1)(*std::make_unique<std::random_device>());
+  static const double jitter = RandomShare();
   return entry.node.config.With([&](const node::ConfigState& state) {
     return config::ShouldWatch(entry.node.settings.id, members, state.watch, {}, jitter,
                                node::Now());
@@ -210,10 +208,8 @@
   for (const auto& seed : entry.node.settings.seeds) {
     seeds.push_back(settings::FormatAddress(seed));
   }
-  const double jitter =
-      std::uniform_real_distribution<double>(0, 1)(*std::make_unique<std::random_device>());
   Perform(entry, context, platform,
-          config::Start(seeds, jitter, context->rules, node::Now(), context->state));
+          config::Start(seeds, RandomShare(), context->rules, node::Now(), context->state));
   while (context->state.phase != config::StartPhase::ready) {
     context->changed.WaitUntil(std::chrono::steady_clock::now() + kStartTick);
     Perform(entry, context, platform, config::Tick(context->state, context->rules, node::Now()));
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -1,8 +1,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
 #include <charconv>
-#include <random>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/core/rendezvous.h"
@@ -24,11 +22,6 @@
 // Body that is searched for a `model` field: larger ones name their service otherwise.
 constexpr std::size_t kMaxModelBody = std::size_t{1} << 20;
 
-auto Jitter() -> double {
-  thread_local std::mt19937_64 random{std::random_device{}()};
-  return std::uniform_real_distribution<double>(0, 1)(random);
-}
-
 auto ModelField(const net::HttpRequest& request) -> std::string {
   if (request.body.empty() || request.body.size() > kMaxModelBody) return {};
   if (net::FindHeader(request.headers, "Content-Type").find("json") == std::string_view::npos) {
@@ -63,19 +56,6 @@
   return nullptr;
 }
 
-// Live endpoints of the service, in the order of the VM list.
-auto EndpointsOf(const node::Snapshot& snapshot, const document::Service& service)
-    -> std::vector<const membership::Vm*> {
-  std::vector<const membership::Vm*> out;
-  for (const auto& vm : snapshot.vms.vms) {
-    if (vm.role != core::Role::endpoint || vm.state != membership::VmState::live) continue;
-    for (const auto& pool : service.pools) {
-      if (pool.name == vm.pool) out.push_back(&vm);
-    }
-  }
-  return out;
-}
-
 auto Refuse(Reason reason, Step step, std::string message) -> Refused {
   return {reason, Outcome::not_run, step, "", std::move(message)};
 }
@@ -121,8 +101,7 @@
                   "Idempotency-Key must be a UUIDv7, or come with Idempotency-Issued in "
                   "milliseconds since 1970");
   }
-  std::vector<std::string> ids;
-  for (const auto* vm : EndpointsOf(*call.snapshot, *call.service)) ids.push_back(vm->id);
+  const auto ids = node::LiveEndpointIds(*call.snapshot, *call.service);
   const auto owner_text = admission::OwnerText(call.service->name, call.workspace.id, *call.key);
   const auto owner = core::RendezvousOwner(owner_text, ids);
   if (owner == ids.size()) {
@@ -159,7 +138,7 @@
 
 auto ViewsOf(Entry& entry, const Call& call) -> std::vector<routing::EndpointView> {
   std::vector<routing::EndpointView> views;
-  for (const auto* vm : EndpointsOf(*call.snapshot, *call.service)) {
+  for (const auto* vm : node::LiveEndpoints(*call.snapshot, *call.service)) {
     if (call.owner.empty() || call.owner == vm->id) views.push_back({vm->id, vm->region});
   }
   entry.node.members.With([&](const membership::MemberTable& table) {
@@ -192,15 +171,6 @@
   });
 }
 
-auto ReturnGrant(Entry& entry, const Call& call, const Target& target) -> void {
-  entry.queue.With([&](QueueState& state) {
-    const auto link = state.endpoints.find(target.endpoint);
-    if (link == state.endpoints.end()) return;
-    link->second.outbox->Push(
-        wire::GrantReturn{target.grant, target.granter, call.service->name, call.workspace.id});
-  });
-}
-
 // Result of waiting for an endpoint: a target, or why the request is refused.
 struct Acquired {
   std::optional<Target> target;
@@ -252,7 +222,10 @@
     return waiting->target;
   });
   AnnounceDemand(entry);
-  if (target && call.caller_gone) ReturnGrant(entry, call, *target);
+  if (target && call.caller_gone) {
+    const wire::GrantReturn unused{target->grant, target->granter, key.service, key.workspace};
+    entry.queue.With([&](QueueState& state) { ReturnGrant(state, target->endpoint, unused); });
+  }
   if (target) return {target, std::nullopt};
   if (owner_refused) return {std::nullopt, owner_refused};
   return {std::nullopt, Refuse(Reason::deadline_exceeded, Step::queue,
@@ -261,7 +234,7 @@
 
 auto Acquire(Entry& entry, Call& call, const std::set<std::string>& tried, bool queue_only)
     -> Acquired {
-  if (EndpointsOf(*call.snapshot, *call.service).empty()) {
+  if (node::LiveEndpoints(*call.snapshot, *call.service).empty()) {
     return {std::nullopt,
             Refuse(Reason::no_endpoint, Step::route, "the service has no live endpoint")};
   }
@@ -295,7 +268,8 @@
 auto RunAttempts(Entry& entry, Call& call, net::Responder& responder) -> std::optional<Refused> {
   std::set<std::string> tried;
   bool queue_only = false;
-  for (std::uint32_t attempts = 1;; ++attempts) {
+  std::uint32_t attempts = 0;
+  while (true) {
     const auto acquired = Acquire(entry, call, tried, queue_only);
     if (call.caller_gone) {
       return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
@@ -303,6 +277,9 @@
     if (acquired.refused) return acquired.refused;
     const auto failure = Attempt(entry, call, *acquired.target, responder);
     if (!failure) return std::nullopt;
+    // The endpoint process refused before any work; waiting in the queue is not another attempt.
+    queue_only = failure->failure.reason == Reason::no_room;
+    if (!queue_only) ++attempts;
     const auto verdict = entry.queue.With([&](QueueState& state) {
       return routing::DecideRetry(state.retries, call.service->name, call.workspace.id,
                                   call.service->retries, call.call_class, attempts,
@@ -317,33 +294,12 @@
       return refused;
     }
     LogRetry(entry, call, *acquired.target, *failure);
-    queue_only = failure->failure.reason == Reason::no_room;
-    if (queue_only) {
-      --attempts;
-      continue;
-    }
+    if (queue_only) continue;
     tried.insert(acquired.target->endpoint);
-    runtime::SleepFor(routing::Backoff(attempts, Jitter()));
+    runtime::SleepFor(routing::Backoff(attempts, RandomShare()));
   }
 }
 
-auto NextRequestId(Entry& entry) -> std::string {
-  static std::atomic<std::uint64_t> last = 0;
-  return entry.node.settings.id + "-" + std::to_string(entry.node.incarnation) + "-" +
-         std::to_string(++last);
-}
-
-auto LogCut(Entry& entry, const Call& call, const Refused& refused) -> void {
-  entry.node.metrics.Count(Metric::refusals, core::Name(refused.reason));
-  telemetry::Log(Level::warning, Event::answer_cut,
-                 {{"request", call.id},
-                  {"workspace", call.workspace.id},
-                  {"step", core::Name(refused.step)},
-                  {"peer", refused.peer},
-                  {"reason", core::Name(refused.reason)},
-                  {"error", refused.message}});
-}
-
 auto WatchCaller(const std::shared_ptr<Call>& call, net::Responder& responder) -> void {
   responder.OnCallerGone([call] {
     call->caller_gone = true;
@@ -352,17 +308,6 @@
   });
 }
 
-auto RecordEnd(Entry& entry, const Call& call, const std::optional<Refused>& refused) -> void {
-  node::TraceEvent event{.kind = node::TraceKind::ended, .outcome = Outcome::ran};
-  if (refused) {
-    event.peer = refused->peer;
-    event.step = refused->step;
-    event.outcome = refused->outcome;
-    event.reason = refused->reason;
-  }
-  node::RecordEvent(entry.node, call.id, std::move(event));
-}
-
 auto Handle(Entry& entry, const net::HttpRequest& request, const std::shared_ptr<Call>& shared,
             net::Responder& responder) -> std::optional<Refused> {
   auto& call = *shared;
@@ -379,56 +324,27 @@
 
 }  // namespace
 
-auto RespondRefused(Entry& entry, const std::string& id, const std::string& workspace,
-                    const Refused& refused, net::Responder& responder) -> void {
-  const auto reason = core::Name(refused.reason);
-  const auto outcome = core::Name(refused.outcome);
-  entry.node.metrics.Count(Metric::refusals, reason);
-  entry.node.metrics.Count(Metric::requests, outcome);
-  telemetry::Log(Level::info, Event::request_refused,
-                 {{"request", id},
-                  {"workspace", workspace},
-                  {"step", core::Name(refused.step)},
-                  {"peer", refused.peer},
-                  {"reason", reason},
-                  {"outcome", outcome},
-                  {"error", refused.message}});
-  const boost::json::object body = {{"error",
-                                     {{"reason", reason},
-                                      {"message", refused.message},
-                                      {"outcome", outcome},
-                                      {"request_id", id},
-                                      {"step", core::Name(refused.step)},
-                                      {"peer", refused.peer}}}};
-  net::Headers headers = {{"Content-Type", "application/json"},
-                          {"X-Request-Id", id},
-                          {"X-Outcome", std::string(outcome)}};
-  const int status = core::Status(refused.reason);
-  if (status == 429 || status == 503) headers.emplace_back("Retry-After", "1");
-  responder.Respond(status, headers, boost::json::serialize(body) + "\n");
-}
-
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void {
   const node::InFlightGuard in_flight(entry.node.in_flight);
   const auto shared = std::make_shared<Call>();
   auto& call = *shared;
-  call.id = NextRequestId(entry);
+  call.id = node::NextRequestId(entry.node);
   call.arrived = node::Now();
   call.snapshot = node::CurrentSnapshot(entry.node);
   node::RecordEvent(entry.node, call.id, {.kind = node::TraceKind::arrived});
   try {
     const auto refused = Handle(entry, request, shared, responder);
-    RecordEnd(entry, call, refused);
+    node::RecordEnd(entry.node, call.id, refused ? &*refused : nullptr);
     if (!refused) {
       entry.node.metrics.Count(Metric::requests, core::Name(Outcome::ran));
       telemetry::Log(Level::debug, Event::request_finished,
                      {{"request", call.id}, {"workspace", call.workspace.id}});
     } else if (responder.HasBegun()) {
-      LogCut(entry, call, *refused);
+      node::LogCut(entry.node, call.id, call.workspace.id, *refused);
       responder.Abort();
     } else if (!call.caller_gone) {
-      RespondRefused(entry, call.id, call.workspace.id, *refused, responder);
+      node::AnswerRefused(entry.node, call.id, call.workspace.id, *refused, responder);
     }
   } catch (const core::Error& error) {
     if (call.stream) call.stream->Reset();
--- a/libs/entry/src/state.h
+++ b/libs/entry/src/state.h
@@ -15,12 +15,13 @@
 #include "filbertstair/net/h2.h"
 #include "filbertstair/net/http_server.h"
 #include "filbertstair/node/control.h"
+#include "filbertstair/node/exchange.h"
 #include "filbertstair/node/node.h"
+#include "filbertstair/node/refusal.h"
 #include "filbertstair/routing/queue.h"
 #include "filbertstair/routing/retry.h"
 #include "filbertstair/runtime/ranked_mutex.h"
 #include "filbertstair/runtime/signal.h"
-#include "filbertstair/shares/exchange.h"
 #include "filbertstair/shares/shares.h"
 #include "filbertstair/wire/request.h"
 
@@ -103,14 +104,7 @@
   bool caller_gone = false;
 };
 
-// A request that ends without an answer from a replica.
-struct Refused {
-  core::Reason reason = core::Reason::internal_error;
-  core::Outcome outcome = core::Outcome::not_run;
-  core::Step step = core::Step::route;
-  std::string peer;
-  std::string message;
-};
+using node::Refused;
 
 // Attempts the call at `target` and passes the answer on to the caller. Returns nothing if the
 // answer was complete, or how the attempt failed.
@@ -125,16 +119,19 @@
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
-// Answers with the error object and counts the refusal.
-auto RespondRefused(Entry& entry, const std::string& id, const std::string& workspace,
-                    const Refused& refused, net::Responder& responder) -> void;
-
 // Tells the linked endpoints that the queues changed.
 auto AnnounceDemand(Entry& entry) -> void;
 
 // Gives a grant of `endpoint` to a waiting request, or returns it.
 auto HandleGrant(Entry& entry, const std::string& endpoint, const wire::Grant& grant) -> void;
 
+// Returns a grant that no request uses. The queue's table is locked.
+auto ReturnGrant(const QueueState& state, const std::string& endpoint,
+                 const wire::GrantReturn& message) -> void;
+
+// Returns a random number in [0, 1), to spread entries and requests that act at the same time.
+auto RandomShare() -> double;
+
 // Runs as long as the process: evaluates suspicion, and opens and closes links.
 auto LinkLoop(Entry& entry) -> void;
 
@@ -144,18 +141,10 @@
 // Runs as long as the process: cold start, then watching the platform while elected to.
 auto PlatformLoop(Entry& entry) -> void;
 
-// State of the exchange of service counters on one control stream, used by its own fibers only.
-struct Exchange {
-  shares::Link link;
-  // Numbers whose workspace name this process has sent, and names by the peer's numbers.
-  std::set<std::uint32_t> sent_names;
-  std::map<std::uint32_t, std::string> heard_names;
-};
-
 // Pushes the largest unreported changes of service that fit the byte budget.
-auto SendService(Entry& entry, Exchange& exchange, node::Outbox& outbox, std::size_t budget)
+auto SendService(Entry& entry, node::Exchange& exchange, node::Outbox& outbox, std::size_t budget)
     -> void;
-auto HandleService(Entry& entry, Exchange& exchange, const wire::Hello& peer,
+auto HandleService(Entry& entry, node::Exchange& exchange, const wire::Hello& peer,
                    const wire::Service& message) -> void;
 
 }  // namespace filbertstair::entry
--- a/libs/node/include/filbertstair/node/admin.h
+++ b/libs/node/include/filbertstair/node/admin.h
@@ -1,8 +1,8 @@
 #ifndef FILBERTSTAIR_NODE_ADMIN_H_
 #define FILBERTSTAIR_NODE_ADMIN_H_
 
+#include <boost/json/fwd.hpp>
 #include <functional>
-#include <string>
 
 #include "filbertstair/net/http_server.h"
 #include "filbertstair/node/node.h"
@@ -13,8 +13,8 @@
 struct AdminHandlers {
   // Whether the daemon accepts new work.
   std::function<bool()> ready;
-  // Members of the /status object that belong to the role, as JSON text without braces.
-  std::function<std::string()> status;
+  // Adds the members of the /status object that belong to the role.
+  std::function<void(boost::json::object&)> status;
   // Called before /metrics is rendered, to set gauges.
   std::function<void()> refresh;
   // Begins a graceful shutdown.
@@ -24,9 +24,6 @@
 // Serves /metrics, /healthz, /readyz, /status, /trace?id=ID and POST /drain on the admin address.
 auto ListenAdmin(Node& node, AdminHandlers handlers) -> void;
 
-// Members of the /status object that both roles have.
-auto CommonStatus(Node& node) -> std::string;
-
 }  // namespace filbertstair::node
 
 #endif  // FILBERTSTAIR_NODE_ADMIN_H_
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -95,6 +95,15 @@
 
 auto CurrentSnapshot(Node& node) -> std::shared_ptr<const Snapshot>;
 
+// Returns the VMs of the live endpoints of a service, in the order of the VM list. Entries and
+// endpoint processes find the owners of idempotency keys among them, so both must use the same set.
+auto LiveEndpoints(const Snapshot& snapshot, const document::Service& service)
+    -> std::vector<const membership::Vm*>;
+
+// Returns the ids of LiveEndpoints.
+auto LiveEndpointIds(const Snapshot& snapshot, const document::Service& service)
+    -> std::vector<std::string>;
+
 // Logs an event with the fields of an error: step, peer and message.
 auto LogError(telemetry::Level level, telemetry::Event event, const std::exception& error,
               std::string_view request = {}) -> void;
--- a/libs/node/src/admin.cc
+++ b/libs/node/src/admin.cc
@@ -65,6 +65,20 @@
                     ToJson(*trace, node.settings.id) + "\n");
 }
 
+// Members of the /status object that both roles have.
+auto CommonStatus(Node& node) -> boost::json::object {
+  const auto& s = node.settings;
+  return {{"id", s.id},
+          {"role", core::Name(s.role)},
+          {"region", s.region},
+          {"failure_domain", s.failure_domain},
+          {"incarnation", node.incarnation},
+          {"draining", node.draining.load()},
+          {"in_flight", node.in_flight.Count()},
+          {"objects", Objects(node)},
+          {"members", Members(node)}};
+}
+
 auto Answer(Node& node, const AdminHandlers& handlers, const net::HttpRequest& request,
             net::Responder& responder) -> void {
   const net::Headers text = {{"Content-Type", "text/plain; charset=utf-8"}};
@@ -79,7 +93,9 @@
     if (handlers.refresh) handlers.refresh();
     responder.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, node.metrics.Render());
   } else if (request.target == "/status") {
-    responder.Respond(200, json, "{" + CommonStatus(node) + "," + handlers.status() + "}\n");
+    auto status = CommonStatus(node);
+    handlers.status(status);
+    responder.Respond(200, json, boost::json::serialize(status) + "\n");
   } else if (request.target.starts_with(kTraceTarget)) {
     AnswerTrace(node, request.target.substr(kTraceTarget.size()), responder);
   } else if (request.target == "/drain" && request.method == "POST") {
@@ -92,21 +108,6 @@
 
 }  // namespace
 
-auto CommonStatus(Node& node) -> std::string {
-  const auto& s = node.settings;
-  const boost::json::object status = {{"id", s.id},
-                                      {"role", core::Name(s.role)},
-                                      {"region", s.region},
-                                      {"failure_domain", s.failure_domain},
-                                      {"incarnation", node.incarnation},
-                                      {"draining", node.draining.load()},
-                                      {"in_flight", node.in_flight.Count()},
-                                      {"objects", Objects(node)},
-                                      {"members", Members(node)}};
-  const auto text = boost::json::serialize(status);
-  return text.substr(1, text.size() - 2);
-}
-
 auto ListenAdmin(Node& node, AdminHandlers handlers) -> void {
   const auto address = settings::FormatAddress(node.settings.admin);
   net::HttpHandlers http;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -36,6 +36,23 @@
   return node.config.With([](const ConfigState& state) { return state.snapshot; });
 }
 
+auto LiveEndpoints(const Snapshot& snapshot, const document::Service& service)
+    -> std::vector<const membership::Vm*> {
+  std::vector<const membership::Vm*> out;
+  for (const auto& vm : snapshot.vms.vms) {
+    const bool live = vm.role == core::Role::endpoint && vm.state == membership::VmState::live;
+    if (live && document::FindPool(service, vm.pool) != nullptr) out.push_back(&vm);
+  }
+  return out;
+}
+
+auto LiveEndpointIds(const Snapshot& snapshot, const document::Service& service)
+    -> std::vector<std::string> {
+  std::vector<std::string> ids;
+  for (const auto* vm : LiveEndpoints(snapshot, service)) ids.push_back(vm->id);
+  return ids;
+}
+
 auto LogError(telemetry::Level level, telemetry::Event event, const std::exception& error,
               std::string_view request) -> void {
   std::string_view step;
