Split HTTP exchanges into steps so that connections can be kept

HttpExchange connects, sends and reads heads separately, and tells whether its connection may carry another request. The server asks for its limits before each request and bounds the time for a header once it has begun.

--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -22,8 +22,8 @@
   Headers headers;
 };
 
-// One HTTP/1.1 exchange with a server, with the answer's body read piece by piece as it arrives.
-// Belongs to the worker that created it.
+// Exchanges with a server over one HTTP/1.1 connection, one after the other, with each answer's
+// body read piece by piece as it arrives. Belongs to the worker that created it.
 class HttpExchange {
  public:
   HttpExchange();
@@ -31,8 +31,21 @@
   HttpExchange(const HttpExchange&) = delete;
   auto operator=(const HttpExchange&) -> HttpExchange& = delete;
 
-  // Connects, sends the request and reads the answer's head. Throws core::Error; GetProgress then
-  // tells whether the server may have seen the request.
+  // The steps of an exchange. Each throws core::Error. A request names its own Host.
+  auto Connect(const std::string& address, std::chrono::milliseconds timeout) -> void;
+  auto Send(const HttpRequest& request, std::chrono::milliseconds timeout) -> void;
+  // Reads the head of the next answer. May be called again for a further answer to one request.
+  auto ReadHead(std::chrono::milliseconds timeout) -> HttpAnswer;
+
+  // Whether the last answer was read to its end and the connection may carry another request: the
+  // server keeps it open and nothing follows the answer.
+  auto Reusable() const -> bool;
+
+  // Whether nothing has arrived on the idle connection, not even its end.
+  auto Quiet() -> bool;
+
+  // Connects, sends the request with the address as its Host, and reads the answer's head. Throws
+  // core::Error; GetProgress then tells whether the server may have seen the request.
   auto Start(const std::string& address, const HttpRequest& request,
              std::chrono::milliseconds connect_timeout, std::chrono::milliseconds head_timeout)
       -> HttpAnswer;
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -47,7 +47,8 @@
   auto Write(std::string_view data) -> void;
   auto End() -> void;
 
-  // Closes the connection without ending the answer, so that the caller sees that it was cut.
+  // Closes the connection without ending the answer, so that the caller sees that it was cut. A
+  // connection on which nothing was sent is closed too.
   auto Abort() -> void;
 
   auto HasBegun() const -> bool;
@@ -63,9 +64,11 @@
 struct HttpLimits {
   std::uint32_t max_header_bytes = 16u << 10;
   std::uint64_t max_body_bytes = 8u << 20;
-  // Longest wait for the next request on a kept connection, and for each part of a request.
-  std::chrono::seconds idle = std::chrono::seconds(75);
-  std::chrono::seconds read = std::chrono::seconds(30);
+  // Longest wait for the next request on a kept connection, for a request's header once it has
+  // begun, and for each part of its body.
+  std::chrono::milliseconds idle = std::chrono::seconds(75);
+  std::chrono::milliseconds header = std::chrono::seconds(30);
+  std::chrono::milliseconds read = std::chrono::seconds(30);
 };
 
 struct HttpHandlers {
@@ -74,6 +77,8 @@
   std::function<void(RequestFault, Responder&)> fault;
   // Whether to answer with "Connection: close", as while draining.
   std::function<bool()> closing;
+  // The limits in force, asked before each request. Without it the listener's own hold.
+  std::function<HttpLimits()> limits;
 };
 
 // Handle on the connections of one worker's listener.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -21,7 +22,9 @@
   std::string address;
   beast::tcp_stream stream{runtime::Io()};
   beast::flat_buffer buffer;
-  http::response_parser<http::buffer_body> parser;
+  // Rebuilt for each answer.
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  bool head_only = false;
   std::array<char, kPiece> piece{};
 };
 
@@ -38,14 +41,12 @@
   throw core::Error(step, peer, timed_out ? "timed out" : error.message());
 }
 
-auto ToMessage(const HttpRequest& request, const std::string& address)
-    -> http::request<http::string_body> {
+auto ToMessage(const HttpRequest& request) -> http::request<http::string_body> {
   http::request<http::string_body> message;
   message.method_string(request.method);
   message.target(request.target);
   message.version(11);
   for (const auto& [name, value] : request.headers) message.insert(name, value);
-  message.set(http::field::host, address);
   message.body() = request.body;
   message.prepare_payload();
   return message;
@@ -57,52 +58,88 @@
 
 HttpExchange::~HttpExchange() = default;
 
-auto HttpExchange::Start(const std::string& address, const HttpRequest& request,
-                         std::chrono::milliseconds connect_timeout,
-                         std::chrono::milliseconds head_timeout) -> HttpAnswer {
+auto HttpExchange::Connect(const std::string& address, std::chrono::milliseconds timeout) -> void {
   auto& c = *this->connection;
   c.address = address;
   const auto endpoint = ParseAddress(address);
-  c.stream.expires_after(connect_timeout);
-  auto result =
+  c.stream.expires_after(timeout);
+  const auto result =
       runtime::Await([&](auto handler) { c.stream.async_connect(endpoint, std::move(handler)); });
   Check(result.error, core::Step::connect, address);
   boost::system::error_code ignored;
   c.stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
 
-  const auto message = ToMessage(request, address);
+auto HttpExchange::Send(const HttpRequest& request, std::chrono::milliseconds timeout) -> void {
+  auto& c = *this->connection;
+  const auto message = ToMessage(request);
+  c.head_only = request.method == "HEAD";
   this->progress = Progress::sent;
-  c.stream.expires_after(head_timeout);
-  result = runtime::Await(
+  c.stream.expires_after(timeout);
+  const auto result = runtime::Await(
       [&](auto handler) { http::async_write(c.stream, message, std::move(handler)); });
-  Check(result.error, core::Step::write, address);
+  Check(result.error, core::Step::write, c.address);
+}
+
+auto HttpExchange::ReadHead(std::chrono::milliseconds timeout) -> HttpAnswer {
+  auto& c = *this->connection;
+  c.parser.emplace();
   // A response to HEAD has no body whatever its Content-Length says.
-  c.parser.skip(request.method == "HEAD");
-  c.parser.body_limit(boost::none);
-  result = runtime::Await([&](auto handler) {
-    http::async_read_header(c.stream, c.buffer, c.parser, std::move(handler));
+  c.parser->skip(c.head_only);
+  c.parser->body_limit(boost::none);
+  c.stream.expires_after(timeout);
+  const auto result = runtime::Await([&](auto handler) {
+    http::async_read_header(c.stream, c.buffer, *c.parser, std::move(handler));
   });
-  Check(result.error, core::Step::read, address);
+  Check(result.error, core::Step::read, c.address);
   this->progress = Progress::answered;
 
   HttpAnswer answer;
-  answer.status = static_cast<int>(c.parser.get().result_int());
-  for (const auto& field : c.parser.get()) {
+  answer.status = static_cast<int>(c.parser->get().result_int());
+  for (const auto& field : c.parser->get()) {
     answer.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
   }
   return answer;
 }
 
+auto HttpExchange::Reusable() const -> bool {
+  const auto& c = *this->connection;
+  return c.parser && c.parser->is_done() && c.parser->keep_alive() && c.buffer.size() == 0 &&
+         c.stream.socket().is_open();
+}
+
+auto HttpExchange::Quiet() -> bool {
+  auto& socket = this->connection->stream.socket();
+  boost::system::error_code error;
+  char byte = 0;
+  socket.non_blocking(true, error);
+  socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+  return error == boost::asio::error::would_block;
+}
+
+auto HttpExchange::Start(const std::string& address, const HttpRequest& request,
+                         std::chrono::milliseconds connect_timeout,
+                         std::chrono::milliseconds head_timeout) -> HttpAnswer {
+  this->Connect(address, connect_timeout);
+  HttpRequest addressed = request;
+  std::erase_if(addressed.headers,
+                [](const auto& header) { return detail::beast::iequals(header.first, "Host"); });
+  addressed.headers.emplace_back("Host", address);
+  this->Send(addressed, head_timeout);
+  return this->ReadHead(head_timeout);
+}
+
 auto HttpExchange::Read(std::chrono::milliseconds timeout) -> std::string {
   auto& c = *this->connection;
-  while (!c.parser.is_done()) {
-    auto& body = c.parser.get().body();
+  auto& parser = *c.parser;
+  while (!parser.is_done()) {
+    auto& body = parser.get().body();
     body.data = c.piece.data();
     body.size = c.piece.size();
     body.more = true;
     c.stream.expires_after(timeout);
     const auto result = runtime::Await([&](auto handler) {
-      http::async_read_some(c.stream, c.buffer, c.parser, std::move(handler));
+      http::async_read_some(c.stream, c.buffer, parser, std::move(handler));
     });
     if (result.error && result.error != http::error::need_buffer) {
       Check(result.error, core::Step::read, c.address);
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -88,16 +88,32 @@
 namespace detail {
 namespace {
 
+// Waits for the first bytes of the next request, unless some are there already.
+auto AwaitRequest(HttpListener::State& listener, const HttpLimits& limits,
+                  beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    -> boost::system::error_code {
+  if (buffer.size() > 0) return {};
+  constexpr std::size_t kFirstRead = 4096;
+  listener.idle.insert(&stream);
+  stream.expires_after(limits.idle);
+  const auto result = runtime::Await([&](auto handler) {
+    stream.async_read_some(buffer.prepare(kFirstRead), std::move(handler));
+  });
+  listener.idle.erase(&stream);
+  buffer.commit(result.size);
+  return result.error;
+}
+
 auto ReadRequest(HttpListener::State& listener, beast::tcp_stream& stream,
                  beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
     -> boost::system::error_code {
-  parser.header_limit(listener.limits.max_header_bytes);
-  parser.body_limit(listener.limits.max_body_bytes);
-  listener.idle.insert(&stream);
-  stream.expires_after(listener.limits.idle);
+  const auto limits = listener.handlers.limits ? listener.handlers.limits() : listener.limits;
+  parser.header_limit(limits.max_header_bytes);
+  parser.body_limit(limits.max_body_bytes);
+  if (const auto error = AwaitRequest(listener, limits, stream, buffer)) return error;
+  stream.expires_after(limits.header);
   auto result = runtime::Await(
       [&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
-  listener.idle.erase(&stream);
   if (result.error) return result.error;
   if (parser.get()[http::field::expect] == "100-continue") {
     const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -105,9 +121,11 @@
       boost::asio::async_write(stream, boost::asio::buffer(interim), std::move(handler));
     });
   }
-  stream.expires_after(listener.limits.read);
-  result = runtime::Await(
-      [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+  if (!parser.is_done()) {
+    stream.expires_after(limits.read);
+    result = runtime::Await(
+        [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+  }
   stream.expires_never();
   return result.error;
 }
