--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/budget.h
@@ -0,0 +1,41 @@
+#ifndef FILBERTSTAIR_DIRECT_BUDGET_H_
+#define FILBERTSTAIR_DIRECT_BUDGET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::direct {
+
+// Bounds of repeated requests of one service at one entry. The fleet's bound is a share of the
+// requests and a constant per window; the share divides by itself, and each entry takes a fixed
+// part of the constant, so that the sum holds without messages between entries.
+struct BudgetPolicy {
+  core::Duration window = std::chrono::seconds(10);
+  // Below the fleet's 0.2, since requests arrive at a replica later than they are counted here.
+  double share = 0.15;
+  // A tenth of the smallest constant in use (54), so that ten entries stay below it.
+  double constant = 5;
+};
+
+namespace detail {
+inline constexpr std::size_t kBudgetBuckets = 10;
+}  // namespace detail
+
+// Requests and repeats of the last window, in buckets of a tenth of it.
+struct Budget {
+  std::array<std::uint32_t, detail::kBudgetBuckets> requests{};
+  std::array<std::uint32_t, detail::kBudgetBuckets> repeats{};
+  std::int64_t newest = 0;
+};
+
+auto CountRequest(Budget& budget, const BudgetPolicy& policy, core::Time now) -> void;
+
+// Takes one repeat from the budget. Returns false, and takes nothing, if none is left.
+auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, core::Time now) -> bool;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_BUDGET_H_
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/events.h
@@ -0,0 +1,24 @@
+#ifndef FILBERTSTAIR_DIRECT_EVENTS_H_
+#define FILBERTSTAIR_DIRECT_EVENTS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace filbertstair::direct {
+
+// Cuts an event stream into whole events, so that a stream that breaks off inside an event can be
+// continued by another replica after the last whole one.
+struct EventCutter {
+  // Bytes after the last whole event.
+  std::string rest;
+  // Id of the last whole event that had one; empty before.
+  std::string last_id;
+};
+
+// Adds bytes of the stream and returns the events that they complete, unchanged.
+auto Append(EventCutter& cutter, std::string_view bytes) -> std::string;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_EVENTS_H_
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -0,0 +1,96 @@
+#ifndef FILBERTSTAIR_DIRECT_FLEET_H_
+#define FILBERTSTAIR_DIRECT_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "filbertstair/core/types.h"
+
+// Decisions of an entry that passes requests to replicas itself, without an endpoint process
+// beside each replica.
+namespace filbertstair::direct {
+
+// One of the services that a route is split over.
+struct Target {
+  std::string service;
+  std::uint32_t weight = 1;
+};
+
+// Requests of one host below one path prefix.
+struct Route {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string prefix;
+  std::vector<Target> targets;
+  core::CallClass call_class = core::CallClass::once;
+  // Whether the answer is a stream of events, and whether another replica may continue it.
+  bool streaming = false;
+  bool resumable = false;
+  // Whether a request needs no credential.
+  bool open = false;
+  // Replicas that one request may be sent to.
+  std::uint32_t attempts = 1;
+  // Longest time until the end of the answer.
+  core::Duration timeout = std::chrono::seconds(15);
+  // Time to the answer, or to its first event, within which it is on time.
+  core::Duration objective = std::chrono::seconds(1);
+  // Urgency; 0 comes first.
+  std::uint32_t priority = 0;
+};
+
+struct ServiceSpec {
+  // Requests that one replica runs at once. 0 if only the replica itself states it.
+  std::uint32_t slots = 0;
+  // Connections that a replica accepts from all callers together.
+  std::uint32_t max_connections = 0;
+};
+
+struct Limits {
+  std::uint32_t max_header_bytes = 16u << 10;
+  std::uint64_t max_body_bytes = 8u << 20;
+  core::Duration header_timeout = std::chrono::seconds(3);
+  core::Duration idle_timeout = std::chrono::seconds(15);
+  // Tokens that all replicas handle per second; a generated token counts twice. 0 if unknown.
+  double tokens_per_second = 0;
+};
+
+// The configuration of the whole fleet as one value.
+struct Fleet {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::map<std::string, ServiceSpec, std::less<>> services;
+  Limits limits;
+  // Workspace by credential. Without any, requests need no credential.
+  std::unordered_map<std::string, std::string> credentials;
+};
+
+// Returns the route of the host with the longest prefix that begins the path, or null. A port in
+// `host` is ignored.
+auto FindRoute(const Fleet& fleet, std::string_view host, std::string_view path) -> const Route*;
+
+// Returns the workspace that holds the credential, or null.
+auto FindWorkspace(const Fleet& fleet, const std::string& credential) -> const std::string*;
+
+// Returns the service for a request, by weight. The same `hash` gives the same service.
+auto PickService(const Route& route, std::uint64_t hash) -> const std::string&;
+
+// Whether a request may run more than once.
+auto Repeatable(const Route& route) -> bool;
+
+// Whether a configuration that was current at `confirmed` may still decide on credentials at `now`.
+// Both are times of a clock that runs while the VM is suspended.
+auto IsCurrent(core::Duration confirmed, core::Duration now) -> bool;
+
+// A revoked credential must be refused 5 s after the revocation, wherever the process was
+// meanwhile. The difference covers the time between this check and the replica's start.
+inline constexpr core::Duration kCredentialLease = std::chrono::milliseconds(4600);
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_FLEET_H_
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/kept.h
@@ -0,0 +1,54 @@
+#ifndef FILBERTSTAIR_DIRECT_KEPT_H_
+#define FILBERTSTAIR_DIRECT_KEPT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace filbertstair::direct {
+
+// Part of a prompt. Requests that begin with the same parts share the memory of reading them.
+struct Part {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+};
+
+// What a request asks of a model.
+struct Prompt {
+  std::string model;
+  std::uint32_t tokens_in = 0;
+  // Estimate of the tokens to generate: the caller's hint, at most its maximum.
+  std::uint32_t tokens_out = 0;
+  std::vector<Part> parts;
+};
+
+// Parts that one replica is believed to keep: those that this entry sent there, the least recently
+// used ones dropped when their tokens exceed `capacity`.
+struct KeptParts {
+  struct Item {
+    std::uint64_t key = 0;
+    std::uint32_t tokens = 0;
+  };
+  std::list<Item> recent;
+  std::unordered_map<std::uint64_t, std::list<Item>::iterator> index;
+  std::uint64_t tokens = 0;
+};
+
+// Returns the tokens at the start of the prompt that the replica is believed to keep.
+auto KeptTokens(const KeptParts& kept, const Prompt& prompt) -> std::uint32_t;
+
+// Records that the replica reads the prompt. `capacity` is the replica's memory in tokens.
+auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void;
+
+// Returns the tokens of the parts before the last.
+auto SharedTokens(const Prompt& prompt) -> std::uint32_t;
+
+// Returns a hash of the parts before the last, which other requests may share.
+auto SharedHash(const Prompt& prompt) -> std::uint64_t;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_KEPT_H_
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -0,0 +1,165 @@
+#ifndef FILBERTSTAIR_DIRECT_REPLICAS_H_
+#define FILBERTSTAIR_DIRECT_REPLICAS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "filbertstair/core/types.h"
+#include "filbertstair/direct/kept.h"
+
+namespace filbertstair::direct {
+
+enum class ReplicaState { ready, leaving };
+
+// What the platform publishes about one replica.
+struct Listing {
+  std::string id;
+  std::string service;
+  std::string address;
+  std::string failure_domain;
+  // Requests that it runs at once.
+  std::uint32_t slots = 1;
+  ReplicaState state = ReplicaState::ready;
+  // Start of the replica in milliseconds since 1970; 0 if not stated. A new start under an old id
+  // has empty memory.
+  std::int64_t started_ms = 0;
+
+  auto operator==(const Listing&) const -> bool = default;
+};
+
+// A replica's own word on its load, sent with an answer.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+};
+
+struct Replica {
+  Listing listing;
+  // Requests of this entry that are at the replica, and the prompt tokens among them that it is
+  // believed to have to read before their first events.
+  std::uint32_t in_flight = 0;
+  std::uint64_t unread = 0;
+  // Requests of other entries, from the last report.
+  std::uint32_t others = 0;
+  core::Time others_at{};
+  // Failures without a success between them, and the end of the time for which the replica gets no
+  // requests because of them.
+  std::uint32_t failures = 0;
+  core::Time aside_until{};
+  KeptParts kept;
+  // Set if the platform no longer lists the replica; from then on it gets no requests.
+  bool gone = false;
+  // End of the time for which a delisted replica is still used, because the platform's list was
+  // away and forgot live replicas. Zero if it is not delisted.
+  core::Time delisted_until{};
+};
+
+// Replicas by service and id.
+struct ReplicaTable {
+  std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
+  // Service by id of each listed replica.
+  std::map<std::string, std::string> service_of;
+};
+
+struct ReplicaPolicy {
+  // Prompt tokens that a replica reads in a millisecond, before it has been seen to.
+  double tokens_per_ms = 55;
+  // Unread prompt tokens at one replica beyond which this entry sends it no further prompt. About
+  // 0.3 s of reading: more would wait in the replica's own queue, where arrival order rules.
+  std::uint64_t max_unread = 16000;
+  // Share of a replica's slots that may be in use. The last slots slow all requests down.
+  double full_share = 0.9;
+  // Extra cost of a replica in another failure domain of the region, and in another region, in
+  // milliseconds: delay and billed bytes.
+  double domain_cost_ms = 30;
+  double region_cost_ms = 120;
+  // Extra cost of reading a shared token at a replica that is not expected to keep it, in
+  // milliseconds. Reading a part twice takes capacity from all requests, so a caller had better
+  // wait for the replica that keeps it.
+  double reread_cost_ms = 0.06;
+  // Slowdown of all requests of a replica by one more request, as milliseconds of the new one.
+  double request_cost_ms = 4;
+  // Age from which a report on other entries' requests counts as half.
+  core::Duration report_half_life = std::chrono::milliseconds(1000);
+  // Time without requests after the first failure; doubles with each further one.
+  core::Duration aside = std::chrono::milliseconds(500);
+  core::Duration max_aside = std::chrono::seconds(4);
+  // Failures in a row that set a replica aside.
+  std::uint32_t failures_to_set_aside = 2;
+  // Part of the replica's memory for kept parts that is assumed to hold what this entry sent; the
+  // rest belongs to running requests and to other entries.
+  std::uint64_t kept_capacity = 300000;
+};
+
+// Place from which a replica is chosen.
+struct Origin {
+  std::string failure_domain;
+  // Region by failure domain.
+  std::map<std::string, std::string> regions;
+};
+
+auto Upsert(ReplicaTable& table, Listing listing) -> void;
+
+// Handles that the platform no longer lists the replica. It is used until `until`, or not at all if
+// that is past; a new listing ends the delisting.
+auto Delist(ReplicaTable& table, const std::string& id, core::Time until) -> void;
+
+// Drops replicas whose delisting has run out and that have no request left.
+auto Sweep(ReplicaTable& table, core::Time now) -> void;
+
+auto Find(ReplicaTable& table, std::string_view service, const std::string& id) -> Replica*;
+
+// Request for which a replica is chosen.
+struct Need {
+  std::string_view service;
+  const Prompt* prompt = nullptr;
+  // Replicas that this request was sent to before.
+  const std::set<std::string>* tried = nullptr;
+};
+
+enum class ChoiceStatus { chosen, full, none };
+
+struct Choice {
+  ChoiceStatus status = ChoiceStatus::none;
+  std::string id;
+  std::string address;
+  // Prompt tokens that the replica is expected to have to read.
+  std::uint64_t unread = 0;
+};
+
+// Chooses the replica where the request is expected to start first, counting distance and kept
+// parts. `full` means that replicas exist but none should get a request now.
+//
+// All entries rank the replicas alike for the shared parts of a prompt, so that each part is read
+// by one replica of the fleet, and by another one only when the first is busy.
+auto Choose(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
+            const Need& need, core::Time now) -> Choice;
+
+// Records that a request was assigned to the replica. `Began` takes its unread tokens back once
+// they are read, or when the request ends before, and `Ended` its slot.
+auto Assigned(Replica& replica, const ReplicaPolicy& policy, const Prompt& prompt,
+              std::uint64_t unread) -> void;
+auto Began(Replica& replica, std::uint64_t unread) -> void;
+auto Ended(Replica& replica) -> void;
+
+auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void;
+
+// Records an answer, or that the replica failed. A failure sets it aside for a time that doubles.
+auto Succeeded(Replica& replica) -> void;
+auto Failed(Replica& replica, const ReplicaPolicy& policy, core::Time now) -> void;
+
+}  // namespace filbertstair::direct
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<direct::ReplicaState, 2> kNames<direct::ReplicaState>{
+    {{direct::ReplicaState::ready, "ready"}, {direct::ReplicaState::leaving, "leaving"}}};
+}  // namespace filbertstair::core
+
+#endif  // FILBERTSTAIR_DIRECT_REPLICAS_H_
--- /dev/null
+++ b/libs/direct/src/budget.cc
@@ -0,0 +1,41 @@
+#include "filbertstair/direct/budget.h"
+
+#include <numeric>
+
+namespace filbertstair::direct {
+namespace {
+
+using detail::kBudgetBuckets;
+
+// Clears the buckets that left the window and returns the index of the current one.
+auto Advance(Budget& budget, const BudgetPolicy& policy, core::Time now) -> std::size_t {
+  const auto width = policy.window / static_cast<std::int64_t>(kBudgetBuckets);
+  const auto bucket = now.time_since_epoch() / width;
+  const auto count = static_cast<std::int64_t>(kBudgetBuckets);
+  const auto first = std::max(budget.newest + 1, bucket - count + 1);
+  for (auto i = first; i <= bucket; ++i) {
+    budget.requests[static_cast<std::size_t>(i % count)] = 0;
+    budget.repeats[static_cast<std::size_t>(i % count)] = 0;
+  }
+  budget.newest = std::max(budget.newest, bucket);
+  return static_cast<std::size_t>(bucket % count);
+}
+
+}  // namespace
+
+auto CountRequest(Budget& budget, const BudgetPolicy& policy, core::Time now) -> void {
+  ++budget.requests[Advance(budget, policy, now)];
+}
+
+auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, core::Time now) -> bool {
+  const auto bucket = Advance(budget, policy, now);
+  const auto sum = [](const auto& counts) {
+    return std::accumulate(counts.begin(), counts.end(), 0.0);
+  };
+  const double allowed = policy.share * sum(budget.requests) + policy.constant;
+  if (sum(budget.repeats) + 1 > allowed) return false;
+  ++budget.repeats[bucket];
+  return true;
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/src/events.cc
@@ -0,0 +1,46 @@
+#include "filbertstair/direct/events.h"
+
+#include <utility>
+
+namespace filbertstair::direct {
+namespace {
+
+// Returns the position after the last blank line that follows a line, or 0.
+auto EndOfEvents(std::string_view text) -> std::size_t {
+  for (auto end = text.rfind('\n'); end != std::string_view::npos && end > 0;
+       end = text.rfind('\n', end - 1)) {
+    auto before = text.substr(0, end);
+    if (before.ends_with('\r')) before.remove_suffix(1);
+    if (before.ends_with('\n')) return end + 1;
+  }
+  return 0;
+}
+
+// Returns the value of the last "id" field in the events, or nothing.
+auto LastId(std::string_view events) -> std::optional<std::string_view> {
+  constexpr std::string_view kField = "id:";
+  for (auto at = events.rfind(kField); at != std::string_view::npos;
+       at = at == 0 ? std::string_view::npos : events.rfind(kField, at - 1)) {
+    if (at == 0 || events[at - 1] == '\n') {
+      auto value = events.substr(at + kField.size());
+      value = value.substr(0, value.find_first_of("\r\n"));
+      if (value.starts_with(' ')) value.remove_prefix(1);
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+auto Append(EventCutter& cutter, std::string_view bytes) -> std::string {
+  cutter.rest += bytes;
+  const auto end = EndOfEvents(cutter.rest);
+  if (end == 0) return {};
+  std::string events = std::exchange(cutter.rest, cutter.rest.substr(end));
+  events.resize(end);
+  if (const auto id = LastId(events)) cutter.last_id = *id;
+  return events;
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/src/fleet.cc
@@ -0,0 +1,43 @@
+#include "filbertstair/direct/fleet.h"
+
+#include <numeric>
+
+namespace filbertstair::direct {
+
+auto FindRoute(const Fleet& fleet, std::string_view host, std::string_view path) -> const Route* {
+  host = host.substr(0, host.find(':'));
+  path = path.substr(0, path.find('?'));
+  const Route* best = nullptr;
+  for (const auto& route : fleet.routes) {
+    if (route.host != host || !path.starts_with(route.prefix)) continue;
+    if (best == nullptr || route.prefix.size() > best->prefix.size()) best = &route;
+  }
+  return best;
+}
+
+auto FindWorkspace(const Fleet& fleet, const std::string& credential) -> const std::string* {
+  const auto found = fleet.credentials.find(credential);
+  return found == fleet.credentials.end() ? nullptr : &found->second;
+}
+
+auto PickService(const Route& route, std::uint64_t hash) -> const std::string& {
+  const auto total =
+      std::accumulate(route.targets.begin(), route.targets.end(), std::uint64_t{0},
+                      [](std::uint64_t sum, const Target& target) { return sum + target.weight; });
+  auto point = total == 0 ? 0 : hash % total;
+  for (const auto& target : route.targets) {
+    if (point < target.weight) return target.service;
+    point -= target.weight;
+  }
+  return route.targets.front().service;
+}
+
+auto Repeatable(const Route& route) -> bool {
+  return route.streaming ? route.resumable : route.call_class == core::CallClass::repeatable;
+}
+
+auto IsCurrent(core::Duration confirmed, core::Duration now) -> bool {
+  return now - confirmed < kCredentialLease;
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/src/kept.cc
@@ -0,0 +1,62 @@
+#include "filbertstair/direct/kept.h"
+
+#include <functional>
+
+namespace filbertstair::direct {
+namespace {
+
+// A part is kept only together with the parts before it, so its key covers them too.
+auto Chain(std::uint64_t key, std::uint64_t id) -> std::uint64_t {
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15;
+  key = (key ^ id) * kMultiplier;
+  return key ^ (key >> 29);
+}
+
+auto Root(const Prompt& prompt) -> std::uint64_t { return std::hash<std::string>()(prompt.model); }
+
+}  // namespace
+
+auto KeptTokens(const KeptParts& kept, const Prompt& prompt) -> std::uint32_t {
+  std::uint32_t tokens = 0;
+  auto key = Root(prompt);
+  for (const auto& part : prompt.parts) {
+    key = Chain(key, part.id);
+    if (!kept.index.contains(key)) break;
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void {
+  auto key = Root(prompt);
+  for (const auto& part : prompt.parts) {
+    key = Chain(key, part.id);
+    const auto found = kept.index.find(key);
+    if (found != kept.index.end()) {
+      kept.recent.splice(kept.recent.begin(), kept.recent, found->second);
+      continue;
+    }
+    kept.recent.push_front({key, part.tokens});
+    kept.index[key] = kept.recent.begin();
+    kept.tokens += part.tokens;
+  }
+  while (kept.tokens > capacity && !kept.recent.empty()) {
+    kept.tokens -= kept.recent.back().tokens;
+    kept.index.erase(kept.recent.back().key);
+    kept.recent.pop_back();
+  }
+}
+
+auto SharedTokens(const Prompt& prompt) -> std::uint32_t {
+  std::uint32_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) tokens += prompt.parts[i].tokens;
+  return tokens;
+}
+
+auto SharedHash(const Prompt& prompt) -> std::uint64_t {
+  auto key = Root(prompt);
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) key = Chain(key, prompt.parts[i].id);
+  return key;
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/src/queue.cc
@@ -0,0 +1,64 @@
+#include "filbertstair/direct/queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace filbertstair::direct {
+namespace {
+
+// Recent service below which a workspace counts as idle: less than any request costs.
+constexpr double kNegligible = 0.5;
+
+}  // namespace
+
+auto Enqueue(FairQueue& queue, const std::string& workspace, const Waiter& waiter) -> void {
+  auto& waiting = queue.accounts[workspace].waiting;
+  const auto later =
+      std::upper_bound(waiting.begin(), waiting.end(), waiter,
+                       [](const Waiter& a, const Waiter& b) { return a.priority < b.priority; });
+  waiting.insert(later, waiter);
+  ++queue.waiting;
+}
+
+auto Used(const Account& account, const QueuePolicy& policy, core::Time now) -> double {
+  const auto age = static_cast<double>((now - account.used_at).count());
+  return account.used * std::exp(-age / static_cast<double>(policy.window.count()));
+}
+
+auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now)
+    -> std::optional<Next> {
+  std::optional<Next> next;
+  double least = 0;
+  for (const auto& [workspace, account] : queue.accounts) {
+    if (account.waiting.empty()) continue;
+    const double used = Used(account, policy, now);
+    if (next && used >= least) continue;
+    next = Next{&workspace, &account.waiting.front()};
+    least = used;
+  }
+  return next;
+}
+
+auto Remove(FairQueue& queue, const std::string& workspace, Ticket ticket) -> bool {
+  const auto account = queue.accounts.find(workspace);
+  if (account == queue.accounts.end()) return false;
+  const auto removed = std::erase_if(account->second.waiting,
+                                     [&](const Waiter& waiter) { return waiter.ticket == ticket; });
+  queue.waiting -= removed;
+  return removed > 0;
+}
+
+auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
+            core::Time now) -> void {
+  auto& account = queue.accounts[workspace];
+  account.used = std::max(0.0, Used(account, policy, now) + cost);
+  account.used_at = now;
+}
+
+auto Sweep(FairQueue& queue, const QueuePolicy& policy, core::Time now) -> void {
+  std::erase_if(queue.accounts, [&](const auto& item) {
+    return item.second.waiting.empty() && Used(item.second, policy, now) < kNegligible;
+  });
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/src/replicas.cc
@@ -0,0 +1,201 @@
+#include "filbertstair/direct/replicas.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "filbertstair/core/rendezvous.h"
+
+namespace filbertstair::direct {
+namespace {
+
+// Requests of other entries at the replica, discounted by the age of the report.
+auto OthersNow(const Replica& replica, const ReplicaPolicy& policy, core::Time now) -> double {
+  const auto age = static_cast<double>((now - replica.others_at).count());
+  const auto half_life = static_cast<double>(policy.report_half_life.count());
+  return replica.others * std::exp2(-age / half_life);
+}
+
+auto Usable(const Replica& replica, const Need& need, core::Time now) -> bool {
+  if (replica.listing.state != ReplicaState::ready || replica.gone) return false;
+  if (replica.delisted_until != core::Time{} && replica.delisted_until <= now) return false;
+  return need.tried == nullptr || !need.tried->contains(replica.listing.id);
+}
+
+// Prompt tokens that a replica is expected to keep and to have to read for a request.
+struct Reading {
+  std::uint64_t shared_kept = 0;
+  std::uint64_t unread = 0;
+};
+
+auto Expect(const Replica& replica, const Prompt& prompt, bool owner) -> Reading {
+  const std::uint64_t shared = SharedTokens(prompt);
+  const std::uint64_t kept =
+      std::max<std::uint64_t>(KeptTokens(replica.kept, prompt), owner ? shared : 0);
+  return {std::min(kept, shared), prompt.tokens_in > kept ? prompt.tokens_in - kept : 0};
+}
+
+auto HasRoom(const Replica& replica, const ReplicaPolicy& policy, const Reading& reading,
+             core::Time now) -> bool {
+  const double load = replica.in_flight + OthersNow(replica, policy, now);
+  const double full = std::max(1.0, std::floor(replica.listing.slots * policy.full_share));
+  if (load + 1 > full) return false;
+  return replica.unread == 0 || replica.unread + reading.unread <= policy.max_unread;
+}
+
+auto DistanceCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin)
+    -> double {
+  const auto& domain = replica.listing.failure_domain;
+  if (domain == origin.failure_domain) return 0;
+  const auto here = origin.regions.find(origin.failure_domain);
+  const auto there = origin.regions.find(domain);
+  const bool same = here != origin.regions.end() && there != origin.regions.end() &&
+                    here->second == there->second;
+  return same ? policy.domain_cost_ms : policy.region_cost_ms;
+}
+
+// Expected time to the first event, in milliseconds, with the price of distance and of parts that
+// are read again.
+auto StartCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin,
+               const Reading& reading, std::uint64_t shared, core::Time now) -> double {
+  double cost = DistanceCost(replica, policy, origin);
+  cost += (replica.in_flight + OthersNow(replica, policy, now)) * policy.request_cost_ms;
+  cost += static_cast<double>(replica.unread + reading.unread) / policy.tokens_per_ms;
+  return cost + static_cast<double>(shared - reading.shared_kept) * policy.reread_cost_ms;
+}
+
+// Returns the id of the replica that should keep the shared parts of the prompt; empty without any.
+auto Owner(const std::map<std::string, Replica>& replicas, const Need& need, core::Time now)
+    -> std::string {
+  if (need.prompt == nullptr || need.prompt->parts.size() < 2) return {};
+  std::vector<std::string> ids;
+  for (const auto& [id, replica] : replicas) {
+    if (Usable(replica, need, now) && replica.aside_until <= now) ids.push_back(id);
+  }
+  if (ids.empty()) return {};
+  return ids[core::RendezvousOwner(std::to_string(SharedHash(*need.prompt)), ids)];
+}
+
+auto FailureAside(const ReplicaPolicy& policy, std::uint32_t doublings) -> core::Duration {
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const auto factor = std::int64_t{1} << std::min(doublings, kMaxDoublings);
+  return std::min(policy.aside * factor, policy.max_aside);
+}
+
+}  // namespace
+
+auto Upsert(ReplicaTable& table, Listing listing) -> void {
+  const auto id = listing.id;
+  const auto previous = table.service_of.find(id);
+  if (previous != table.service_of.end() && previous->second != listing.service) {
+    Delist(table, id, core::Time{});
+  }
+  table.service_of[id] = listing.service;
+  auto& replica = table.services[listing.service][id];
+  if (replica.listing.started_ms != listing.started_ms ||
+      replica.listing.address != listing.address) {
+    replica.kept = {};
+    replica.others = 0;
+    replica.failures = 0;
+    replica.aside_until = {};
+  }
+  replica.listing = std::move(listing);
+  replica.gone = false;
+  replica.delisted_until = {};
+}
+
+auto Delist(ReplicaTable& table, const std::string& id, core::Time until) -> void {
+  const auto service = table.service_of.find(id);
+  if (service == table.service_of.end()) return;
+  auto* replica = Find(table, service->second, id);
+  if (replica == nullptr) return;
+  if (until == core::Time{}) {
+    replica->gone = true;
+    table.service_of.erase(service);
+  } else if (replica->delisted_until == core::Time{}) {
+    replica->delisted_until = until;
+  }
+}
+
+auto Sweep(ReplicaTable& table, core::Time now) -> void {
+  for (auto& [service, replicas] : table.services) {
+    for (auto& [id, replica] : replicas) {
+      if (replica.delisted_until == core::Time{} || replica.delisted_until > now) continue;
+      if (!std::exchange(replica.gone, true)) table.service_of.erase(id);
+    }
+    std::erase_if(replicas,
+                  [](const auto& item) { return item.second.gone && item.second.in_flight == 0; });
+  }
+}
+
+auto Find(ReplicaTable& table, std::string_view service, const std::string& id) -> Replica* {
+  const auto replicas = table.services.find(service);
+  if (replicas == table.services.end()) return nullptr;
+  const auto found = replicas->second.find(id);
+  return found == replicas->second.end() ? nullptr : &found->second;
+}
+
+auto Choose(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
+            const Need& need, core::Time now) -> Choice {
+  static const Prompt kNoPrompt;
+  const auto replicas = table.services.find(need.service);
+  if (replicas == table.services.end()) return {};
+  const auto& prompt = need.prompt == nullptr ? kNoPrompt : *need.prompt;
+  const auto shared = SharedTokens(prompt);
+  const auto owner = Owner(replicas->second, need, now);
+  Choice choice;
+  const Replica* aside = nullptr;
+  double best_cost = 0;
+  for (const auto& [id, replica] : replicas->second) {
+    if (!Usable(replica, need, now)) continue;
+    if (choice.status == ChoiceStatus::none) choice.status = ChoiceStatus::full;
+    const auto reading = Expect(replica, prompt, id == owner);
+    if (!HasRoom(replica, policy, reading, now)) continue;
+    if (replica.aside_until > now) {
+      if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
+      continue;
+    }
+    const double cost = StartCost(replica, policy, origin, reading, shared, now);
+    if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
+    choice = {ChoiceStatus::chosen, id, replica.listing.address, reading.unread};
+    best_cost = cost;
+  }
+  if (choice.status == ChoiceStatus::chosen || aside == nullptr) return choice;
+  // With every replica set aside, the one that returns first is as good as any.
+  return {ChoiceStatus::chosen, aside->listing.id, aside->listing.address,
+          Expect(*aside, prompt, false).unread};
+}
+
+auto Assigned(Replica& replica, const ReplicaPolicy& policy, const Prompt& prompt,
+              std::uint64_t unread) -> void {
+  ++replica.in_flight;
+  replica.unread += unread;
+  Keep(replica.kept, prompt, policy.kept_capacity);
+}
+
+auto Began(Replica& replica, std::uint64_t unread) -> void {
+  replica.unread -= std::min(replica.unread, unread);
+}
+
+auto Ended(Replica& replica) -> void {
+  if (replica.in_flight > 0) --replica.in_flight;
+}
+
+auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void {
+  const auto total = report.running + report.waiting;
+  replica.others = total > replica.in_flight ? total - replica.in_flight : 0;
+  replica.others_at = now;
+}
+
+auto Succeeded(Replica& replica) -> void {
+  replica.failures = 0;
+  replica.aside_until = {};
+}
+
+auto Failed(Replica& replica, const ReplicaPolicy& policy, core::Time now) -> void {
+  ++replica.failures;
+  if (replica.failures < policy.failures_to_set_aside) return;
+  replica.aside_until = now + FailureAside(policy, replica.failures - policy.failures_to_set_aside);
+}
+
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/relay/src/attempt.cc
@@ -0,0 +1,265 @@
+#include <algorithm>
+
+#include "filbertstair/core/error.h"
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using core::Outcome;
+using core::Reason;
+using core::Step;
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Longest wait for a connection. A replica answers within the round trip between two regions unless
+// it is gone.
+constexpr std::chrono::milliseconds kConnectTimeout{400};
+constexpr std::chrono::milliseconds kSendTimeout{1000};
+// Answers to other requests that may stand before the right one on a connection.
+constexpr int kMaxStrayAnswers = 3;
+// Plain answers up to this size are read to their end before any byte is passed on, so that one
+// that breaks off can be repeated.
+constexpr std::size_t kMaxHeldBody = std::size_t{256} << 10;
+// Wait for the first event, as a multiple of the objective, before another replica is tried; a
+// request that waits in a replica's queue is still answered well before.
+constexpr int kFirstEventPatience = 3;
+// Longest pause between two events before the replica is taken for dead. Callers give up after 2 s
+// at the earliest.
+constexpr std::chrono::milliseconds kEventPause{1500};
+
+auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
+  return {reason, outcome, step, std::move(message)};
+}
+
+auto Remaining(const Call& call) -> std::chrono::milliseconds {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - node::Now());
+  return std::max(left, std::chrono::milliseconds(1));
+}
+
+auto CanTryAnother(const Call& call) -> bool {
+  return direct::Repeatable(*call.route) && call.tried.size() + 1 < call.route->attempts;
+}
+
+// Longest wait for the next part of the answer.
+auto Patience(const Call& call, bool first) -> std::chrono::milliseconds {
+  const auto left = Remaining(call);
+  if (!CanTryAnother(call)) return left;
+  const auto objective =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.route->objective);
+  return std::min(left, first ? objective * kFirstEventPatience : kEventPause);
+}
+
+// Applies `use` to the replica if it is still known.
+template <typename Use>
+auto WithReplica(Relay& relay, const Assignment& assignment, Use&& use) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
+    if (replica != nullptr) use(*replica);
+  });
+}
+
+auto NoteFailed(Relay& relay, const Call& call, const Assignment& assignment) -> void {
+  const auto now = node::Now();
+  std::uint32_t failures = 0;
+  bool aside = false;
+  WithReplica(relay, assignment, [&](direct::Replica& replica) {
+    direct::Failed(replica, relay.policies.replicas, now);
+    failures = replica.failures;
+    aside = replica.aside_until > now;
+  });
+  if (!aside) return;
+  telemetry::Log(
+      Level::warning, Event::replica_set_aside,
+      {{"request", call.id}, {"peer", assignment.replica}, {"failures", std::to_string(failures)}});
+}
+
+auto NoteAnswer(Relay& relay, const Assignment& assignment, const AnswerHead& head) -> void {
+  const auto now = node::Now();
+  WithReplica(relay, assignment, [&](direct::Replica& replica) {
+    direct::Succeeded(replica);
+    if (head.load) direct::Reported(replica, *head.load, now);
+  });
+}
+
+auto Connect(Relay& relay, Call& call, const Assignment& assignment, bool& reused)
+    -> std::optional<Failure> {
+  call.exchange = TakeIdle(relay, assignment.address);
+  reused = call.exchange != nullptr;
+  if (reused) return std::nullopt;
+  call.exchange = std::make_shared<net::HttpExchange>();
+  try {
+    call.exchange->Connect(assignment.address, std::min(kConnectTimeout, Remaining(call)));
+  } catch (const core::Error& error) {
+    auto failure =
+        Fail(Reason::endpoint_unreachable, Outcome::not_run, error.GetStep(), error.what());
+    failure.sent = false;
+    return failure;
+  }
+  return std::nullopt;
+}
+
+auto ToForwarded(Relay& relay, const Call& call, const net::HttpRequest& request,
+                 const Assignment& assignment) -> net::HttpRequest {
+  Forward forward;
+  forward.remaining = Remaining(call);
+  forward.replica = assignment.replica;
+  forward.workspace = call.workspace;
+  forward.last_event = call.events.last_id.empty() ? call.head.last_event : call.events.last_id;
+  net::HttpRequest forwarded;
+  forwarded.method = request.method;
+  forwarded.target = request.target;
+  forwarded.headers = relay.dialect.forward_headers(request, forward);
+  forwarded.body = request.body;
+  return forwarded;
+}
+
+struct Answer {
+  net::HttpAnswer answer;
+  AnswerHead head;
+};
+
+// Reads the head of the answer to this request. A replica may send an answer to an earlier request
+// late; the id tells them apart.
+auto ReadAnswer(Relay& relay, Call& call, const Assignment& assignment, bool reused) -> Answer {
+  for (int stray = 0; stray < kMaxStrayAnswers; ++stray) {
+    const auto patience = Patience(call, true);
+    Answer out;
+    out.answer = call.exchange->ReadHead(patience);
+    out.head = relay.dialect.read_answer(out.answer);
+    if (out.head.attempt == call.head.attempt) return out;
+    if (out.head.attempt.empty() && out.head.refused && !reused) return out;
+    while (!call.exchange->Read(patience).empty()) continue;
+  }
+  throw core::Error(Step::read, assignment.address, "answers to other requests only");
+}
+
+auto ObservePart(Relay& relay, const Call& call, core::Time& last) -> void {
+  const auto now = node::Now();
+  if (last == core::Time{}) {
+    relay.node.metrics.Observe(Metric::first_byte, now - call.arrived);
+  } else {
+    relay.node.metrics.Observe(Metric::part_gap, now - last);
+  }
+  last = now;
+}
+
+auto BeginAnswer(Relay& relay, Call& call, const net::HttpAnswer& answer, net::Responder& responder)
+    -> void {
+  // A continued stream keeps the head of its first replica.
+  if (call.begun) return;
+  call.begun = true;
+  responder.Begin(answer.status, relay.dialect.answer_headers(answer));
+}
+
+// Passes events on as they complete. Returns normally after the end of the stream.
+auto RelayEvents(Relay& relay, Call& call, Assignment& assignment, const net::HttpAnswer& answer,
+                 net::Responder& responder) -> void {
+  core::Time last{};
+  call.events.rest.clear();
+  while (true) {
+    const auto piece = call.exchange->Read(Patience(call, last == core::Time{}));
+    if (piece.empty()) break;
+    const auto events = direct::Append(call.events, piece);
+    if (events.empty()) continue;
+    NoteBegun(relay, assignment);
+    ObservePart(relay, call, last);
+    BeginAnswer(relay, call, answer, responder);
+    responder.Write(events);
+  }
+  if (!call.events.rest.empty()) {
+    throw core::Error(Step::read, assignment.address, "stream ended inside an event");
+  }
+  BeginAnswer(relay, call, answer, responder);
+  responder.End();
+}
+
+// Passes a plain answer on, or keeps a failed one in case no other replica gives a better one.
+auto RelayBody(Relay& relay, Call& call, const Answer& answer, net::Responder& responder)
+    -> std::optional<Failure> {
+  std::string body;
+  while (body.size() <= kMaxHeldBody) {
+    const auto piece = call.exchange->Read(Remaining(call));
+    if (piece.empty()) {
+      core::Time last{};
+      ObservePart(relay, call, last);
+      const int status = answer.answer.status;
+      HeldAnswer held{status, relay.dialect.answer_headers(answer.answer), std::move(body)};
+      if (status >= 500 && CanTryAnother(call)) {
+        call.held = std::move(held);
+        return Fail(Reason::engine_error, Outcome::ran, Step::engine,
+                    "status " + std::to_string(status));
+      }
+      call.begun = true;
+      responder.Respond(held.status, held.headers, held.body);
+      return std::nullopt;
+    }
+    body += piece;
+  }
+  BeginAnswer(relay, call, answer.answer, responder);
+  while (!body.empty()) {
+    responder.Write(body);
+    body = call.exchange->Read(Remaining(call));
+  }
+  responder.End();
+  return std::nullopt;
+}
+
+auto IsSuccess(int status) -> bool { return status >= 200 && status < 300; }
+
+auto PassOn(Relay& relay, Call& call, Assignment& assignment, const Answer& answer,
+            net::Responder& responder) -> std::optional<Failure> {
+  const auto& head = answer.head;
+  if (head.refused) {
+    while (!call.exchange->Read(Remaining(call)).empty()) continue;
+    if (head.other_replica) NoteFailed(relay, call, assignment);
+    if (head.load) {
+      WithReplica(relay, assignment, [&](direct::Replica& replica) {
+        direct::Reported(replica, *head.load, node::Now());
+      });
+    }
+    return Fail(Reason::no_room, Outcome::not_run, Step::engine,
+                head.other_replica
+                    ? "another replica has the address"
+                    : "the replica refused with status " + std::to_string(answer.answer.status));
+  }
+  if (IsSuccess(answer.answer.status) && (!head.receipt || head.encoded)) {
+    throw core::Error(Step::decode, assignment.address, "success that no replica vouches for");
+  }
+  NoteAnswer(relay, assignment, head);
+  if (call.route->streaming && answer.answer.status == 200) {
+    RelayEvents(relay, call, assignment, answer.answer, responder);
+    return std::nullopt;
+  }
+  return RelayBody(relay, call, answer, responder);
+}
+
+}  // namespace
+
+auto Attempt(Relay& relay, Call& call, const net::HttpRequest& request, Assignment& assignment,
+             net::Responder& responder) -> std::optional<Failure> {
+  node::RecordEvent(relay.node, call.id,
+                    {.kind = node::TraceKind::attempted, .peer = assignment.replica});
+  bool reused = false;
+  if (auto failure = Connect(relay, call, assignment, reused)) {
+    NoteFailed(relay, call, assignment);
+    return failure;
+  }
+  try {
+    call.exchange->Send(ToForwarded(relay, call, request, assignment), kSendTimeout);
+    const auto answer = ReadAnswer(relay, call, assignment, reused);
+    auto failure = PassOn(relay, call, assignment, answer, responder);
+    PutIdle(relay, assignment.address, std::move(call.exchange), answer.head.keep_alive);
+    return failure;
+  } catch (const core::Error& error) {
+    call.exchange->Cancel();
+    if (error.GetStep() == Step::respond) throw;
+    if (!call.caller_gone && node::Now() < call.deadline) NoteFailed(relay, call, assignment);
+    return Fail(node::Now() < call.deadline ? Reason::connection_lost : Reason::deadline_exceeded,
+                Outcome::unknown, error.GetStep(), error.what());
+  }
+}
+
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/connections.cc
@@ -0,0 +1,55 @@
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+// Idle time after which a connection is not used again if the replica states no limit.
+constexpr core::Duration kDefaultKeepAlive = std::chrono::seconds(4);
+// A replica may close a connection up to this long before its stated limit as seen from here: the
+// limit is in whole seconds, and a request is under way for up to a link's delay.
+constexpr core::Duration kKeepAliveMargin = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+auto TakeIdle(Relay& relay, const std::string& address) -> Exchange {
+  auto& worker = relay.workers[runtime::WorkerIndex()];
+  const auto found = worker.idle.find(address);
+  if (found == worker.idle.end()) return nullptr;
+  auto& connections = found->second;
+  const auto now = node::Now();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (connection.until > now && connection.exchange->Quiet()) return connection.exchange;
+    connection.exchange->Cancel();
+  }
+  worker.idle.erase(found);
+  return nullptr;
+}
+
+auto PutIdle(Relay& relay, const std::string& address, Exchange exchange,
+             std::optional<core::Duration> keep_alive) -> void {
+  if (!exchange->Reusable()) {
+    exchange->Cancel();
+    return;
+  }
+  const auto limit = keep_alive.value_or(kDefaultKeepAlive) - kKeepAliveMargin;
+  if (limit <= core::Duration::zero()) {
+    exchange->Cancel();
+    return;
+  }
+  auto& worker = relay.workers[runtime::WorkerIndex()];
+  worker.idle[address].push_back({std::move(exchange), node::Now() + limit});
+}
+
+auto SweepIdle(WorkerState& worker, core::Time now) -> void {
+  for (auto& [address, connections] : worker.idle) {
+    while (!connections.empty() && connections.front().until <= now) {
+      connections.front().exchange->Cancel();
+      connections.pop_front();
+    }
+  }
+  std::erase_if(worker.idle, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/dispatch.cc
@@ -0,0 +1,107 @@
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+auto Cost(const Call& call) -> double {
+  if (!call.head.prompt) return 1;
+  // A generated token counts twice.
+  return call.head.prompt->tokens_in + 2.0 * call.head.prompt->tokens_out;
+}
+
+auto Assign(Relay& relay, DispatchTable& table, Pending& pending, const direct::Choice& choice)
+    -> void {
+  static const direct::Prompt kNoPrompt;
+  auto& replica = *direct::Find(table.replicas, pending.service, choice.id);
+  const auto& prompt = pending.prompt == nullptr ? kNoPrompt : *pending.prompt;
+  direct::Assigned(replica, relay.policies.replicas, prompt, choice.unread);
+  pending.assignment = Assignment{pending.service, choice.id, choice.address, choice.unread};
+}
+
+// Removes a waiting request and wakes its fiber.
+auto Settle(DispatchTable& table, direct::FairQueue& queue, const std::string& workspace,
+            direct::Ticket ticket) -> void {
+  const auto pending = table.pending.at(ticket);
+  direct::Remove(queue, workspace, ticket);
+  table.pending.erase(ticket);
+  pending->changed.Notify();
+}
+
+}  // namespace
+
+auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
+  const auto found = table.queues.find(service);
+  if (found == table.queues.end()) return;
+  auto& queue = found->second;
+  const auto now = node::Now();
+  while (const auto next = direct::PeekNext(queue, relay.policies.queue, now)) {
+    const auto ticket = next->waiter->ticket;
+    const std::string workspace = *next->workspace;
+    auto& pending = *table.pending.at(ticket);
+    const auto choice = direct::Choose(table.replicas, relay.policies.replicas, relay.origin,
+                                       {service, pending.prompt, pending.tried}, now);
+    if (choice.status == direct::ChoiceStatus::full) return;
+    if (choice.status == direct::ChoiceStatus::chosen) {
+      Assign(relay, table, pending, choice);
+      direct::Charge(queue, relay.policies.queue, workspace, pending.cost, now);
+    } else {
+      pending.hopeless = true;
+    }
+    Settle(table, queue, workspace, ticket);
+  }
+}
+
+auto Acquire(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment> {
+  call.pending = std::make_shared<Pending>();
+  const auto pending = call.pending;
+  pending->service = call.service;
+  pending->workspace = call.workspace;
+  pending->prompt = call.head.prompt ? &*call.head.prompt : nullptr;
+  pending->tried = &call.tried;
+  pending->cost = Cost(call);
+  const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
+    const auto id = ++table.last_ticket;
+    table.pending[id] = pending;
+    direct::Enqueue(table.queues[call.service], call.workspace,
+                    {id, call.route->priority, pending->cost});
+    AssignWaiting(relay, table, call.service);
+    return id;
+  });
+  const auto settled = [&] {
+    return relay.dispatch.With(
+        [&](const DispatchTable&) { return pending->assignment || pending->hopeless; });
+  };
+  while (!settled() && !call.caller_gone && node::Now() < latest) {
+    pending->changed.WaitUntil(latest);
+  }
+  return relay.dispatch.With([&](DispatchTable& table) {
+    if (table.pending.erase(ticket) > 0) {
+      direct::Remove(table.queues[call.service], call.workspace, ticket);
+    }
+    return pending->assignment;
+  });
+}
+
+auto NoteBegun(Relay& relay, Assignment& assignment) -> void {
+  if (assignment.unread == 0) return;
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
+    if (replica != nullptr) direct::Began(*replica, assignment.unread);
+    AssignWaiting(relay, table, assignment.service);
+  });
+  assignment.unread = 0;
+}
+
+auto Release(Relay& relay, Assignment& assignment) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
+    if (replica != nullptr) {
+      direct::Began(*replica, assignment.unread);
+      direct::Ended(*replica);
+    }
+    AssignWaiting(relay, table, assignment.service);
+  });
+  assignment.unread = 0;
+}
+
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/relay.cc
@@ -0,0 +1,146 @@
+#include "filbertstair/relay/relay.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include "filbertstair/net/address.h"
+#include "filbertstair/node/admin.h"
+#include "filbertstair/node/start.h"
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Interval at which idle connections, decayed accounts and delisted replicas are dropped.
+constexpr core::Duration kSweepInterval = std::chrono::milliseconds(500);
+// Largest body before a configuration states a limit.
+constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
+
+auto IsReady(Relay& relay) -> bool {
+  return !relay.node.draining && CurrentFleet(relay) != nullptr && HasCurrentFleet(relay);
+}
+
+auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+auto LimitsInForce(Relay& relay) -> net::HttpLimits {
+  net::HttpLimits limits;
+  limits.max_body_bytes = kMaxBody;
+  const auto fleet = CurrentFleet(relay);
+  if (fleet == nullptr) return limits;
+  limits.max_header_bytes = fleet->limits.max_header_bytes;
+  limits.max_body_bytes = fleet->limits.max_body_bytes;
+  limits.header = ToMilliseconds(fleet->limits.header_timeout);
+  limits.idle = ToMilliseconds(fleet->limits.idle_timeout);
+  return limits;
+}
+
+auto ListenCallers(const std::shared_ptr<Relay>& relay) -> void {
+  const auto address = settings::FormatAddress(relay->node.settings.callers);
+  net::HttpHandlers handlers;
+  handlers.request = [relay](const net::HttpRequest& request, net::Responder& responder) {
+    HandleRequest(*relay, request, responder);
+  };
+  handlers.fault = [relay](net::RequestFault fault, net::Responder& responder) {
+    node::AnswerRefused(relay->node, "", "", node::ToRefused(fault), responder);
+  };
+  handlers.closing = [relay] { return relay->node.draining.load(); };
+  handlers.limits = [relay] { return LimitsInForce(*relay); };
+  relay->workers[runtime::WorkerIndex()].callers =
+      std::make_shared<net::HttpListener>(net::ListenHttp(address, {}, std::move(handlers)));
+  telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
+}
+
+auto AddStatus(Relay& relay, boost::json::object& status) -> void {
+  const auto now = node::Now();
+  const auto fleet = CurrentFleet(relay);
+  status["fleet_version"] = fleet == nullptr ? 0 : fleet->version;
+  status["confirmed_age_us"] = (BootTime() - core::Duration(relay.confirmed.load())).count();
+  relay.dispatch.With([&](const DispatchTable& table) {
+    boost::json::array replicas;
+    for (const auto& [service, members] : table.replicas.services) {
+      for (const auto& [id, replica] : members) {
+        replicas.push_back({{"id", id},
+                            {"service", service},
+                            {"state", core::Name(replica.listing.state)},
+                            {"in_flight", replica.in_flight},
+                            {"unread_tokens", replica.unread},
+                            {"others", replica.others},
+                            {"set_aside", replica.aside_until > now}});
+      }
+    }
+    status["replicas"] = std::move(replicas);
+    boost::json::array accounts;
+    for (const auto& [service, queue] : table.queues) {
+      for (const auto& [workspace, account] : queue.accounts) {
+        accounts.push_back({{"service", service},
+                            {"workspace", workspace},
+                            {"waiting", account.waiting.size()},
+                            {"recent", direct::Used(account, relay.policies.queue, now)}});
+      }
+    }
+    status["accounts"] = std::move(accounts);
+  });
+}
+
+auto StartAdmin(const std::shared_ptr<Relay>& relay) -> void {
+  node::AdminHandlers handlers;
+  handlers.ready = [relay] { return IsReady(*relay); };
+  handlers.status = [relay](boost::json::object& status) { AddStatus(*relay, status); };
+  handlers.refresh = [relay] {
+    const auto waiting =
+        relay->dispatch.With([](const DispatchTable& table) { return table.pending.size(); });
+    relay->node.metrics.Set(Metric::waiting, static_cast<double>(waiting));
+  };
+  handlers.drain = [relay] { Drain(*relay); };
+  node::ListenAdmin(relay->node, handlers);
+}
+
+auto SweepLoop(Relay& relay) -> void {
+  while (true) {
+    runtime::SleepFor(kSweepInterval);
+    const auto now = node::Now();
+    SweepIdle(relay.workers[runtime::WorkerIndex()], now);
+    if (runtime::WorkerIndex() != 0) continue;
+    relay.dispatch.With([&](DispatchTable& table) {
+      direct::Sweep(table.replicas, now);
+      for (auto& [service, queue] : table.queues) {
+        AssignWaiting(relay, table, service);
+        direct::Sweep(queue, relay.policies.queue, now);
+      }
+    });
+  }
+}
+
+}  // namespace
+
+auto Start(node::Node& node, const Dialect& dialect) -> std::shared_ptr<Relay> {
+  auto relay = std::make_shared<Relay>(node, dialect);
+  relay->origin.failure_domain = node.settings.failure_domain;
+  relay->origin.regions = node.settings.failure_domains;
+  net::CheckFree(settings::FormatAddress(node.settings.callers));
+  net::CheckFree(settings::FormatAddress(node.settings.admin));
+  for (std::size_t i = 0; i < node.pool.Size(); ++i) {
+    node::RunOnWorker(node, i, [&] { ListenCallers(relay); });
+    node.pool.Post(i, [relay] { SweepLoop(*relay); });
+  }
+  node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
+  return relay;
+}
+
+auto Drain(Relay& relay) -> void {
+  if (!node::BeginDrain(relay.node)) return;
+  for (std::size_t i = 0; i < relay.workers.size(); ++i) {
+    relay.node.pool.Post(i, [&relay, i] {
+      runtime::SleepFor(node::kDrainNotice);
+      if (relay.workers[i].callers) relay.workers[i].callers->Drain();
+    });
+  }
+}
+
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/request.cc
@@ -0,0 +1,252 @@
+#include <functional>
+
+#include "filbertstair/core/error.h"
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using core::Outcome;
+using core::Reason;
+using core::Step;
+using node::Refused;
+using telemetry::Event;
+using telemetry::Level;
+using telemetry::Metric;
+
+// Share of a request's objective that it may wait for a replica. Past it the answer would be late
+// anyway, and the caller learns at once that it may come back.
+constexpr double kQueueShare = 0.4;
+// Replicas that may refuse a connection before the request is refused.
+constexpr int kMaxConnects = 3;
+// Time after which a caller comes back to an entry that has no configuration, or a stale one.
+constexpr core::Duration kRetryConfigured = std::chrono::milliseconds(500);
+
+auto Refuse(Reason reason, Step step, std::string message,
+            core::Duration retry_after = std::chrono::seconds(1)) -> Refused {
+  return {reason, Outcome::not_run, step, "", std::move(message), retry_after};
+}
+
+// Finds the workspace that holds the request's credential.
+auto Authorize(const Call& call, std::string& workspace) -> std::optional<Refused> {
+  if (call.route->open || call.fleet->credentials.empty()) return std::nullopt;
+  const auto* holder = direct::FindWorkspace(*call.fleet, call.head.credential);
+  if (holder == nullptr) {
+    return Refuse(
+        Reason::unknown_credential, Step::route,
+        "no workspace holds the credential in version " + std::to_string(call.fleet->version));
+  }
+  workspace = *holder;
+  return std::nullopt;
+}
+
+auto Resolve(Relay& relay, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
+  if (call.fleet == nullptr) {
+    return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
+                  kRetryConfigured);
+  }
+  if (!HasCurrentFleet(relay)) {
+    return Refuse(Reason::stale_configuration, Step::document,
+                  "version " + std::to_string(call.fleet->version) + " was not confirmed in time",
+                  kRetryConfigured);
+  }
+  call.head = relay.dialect.read_call(request);
+  if (call.head.attempt.empty()) {
+    return Refuse(Reason::malformed_request, Step::read, "the request has no id");
+  }
+  call.route =
+      direct::FindRoute(*call.fleet, net::FindHeader(request.headers, "Host"), request.target);
+  if (call.route == nullptr) {
+    return Refuse(
+        Reason::unknown_service, Step::route,
+        "no route for the host and path in version " + std::to_string(call.fleet->version));
+  }
+  if (auto refused = Authorize(call, call.workspace)) return refused;
+  call.service = direct::PickService(*call.route, std::hash<std::string>()(call.head.attempt));
+  call.deadline = call.arrived +
+                  std::min(call.route->timeout, call.head.remaining.value_or(call.route->timeout));
+  relay.node.traces.With([&](node::TraceTable& table) {
+    node::SetTarget(table, call.id, call.service, call.workspace);
+  });
+  return std::nullopt;
+}
+
+auto ToRetryReason(const Failure& failure) -> core::RetryReason {
+  if (!failure.sent) return core::RetryReason::unreachable;
+  if (failure.outcome == Outcome::not_run) return core::RetryReason::no_room;
+  if (failure.reason == Reason::engine_error) return core::RetryReason::engine_error;
+  return core::RetryReason::connection_lost;
+}
+
+// Progress of a request over its attempts.
+struct Progress {
+  int connects = 0;
+  bool may_have_run = false;
+  std::optional<Failure> last;
+  std::string peer;
+};
+
+auto ToRefused(const Progress& progress, const Call& call) -> Refused {
+  Refused refused;
+  refused.peer = progress.peer;
+  refused.retry_after = call.route->objective;
+  if (progress.last) {
+    refused.reason = progress.last->reason;
+    refused.step = progress.last->step;
+    refused.message = progress.last->message;
+  } else {
+    refused.reason = call.pending->hopeless ? Reason::no_endpoint : Reason::no_room;
+    refused.step = Step::queue;
+    refused.message = call.pending->hopeless ? "the service has no usable replica"
+                                             : "no replica had room in time";
+  }
+  refused.outcome = progress.may_have_run ? Outcome::unknown : Outcome::not_run;
+  // A status that promises that the request did not run is given exactly if that is proved.
+  const bool promises = core::Status(refused.reason) == 503;
+  if (promises && progress.may_have_run) refused.reason = Reason::connection_lost;
+  if (!promises && !progress.may_have_run) refused.reason = Reason::no_room;
+  return refused;
+}
+
+// Whether the request may be sent to another replica after the failure.
+auto MayContinue(const Call& call, const Progress& progress, const Failure& failure) -> bool {
+  if (call.caller_gone || node::Now() >= call.deadline) return false;
+  if (progress.connects >= kMaxConnects) return false;
+  if (!failure.sent) return true;
+  if (call.tried.size() >= call.route->attempts) return false;
+  if (call.begun && !(call.route->streaming && call.route->resumable)) return false;
+  return failure.outcome == Outcome::not_run || direct::Repeatable(*call.route);
+}
+
+auto TakeRepeat(Relay& relay, const Call& call) -> bool {
+  return relay.dispatch.With([&](DispatchTable& table) {
+    return direct::TakeRepeat(table.budgets[call.service], relay.policies.budget, node::Now());
+  });
+}
+
+auto LogRetry(Relay& relay, const Call& call, const Assignment& assignment, const Failure& failure)
+    -> void {
+  const auto reason = core::Name(ToRetryReason(failure));
+  relay.node.metrics.Count(Metric::retries, reason);
+  telemetry::Log(Level::info, Event::request_retried,
+                 {{"request", call.id},
+                  {"peer", assignment.replica},
+                  {"reason", reason},
+                  {"outcome", core::Name(failure.outcome)},
+                  {"error", failure.message}});
+}
+
+auto QueueDeadline(const Call& call, bool first) -> core::Time {
+  const auto patience =
+      std::chrono::duration_cast<core::Duration>(call.route->objective * kQueueShare);
+  return std::min(call.deadline, (first ? call.arrived : node::Now()) + patience);
+}
+
+// Attempts the request until the caller has an answer or no attempt is left.
+auto RunAttempts(Relay& relay, Call& call, const net::HttpRequest& request,
+                 net::Responder& responder) -> std::optional<Refused> {
+  Progress progress;
+  while (true) {
+    auto assignment = Acquire(relay, call, QueueDeadline(call, call.tried.empty()));
+    if (call.caller_gone) {
+      if (assignment) Release(relay, *assignment);
+      return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
+    }
+    if (!assignment) return ToRefused(progress, call);
+    if (!call.tried.empty() && !TakeRepeat(relay, call)) {
+      Release(relay, *assignment);
+      if (progress.last) progress.last->message += "; the retry budget is used up";
+      return ToRefused(progress, call);
+    }
+    if (call.tried.empty()) {
+      relay.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
+    }
+    auto failure = Attempt(relay, call, request, *assignment, responder);
+    Release(relay, *assignment);
+    if (!failure) return std::nullopt;
+    node::RecordEvent(relay.node, call.id,
+                      {.kind = node::TraceKind::failed,
+                       .peer = assignment->replica,
+                       .step = failure->step,
+                       .outcome = failure->outcome,
+                       .reason = failure->reason});
+    if (failure->sent) {
+      call.tried.insert(assignment->replica);
+    } else {
+      ++progress.connects;
+    }
+    progress.may_have_run = progress.may_have_run || failure->outcome != Outcome::not_run;
+    progress.peer = assignment->replica;
+    progress.last = failure;
+    if (!MayContinue(call, progress, *failure)) return ToRefused(progress, call);
+    LogRetry(relay, call, *assignment, *failure);
+  }
+}
+
+auto WatchCaller(const std::shared_ptr<Call>& call, net::Responder& responder) -> void {
+  responder.OnCallerGone([call] {
+    call->caller_gone = true;
+    call->pending->changed.Notify();
+    if (call->exchange) call->exchange->Cancel();
+  });
+}
+
+auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
+            net::Responder& responder) -> std::optional<Refused> {
+  if (auto refused = Resolve(relay, request, *call)) return refused;
+  relay.dispatch.With([&](DispatchTable& table) {
+    direct::CountRequest(table.budgets[call->service], relay.policies.budget, node::Now());
+  });
+  WatchCaller(call, responder);
+  auto refused = RunAttempts(relay, *call, request, responder);
+  if (refused && call->held && !call->caller_gone) {
+    call->begun = true;
+    responder.Respond(call->held->status, call->held->headers, call->held->body);
+    return std::nullopt;
+  }
+  return refused;
+}
+
+auto Finish(Relay& relay, const Call& call, const std::optional<Refused>& refused,
+            net::Responder& responder) -> void {
+  node::RecordEnd(relay.node, call.id, refused ? &*refused : nullptr);
+  if (!refused) {
+    relay.node.metrics.Count(Metric::requests, core::Name(Outcome::ran));
+    telemetry::Log(Level::info, Event::request_finished,
+                   {{"request", call.id},
+                    {"attempt", call.head.attempt},
+                    {"workspace", call.workspace},
+                    {"service", call.service}});
+  } else if (responder.HasBegun()) {
+    node::LogCut(relay.node, call.id, call.workspace, *refused);
+    responder.Abort();
+  } else if (!call.caller_gone) {
+    node::AnswerRefused(relay.node, call.id, call.workspace, *refused, responder);
+  }
+}
+
+}  // namespace
+
+auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
+    -> void {
+  const node::InFlightGuard in_flight(relay.node.in_flight);
+  const auto call = std::make_shared<Call>();
+  call->id = node::NextRequestId(relay.node);
+  call->arrived = node::Now();
+  call->fleet = CurrentFleet(relay);
+  node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
+  try {
+    Finish(relay, *call, Handle(relay, request, call, responder), responder);
+  } catch (const core::Error& error) {
+    if (call->exchange) call->exchange->Cancel();
+    node::LogError(Level::debug, Event::answer_cut, error, call->id);
+    node::RecordEvent(relay.node, call->id,
+                      {.kind = node::TraceKind::ended,
+                       .peer = error.Peer(),
+                       .step = error.GetStep(),
+                       .reason = Reason::answer_cut});
+    responder.Abort();
+  }
+}
+
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/state.h
@@ -0,0 +1,173 @@
+#ifndef FILBERTSTAIR_RELAY_SRC_STATE_H_
+#define FILBERTSTAIR_RELAY_SRC_STATE_H_
+
+#include <atomic>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "filbertstair/direct/budget.h"
+#include "filbertstair/direct/events.h"
+#include "filbertstair/direct/fleet.h"
+#include "filbertstair/direct/queue.h"
+#include "filbertstair/direct/replicas.h"
+#include "filbertstair/net/http_client.h"
+#include "filbertstair/net/http_server.h"
+#include "filbertstair/node/node.h"
+#include "filbertstair/node/refusal.h"
+#include "filbertstair/relay/dialect.h"
+#include "filbertstair/relay/relay.h"
+#include "filbertstair/runtime/ranked_mutex.h"
+#include "filbertstair/runtime/signal.h"
+
+namespace filbertstair::relay {
+
+using Exchange = std::shared_ptr<net::HttpExchange>;
+
+// A replica that was chosen for a request. Its slot is taken until Release.
+struct Assignment {
+  std::string service;
+  std::string replica;
+  std::string address;
+  // Prompt tokens that still count as unread at the replica for this request.
+  std::uint64_t unread = 0;
+};
+
+// A request in a queue. Its fiber waits on `changed`; the other members are used under the lock of
+// the dispatch table.
+struct Pending {
+  runtime::Signal changed;
+  std::string service;
+  std::string workspace;
+  const direct::Prompt* prompt = nullptr;
+  const std::set<std::string>* tried = nullptr;
+  double cost = 1;
+  std::optional<Assignment> assignment;
+  // Set if no replica is left that the request could be sent to.
+  bool hopeless = false;
+};
+
+// Replicas, waiting requests and budgets of this entry.
+struct DispatchTable {
+  direct::ReplicaTable replicas;
+  std::map<std::string, direct::FairQueue, std::less<>> queues;
+  std::map<std::string, direct::Budget, std::less<>> budgets;
+  std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
+  direct::Ticket last_ticket = 0;
+  // End of the time in which a replica that is missing from the platform's list may only be
+  // missing because the list was away.
+  core::Time forgive_until{};
+};
+
+// Idle connections to replicas, by address, the last used one at the end; used by one worker only.
+struct IdleConnection {
+  Exchange exchange;
+  core::Time until{};
+};
+struct WorkerState {
+  std::map<std::string, std::list<IdleConnection>> idle;
+  std::shared_ptr<net::HttpListener> callers;
+};
+
+struct Policies {
+  direct::ReplicaPolicy replicas;
+  direct::QueuePolicy queue;
+  direct::BudgetPolicy budget;
+};
+
+struct Relay {
+  Relay(node::Node& node, const Dialect& dialect)
+      : node(node), dialect(dialect), workers(node.pool.Size()) {}
+
+  node::Node& node;
+  const Dialect dialect;
+  const Policies policies;
+  direct::Origin origin;
+  runtime::Guarded<std::shared_ptr<const direct::Fleet>, runtime::Rank::config> fleet;
+  runtime::Guarded<DispatchTable, runtime::Rank::queue> dispatch;
+  // Time of the last confirmation in microseconds of BootTime; 0 before the first.
+  std::atomic<std::int64_t> confirmed = 0;
+  // Indexed by worker; each element is used by its own worker only.
+  std::vector<WorkerState> workers;
+};
+
+// A whole answer that is not passed on while another replica may give a better one.
+struct HeldAnswer {
+  int status = 0;
+  net::Headers headers;
+  std::string body;
+};
+
+// A caller's request on its way through the relay. Used by the fiber that handles it, and by the
+// fiber that notices that the caller has left.
+struct Call {
+  std::string id;
+  core::Time arrived{};
+  core::Time deadline{};
+  CallHead head;
+  std::shared_ptr<const direct::Fleet> fleet;
+  const direct::Route* route = nullptr;
+  std::string service;
+  std::string workspace;
+  std::shared_ptr<Pending> pending = std::make_shared<Pending>();
+  // Connection to the replica while there is one.
+  Exchange exchange;
+  bool caller_gone = false;
+  // Replicas that the request was sent to.
+  std::set<std::string> tried;
+  direct::EventCutter events;
+  std::optional<HeldAnswer> held;
+  // Whether the first part of the answer has been passed on.
+  bool begun = false;
+};
+
+// How an attempt ended that did not answer the caller.
+struct Failure {
+  core::Reason reason = core::Reason::connection_lost;
+  core::Outcome outcome = core::Outcome::unknown;
+  core::Step step = core::Step::read;
+  std::string message;
+  // Whether the replica was reached, so that the attempt counts against the bounds of retries.
+  bool sent = true;
+};
+
+auto CurrentFleet(Relay& relay) -> std::shared_ptr<const direct::Fleet>;
+
+// Whether the configuration in force was confirmed recently enough to decide on credentials.
+auto HasCurrentFleet(Relay& relay) -> bool;
+
+auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
+    -> void;
+
+// Waits until the request has a replica, at most until `latest`. Returns nothing if it got none.
+auto Acquire(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment>;
+
+// Notes the first event of the answer, and the end of the request at the replica.
+auto NoteBegun(Relay& relay, Assignment& assignment) -> void;
+auto Release(Relay& relay, Assignment& assignment) -> void;
+
+// Assigns replicas to waiting requests of the service. The table is locked.
+auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void;
+
+// Sends the request to the assigned replica and passes its answer on. Returns nothing if the caller
+// has the whole answer, or how the attempt failed.
+auto Attempt(Relay& relay, Call& call, const net::HttpRequest& request, Assignment& assignment,
+             net::Responder& responder) -> std::optional<Failure>;
+
+// Returns an idle connection to the address that is still open, or null.
+auto TakeIdle(Relay& relay, const std::string& address) -> Exchange;
+
+// Keeps a connection for the next request if it may carry one.
+auto PutIdle(Relay& relay, const std::string& address, Exchange exchange,
+             std::optional<core::Duration> keep_alive) -> void;
+
+// Closes idle connections of the calling worker whose time is over.
+auto SweepIdle(WorkerState& worker, core::Time now) -> void;
+
+}  // namespace filbertstair::relay
+
+#endif  // FILBERTSTAIR_RELAY_SRC_STATE_H_
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -24,6 +24,8 @@
   peer_lost = 301,
   member_changed = 302,
   peer_refused = 303,
+  replica_changed = 304,
+  replica_set_aside = 305,
   request_refused = 400,
   request_retried = 401,
   request_finished = 402,
@@ -37,7 +39,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 23> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 25> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -54,6 +56,8 @@
     {telemetry::Event::peer_lost, "peer_lost"},
     {telemetry::Event::member_changed, "member_changed"},
     {telemetry::Event::peer_refused, "peer_refused"},
+    {telemetry::Event::replica_changed, "replica_changed"},
+    {telemetry::Event::replica_set_aside, "replica_set_aside"},
     {telemetry::Event::request_refused, "request_refused"},
     {telemetry::Event::request_retried, "request_retried"},
     {telemetry::Event::request_finished, "request_finished"},
