--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -10,6 +10,9 @@
 #include "filbertstair/endpoint/endpoint.h"
 #include "filbertstair/entry/entry.h"
 #include "filbertstair/node/node.h"
+#include "filbertstair/platform/headers.h"
+#include "filbertstair/platform/store.h"
+#include "filbertstair/relay/relay.h"
 #include "filbertstair/schema/problem.h"
 #include "filbertstair/settings/settings.h"
 
@@ -24,8 +27,28 @@
 // Time for the last answers to reach the kernel's socket buffers before the process exits.
 constexpr std::chrono::milliseconds kFlushTime{100};
 
+// Starts an entry that admits by itself, fed by the platform's store.
+auto StartRelay(node::Node& node) -> std::shared_ptr<relay::Relay> {
+  const auto started = relay::Start(node, platform::HeaderDialect());
+  platform::Sink sink;
+  sink.fleet = [started](direct::Fleet fleet) { relay::AcceptFleet(*started, std::move(fleet)); };
+  sink.listing = [started](direct::Listing listing) {
+    relay::AcceptListing(*started, std::move(listing));
+  };
+  sink.delisting = [started](const std::string& id) { relay::AcceptDelisting(*started, id); };
+  sink.listings = [started](std::vector<direct::Listing> listings) {
+    relay::AcceptListings(*started, std::move(listings));
+  };
+  sink.confirmed = [started](core::Duration time) { relay::Confirm(*started, time); };
+  node.pool.Post(0, [&node, sink = std::move(sink)] { platform::WatchStore(node, sink); });
+  return started;
+}
+
 // Starts the role and returns the function that begins its graceful shutdown.
 auto StartRole(node::Node& node) -> std::function<void()> {
+  if (node.settings.admission == settings::Admission::entry) {
+    return [relay = StartRelay(node)] { relay::Drain(*relay); };
+  }
   if (node.settings.role == core::Role::entry) {
     return [entry = entry::Start(node)] { entry::Drain(*entry); };
   }
--- a/libs/settings/include/filbertstair/settings/settings.h
+++ b/libs/settings/include/filbertstair/settings/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,9 @@
 enum class LogLevel { debug, info, warning, error };
 enum class LogFormat { text, json };
 
+// Who admits requests to a replica: the endpoint process beside it, or each entry by itself.
+enum class Admission { endpoint, entry };
+
 // An IP address and a TCP port.
 struct Address {
   // Without brackets for IPv6.
@@ -34,6 +38,11 @@
   std::string failure_domain;
   std::uint32_t workers = 2;
 
+  // Entry: who admits requests, and the region of each failure domain, which an entry that admits
+  // by itself needs to tell near replicas from far ones.
+  Admission admission = Admission::endpoint;
+  std::map<std::string, std::string> failure_domains;
+
   // Listeners. Port 0 lets the system choose a port. `callers` is for an entry only.
   Address callers;
   Address peers;
@@ -97,4 +106,10 @@
         {{filbertstair::settings::LogFormat::text, "text"},
          {filbertstair::settings::LogFormat::json, "json"}}};
 
+template <>
+inline constexpr filbertstair::core::NameTable<filbertstair::settings::Admission, 2>
+    filbertstair::core::kNames<filbertstair::settings::Admission>{
+        {{filbertstair::settings::Admission::endpoint, "endpoint"},
+         {filbertstair::settings::Admission::entry, "entry"}}};
+
 #endif  // FILBERTSTAIR_SETTINGS_SETTINGS_H_
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -69,6 +69,18 @@
   });
 }
 
+auto ReadFailureDomains(const Cursor& cursor, std::map<std::string, std::string>& out) -> void {
+  schema::ReadList(cursor, [&](const Cursor& item) {
+    std::string name;
+    std::string region;
+    const auto identifier = [](std::string& text) {
+      return [&text](const Cursor& field) { schema::ReadText(field, schema::kIdentifier, text); };
+    };
+    schema::ReadMap(item, {{"name", true, identifier(name)}, {"region", true, identifier(region)}});
+    out[name] = region;
+  });
+}
+
 // Returns the role that the file states, or nothing if it states none or an unknown one.
 auto FindRole(const schema::Value& root) -> std::optional<core::Role> {
   for (const auto& field : root.items) {
@@ -104,6 +116,10 @@
   if (role != core::Role::endpoint) {
     rules.push_back({"platform", role.has_value(),
                      [&](const Cursor& field) { ReadAddress(field, Port::fixed, out.platform); }});
+    rules.push_back(
+        {"admission", false, [&](const Cursor& field) { schema::ReadEnum(field, out.admission); }});
+    rules.push_back({"failure_domains", false,
+                     [&](const Cursor& field) { ReadFailureDomains(field, out.failure_domains); }});
   }
   if (role != core::Role::entry) {
     rules.push_back({"pool", role.has_value(), identifier(out.pool)});
