Tell other entries what is in flight at each replica

Change: entries link to each other, starting from the seeds, and tell what they have at each replica and what workspaces took lately.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -23,11 +23,17 @@
   double cost = 1;
 };
 
+// Service that decays over `QueuePolicy::window`; `amount` is valid at `at`.
+struct Recent {
+  double amount = 0;
+  core::Time at{};
+};
+
 // A workspace's recent service and waiting requests.
 struct Account {
-  // Service taken, decaying over `QueuePolicy::window`; valid at `used_at`.
-  double used = 0;
-  core::Time used_at{};
+  // Service taken through this entry, and through others by their id.
+  Recent own;
+  std::map<std::string, Recent> peers;
   // In order of urgency, then of arrival.
   std::deque<Waiter> waiting;
 };
@@ -60,7 +66,14 @@
 auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
             core::Time now) -> void;
 
-// Returns the workspace's recent service at `now`.
+// Takes another entry's word on a workspace's recent service there, and forgets an entry that is
+// gone.
+auto SetPeerUsed(FairQueue& queue, const std::string& workspace, const std::string& peer,
+                 double used, core::Time now) -> void;
+auto DropPeer(FairQueue& queue, const std::string& peer) -> void;
+
+// Returns recent service at `now`: of one source, and of a workspace over all entries.
+auto Used(const Recent& recent, const QueuePolicy& policy, core::Time now) -> double;
 auto Used(const Account& account, const QueuePolicy& policy, core::Time now) -> double;
 
 // Drops workspaces that wait for nothing and whose recent service has decayed.
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "filbertstair/core/types.h"
@@ -45,7 +46,7 @@
   // believed to have to read before their first events.
   std::uint32_t in_flight = 0;
   std::uint64_t unread = 0;
-  // Requests of other entries, from the last report.
+  // Requests of other entries, from the replica's last report.
   std::uint32_t others = 0;
   core::Time others_at{};
   // Failures without a success between them, and the end of the time for which the replica gets no
@@ -61,17 +62,28 @@
 };
 
 // Replicas by service and id.
+// What other entries have at a replica.
+struct Use {
+  std::uint32_t in_flight = 0;
+  std::uint64_t unread = 0;
+
+  auto operator==(const Use&) const -> bool = default;
+};
+
 struct ReplicaTable {
   std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
   // Service by id of each listed replica.
   std::map<std::string, std::string> service_of;
+  // What each linked entry has at each replica, and the sums over those entries.
+  std::map<std::string, std::map<std::string, Use>> peers;
+  std::unordered_map<std::string, Use> elsewhere;
 };
 
 struct ReplicaPolicy {
   // Prompt tokens that a replica reads in a millisecond, before it has been seen to.
   double tokens_per_ms = 55;
-  // Unread prompt tokens at one replica beyond which this entry sends it no further prompt. About
-  // 0.3 s of reading: more would wait in the replica's own queue, where arrival order rules.
+  // Unread prompt tokens at one replica, of all entries, beyond which it gets no further prompt.
+  // About 0.3 s of reading: more would wait in the replica's own queue, where arrival order rules.
   std::uint64_t max_unread = 16000;
   // Share of a replica's slots that may be in use. The last slots slow all requests down.
   double full_share = 0.9;
@@ -148,6 +160,11 @@
 auto Began(Replica& replica, std::uint64_t unread) -> void;
 auto Ended(Replica& replica) -> void;
 
+// Takes another entry's word on what it has at a replica, and forgets an entry that is gone.
+auto SetPeerUse(ReplicaTable& table, const std::string& peer, const std::string& replica, Use use)
+    -> void;
+auto DropPeer(ReplicaTable& table, const std::string& peer) -> void;
+
 auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void;
 
 // Records an answer, or that the replica failed. A failure sets it aside for a time that doubles.
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -20,9 +20,15 @@
   ++queue.waiting;
 }
 
+auto Used(const Recent& recent, const QueuePolicy& policy, core::Time now) -> double {
+  const auto age = static_cast<double>((now - recent.at).count());
+  return recent.amount * std::exp(-age / static_cast<double>(policy.window.count()));
+}
+
 auto Used(const Account& account, const QueuePolicy& policy, core::Time now) -> double {
-  const auto age = static_cast<double>((now - account.used_at).count());
-  return account.used * std::exp(-age / static_cast<double>(policy.window.count()));
+  double used = Used(account.own, policy, now);
+  for (const auto& [peer, recent] : account.peers) used += Used(recent, policy, now);
+  return used;
 }
 
 auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now)
@@ -51,8 +57,16 @@
 auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
             core::Time now) -> void {
   auto& account = queue.accounts[workspace];
-  account.used = std::max(0.0, Used(account, policy, now) + cost);
-  account.used_at = now;
+  account.own = {std::max(0.0, Used(account.own, policy, now) + cost), now};
+}
+
+auto SetPeerUsed(FairQueue& queue, const std::string& workspace, const std::string& peer,
+                 double used, core::Time now) -> void {
+  queue.accounts[workspace].peers[peer] = {used, now};
+}
+
+auto DropPeer(FairQueue& queue, const std::string& peer) -> void {
+  for (auto& [workspace, account] : queue.accounts) account.peers.erase(peer);
 }
 
 auto Sweep(FairQueue& queue, const QueuePolicy& policy, core::Time now) -> void {
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -9,11 +9,17 @@
 namespace filbertstair::direct {
 namespace {
 
-// Requests of other entries at the replica, discounted by the age of the report.
-auto OthersNow(const Replica& replica, const ReplicaPolicy& policy, core::Time now) -> double {
+// What other entries have at the replica: what the linked ones say, or the replica's own report,
+// discounted by its age, if that tells of more.
+auto Elsewhere(const ReplicaTable& table, const Replica& replica, const ReplicaPolicy& policy,
+               core::Time now) -> Use {
+  const auto found = table.elsewhere.find(replica.listing.id);
+  Use use = found == table.elsewhere.end() ? Use{} : found->second;
   const auto age = static_cast<double>((now - replica.others_at).count());
   const auto half_life = static_cast<double>(policy.report_half_life.count());
-  return replica.others * std::exp2(-age / half_life);
+  const double reported = replica.others * std::exp2(-age / half_life);
+  use.in_flight = std::max(use.in_flight, static_cast<std::uint32_t>(reported));
+  return use;
 }
 
 auto Usable(const Replica& replica, const Need& need, core::Time now) -> bool {
@@ -35,12 +41,20 @@
   return {std::min(kept, shared), prompt.tokens_in > kept ? prompt.tokens_in - kept : 0};
 }
 
+// Requests at the replica and tokens that it has to read, of all entries.
+auto TotalUse(const ReplicaTable& table, const Replica& replica, const ReplicaPolicy& policy,
+              core::Time now) -> Use {
+  auto use = Elsewhere(table, replica, policy, now);
+  use.in_flight += replica.in_flight;
+  use.unread += replica.unread;
+  return use;
+}
+
 auto HasRoom(const Replica& replica, const ReplicaPolicy& policy, const Reading& reading,
-             core::Time now) -> bool {
-  const double load = replica.in_flight + OthersNow(replica, policy, now);
+             const Use& use) -> bool {
   const double full = std::max(1.0, std::floor(replica.listing.slots * policy.full_share));
-  if (load + 1 > full) return false;
-  return replica.unread == 0 || replica.unread + reading.unread <= policy.max_unread;
+  if (use.in_flight + 1 > full) return false;
+  return use.unread == 0 || use.unread + reading.unread <= policy.max_unread;
 }
 
 auto DistanceCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin)
@@ -57,10 +71,10 @@
 // Expected time to the first event, in milliseconds, with the price of distance and of parts that
 // are read again.
 auto StartCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin,
-               const Reading& reading, std::uint64_t shared, core::Time now) -> double {
+               const Reading& reading, std::uint64_t shared, const Use& use) -> double {
   double cost = DistanceCost(replica, policy, origin);
-  cost += (replica.in_flight + OthersNow(replica, policy, now)) * policy.request_cost_ms;
-  cost += static_cast<double>(replica.unread + reading.unread) / policy.tokens_per_ms;
+  cost += use.in_flight * policy.request_cost_ms;
+  cost += static_cast<double>(use.unread + reading.unread) / policy.tokens_per_ms;
   return cost + static_cast<double>(shared - reading.shared_kept) * policy.reread_cost_ms;
 }
 
@@ -150,12 +164,13 @@
     if (!Usable(replica, need, now)) continue;
     if (choice.status == ChoiceStatus::none) choice.status = ChoiceStatus::full;
     const auto reading = Expect(replica, prompt, id == owner);
-    if (!HasRoom(replica, policy, reading, now)) continue;
+    const auto use = TotalUse(table, replica, policy, now);
+    if (!HasRoom(replica, policy, reading, use)) continue;
     if (replica.aside_until > now) {
       if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
       continue;
     }
-    const double cost = StartCost(replica, policy, origin, reading, shared, now);
+    const double cost = StartCost(replica, policy, origin, reading, shared, use);
     if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
     choice = {ChoiceStatus::chosen, id, replica.listing.address, reading.unread};
     best_cost = cost;
@@ -181,6 +196,25 @@
   if (replica.in_flight > 0) --replica.in_flight;
 }
 
+auto SetPeerUse(ReplicaTable& table, const std::string& peer, const std::string& replica, Use use)
+    -> void {
+  auto& known = table.peers[peer][replica];
+  auto& sum = table.elsewhere[replica];
+  sum.in_flight += use.in_flight - known.in_flight;
+  sum.unread += use.unread - known.unread;
+  known = use;
+  if (sum == Use{}) table.elsewhere.erase(replica);
+  if (use == Use{}) table.peers[peer].erase(replica);
+}
+
+auto DropPeer(ReplicaTable& table, const std::string& peer) -> void {
+  const auto uses = table.peers.find(peer);
+  if (uses == table.peers.end()) return;
+  const auto known = uses->second;
+  for (const auto& [replica, use] : known) SetPeerUse(table, peer, replica, {});
+  table.peers.erase(peer);
+}
+
 auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void {
   const auto total = report.running + report.waiting;
   replica.others = total > replica.in_flight ? total - replica.in_flight : 0;
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -67,6 +67,7 @@
     AssignWaiting(relay, table, call.service);
     return id;
   });
+  WakePeers(relay);
   const auto settled = [&] {
     return relay.dispatch.With(
         [&](const DispatchTable&) { return pending->assignment || pending->hopeless; });
@@ -90,6 +91,7 @@
     AssignWaiting(relay, table, assignment.service);
   });
   assignment.unread = 0;
+  WakePeers(relay);
 }
 
 auto Release(Relay& relay, Assignment& assignment) -> void {
@@ -102,6 +104,7 @@
     AssignWaiting(relay, table, assignment.service);
   });
   assignment.unread = 0;
+  WakePeers(relay);
 }
 
 }  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/src/peers.cc
@@ -0,0 +1,239 @@
+#include <algorithm>
+#include <cmath>
+
+#include "filbertstair/core/error.h"
+#include "filbertstair/net/h2.h"
+#include "filbertstair/node/control.h"
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr core::Duration kReconnectWait = std::chrono::milliseconds(500);
+// Silence after which a link is given up. The peer sends at least every second, and a connection
+// may go silent without being closed.
+constexpr core::Duration kSilence = std::chrono::milliseconds(2500);
+// Time for which an address is tried without success before it is forgotten, unless it is a seed.
+constexpr core::Duration kForgetAfter = std::chrono::seconds(30);
+// Least time between two messages about accounts; shares are compared over seconds.
+constexpr core::Duration kAccountInterval = std::chrono::milliseconds(100);
+// Change of an account's recent service that is worth a message, in tokens or requests.
+constexpr double kAccountChange = 500;
+// Entries that one entry is linked to. Beyond them it relies on the replicas' own reports.
+constexpr std::size_t kMaxLinks = 24;
+
+// What a linked entry was last told, used by the link's own fibers.
+struct Told {
+  std::map<std::string, direct::Use> replicas;
+  std::map<std::pair<std::string, std::string>, double> accounts;
+  core::Time accounts_at{};
+  core::Time heard{};
+};
+
+auto CollectReplicas(const DispatchTable& table, Told& told, wire::EntryState& message) -> void {
+  for (const auto& [service, replicas] : table.replicas.services) {
+    for (const auto& [id, replica] : replicas) {
+      const direct::Use use{replica.in_flight, replica.unread};
+      auto& last = told.replicas[id];
+      if (use == last) continue;
+      last = use;
+      message.replicas.push_back({id, use.in_flight, use.unread});
+    }
+  }
+}
+
+auto CollectAccounts(const Relay& relay, const DispatchTable& table, Told& told,
+                     wire::EntryState& message, core::Time now) -> void {
+  if (now - told.accounts_at < kAccountInterval) return;
+  told.accounts_at = now;
+  for (const auto& [service, queue] : table.queues) {
+    for (const auto& [workspace, account] : queue.accounts) {
+      const double used = direct::Used(account.own, relay.policies.queue, now);
+      auto& last = told.accounts[{service, workspace}];
+      if (std::abs(used - last) < kAccountChange) continue;
+      last = used;
+      message.accounts.push_back({service, workspace, static_cast<std::uint64_t>(used)});
+    }
+  }
+}
+
+auto SendState(Relay& relay, Told& told, node::Outbox& outbox, bool period_over) -> void {
+  const auto now = node::Now();
+  wire::EntryState message;
+  relay.dispatch.With([&](const DispatchTable& table) {
+    CollectReplicas(table, told, message);
+    CollectAccounts(relay, table, told, message, now);
+  });
+  if (period_over) {
+    message.address = settings::FormatAddress(relay.node.settings.peers);
+    relay.peers.With([&](const PeerTable& table) {
+      for (const auto& [address, peer] : table.peers) message.known.push_back(address);
+    });
+  }
+  if (period_over || !message.replicas.empty() || !message.accounts.empty()) {
+    outbox.Push(std::move(message));
+  }
+}
+
+auto Learn(Relay& relay, const std::string& address) -> void;
+
+auto HandleState(Relay& relay, const std::string& peer, const wire::EntryState& message) -> void {
+  const auto now = node::Now();
+  relay.dispatch.With([&](DispatchTable& table) {
+    for (const auto& row : message.replicas) {
+      direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
+    }
+    for (const auto& row : message.accounts) {
+      direct::SetPeerUsed(table.queues[row.service], row.workspace, peer,
+                          static_cast<double>(row.used), now);
+    }
+    if (message.replicas.empty()) return;
+    for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
+  });
+  if (!message.address.empty()) Learn(relay, message.address);
+  for (const auto& address : message.known) Learn(relay, address);
+}
+
+auto ForgetPeer(Relay& relay, const std::string& peer) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    direct::DropPeer(table.replicas, peer);
+    for (auto& [service, queue] : table.queues) direct::DropPeer(queue, peer);
+  });
+}
+
+// Each entry tells its state on the links that it opened and hears the others' on those that it
+// accepted, so that two entries need not agree on one link.
+auto OutgoingHandlers(Relay& relay, const std::string& address) -> node::ControlHandlers {
+  const auto told = std::make_shared<Told>();
+  node::ControlHandlers handlers;
+  handlers.open = [&relay, address](const wire::Hello& peer,
+                                    const std::shared_ptr<node::Outbox>& outbox) {
+    if (peer.role != core::Role::entry) return false;
+    return relay.peers.With([&](PeerTable& table) {
+      auto& known = table.peers[address];
+      known.self = peer.id == relay.node.settings.id;
+      known.outbox = known.self ? nullptr : outbox;
+      return !known.self;
+    });
+  };
+  handlers.message = [told](const wire::Hello&, const wire::ControlMessage&) {
+    told->heard = node::Now();
+  };
+  handlers.update = [&relay, told](const wire::Hello&, node::Outbox& outbox, bool period_over) {
+    if (told->heard == core::Time{}) told->heard = node::Now();
+    if (node::Now() - told->heard > kSilence) outbox.Close();
+    SendState(relay, *told, outbox, period_over);
+  };
+  handlers.close = [&relay, address](const wire::Hello&) {
+    relay.peers.With([&](PeerTable& table) {
+      const auto known = table.peers.find(address);
+      if (known != table.peers.end()) known->second.outbox = nullptr;
+    });
+  };
+  return handlers;
+}
+
+auto IncomingHandlers(Relay& relay) -> node::ControlHandlers {
+  const auto heard = std::make_shared<core::Time>();
+  node::ControlHandlers handlers;
+  handlers.open = [&relay, heard](const wire::Hello& peer, const std::shared_ptr<node::Outbox>&) {
+    *heard = node::Now();
+    return peer.role == core::Role::entry && peer.id != relay.node.settings.id;
+  };
+  handlers.message = [&relay, heard](const wire::Hello& peer, const wire::ControlMessage& message) {
+    *heard = node::Now();
+    if (const auto* state = std::get_if<wire::EntryState>(&message)) {
+      HandleState(relay, peer.id, *state);
+    }
+  };
+  handlers.update = [heard](const wire::Hello&, node::Outbox& outbox, bool period_over) {
+    if (node::Now() - *heard > kSilence) outbox.Close();
+    // Tells the opener that its link is alive.
+    if (period_over) outbox.Push(wire::EntryState{});
+  };
+  handlers.close = [&relay](const wire::Hello& peer) { ForgetPeer(relay, peer.id); };
+  return handlers;
+}
+
+// Whether the link should still be kept up.
+auto IsWanted(Relay& relay, const std::string& address, core::Time last_open) -> bool {
+  const auto now = node::Now();
+  return relay.peers.With([&](PeerTable& table) {
+    const auto known = table.peers.find(address);
+    if (known == table.peers.end() || known->second.self) return false;
+    if (known->second.seed || now - last_open < kForgetAfter) return true;
+    table.peers.erase(known);
+    return false;
+  });
+}
+
+auto RunLink(Relay& relay, const std::string& address) -> void {
+  auto last_open = node::Now();
+  while (IsWanted(relay, address, last_open)) {
+    try {
+      const auto connection = net::Connect(address, kConnectTimeout);
+      const auto stream = connection->Open(std::string(node::kControlPath));
+      last_open = node::Now();
+      node::RunControl(relay.node, stream, OutgoingHandlers(relay, address));
+      last_open = node::Now();
+    } catch (const core::Error& error) {
+      node::LogError(Level::debug, Event::peer_lost, error);
+    }
+    runtime::SleepFor(kReconnectWait);
+  }
+}
+
+auto AddPeer(Relay& relay, const std::string& address, bool seed) -> void {
+  if (address == settings::FormatAddress(relay.node.settings.peers)) return;
+  const bool added = relay.peers.With([&](PeerTable& table) {
+    if (table.peers.contains(address) || table.peers.size() >= kMaxLinks) return false;
+    table.peers[address].seed = seed;
+    return true;
+  });
+  if (!added) return;
+  const auto worker = std::hash<std::string>{}(address);
+  relay.node.pool.Post(worker, [&relay, address] { RunLink(relay, address); });
+}
+
+auto Learn(Relay& relay, const std::string& address) -> void { AddPeer(relay, address, false); }
+
+auto ServePeer(Relay& relay, const std::shared_ptr<net::Stream>& stream) -> void {
+  if (stream->Path() != node::kControlPath) {
+    stream->Reset();
+    return;
+  }
+  try {
+    node::RunControl(relay.node, stream, IncomingHandlers(relay));
+  } catch (const core::Error& error) {
+    node::LogError(Level::debug, Event::peer_lost, error);
+  }
+}
+
+}  // namespace
+
+auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void {
+  const auto address = settings::FormatAddress(relay->node.settings.peers);
+  net::ListenStreams(
+      address, [relay](const std::shared_ptr<net::Stream>& stream) { ServePeer(*relay, stream); });
+  telemetry::Log(Level::info, Event::listening, {{"purpose", "peers"}, {"address", address}});
+}
+
+auto LinkSeeds(Relay& relay) -> void {
+  for (const auto& seed : relay.node.settings.seeds) {
+    AddPeer(relay, settings::FormatAddress(seed), true);
+  }
+}
+
+auto WakePeers(Relay& relay) -> void {
+  relay.peers.With([](const PeerTable& table) {
+    for (const auto& [address, peer] : table.peers) {
+      if (peer.outbox) peer.outbox->Wake();
+    }
+  });
+}
+
+}  // namespace filbertstair::relay
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -123,13 +123,18 @@
   auto relay = std::make_shared<Relay>(node, dialect);
   relay->origin.failure_domain = node.settings.failure_domain;
   relay->origin.regions = node.settings.failure_domains;
+  net::CheckFree(settings::FormatAddress(node.settings.peers));
   net::CheckFree(settings::FormatAddress(node.settings.callers));
   net::CheckFree(settings::FormatAddress(node.settings.admin));
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
-    node::RunOnWorker(node, i, [&] { ListenCallers(relay); });
+    node::RunOnWorker(node, i, [&] {
+      ListenPeers(relay);
+      ListenCallers(relay);
+    });
     node.pool.Post(i, [relay] { SweepLoop(*relay); });
   }
   node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
+  LinkSeeds(*relay);
   return relay;
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -73,6 +73,18 @@
   std::shared_ptr<net::HttpListener> callers;
 };
 
+// Another entry, by the address of its listener.
+struct PeerLink {
+  bool seed = false;
+  // Set if the address turned out to be this process's own.
+  bool self = false;
+  // Present while the link that this entry opened is up.
+  std::shared_ptr<node::Outbox> outbox;
+};
+struct PeerTable {
+  std::map<std::string, PeerLink> peers;
+};
+
 struct Policies {
   direct::ReplicaPolicy replicas;
   direct::QueuePolicy queue;
@@ -89,6 +101,7 @@
   direct::Origin origin;
   runtime::Guarded<std::shared_ptr<const direct::Fleet>, runtime::Rank::config> fleet;
   runtime::Guarded<DispatchTable, runtime::Rank::queue> dispatch;
+  runtime::Guarded<PeerTable, runtime::Rank::links> peers;
   // Time of the last confirmation in microseconds of BootTime; 0 before the first.
   std::atomic<std::int64_t> confirmed = 0;
   // Indexed by worker; each element is used by its own worker only.
@@ -153,6 +166,14 @@
 // Assigns replicas to waiting requests of the service. The table is locked.
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void;
 
+// Accepts links from other entries on the calling worker, and opens those to the seeds, from which
+// the others are learnt.
+auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
+auto LinkSeeds(Relay& relay) -> void;
+
+// Tells the linked entries soon that the load changed. Call without the dispatch table.
+auto WakePeers(Relay& relay) -> void;
+
 // Sends the request to the assigned replica and passes its answer on. Returns nothing if the caller
 // has the whole answer, or how the attempt failed.
 auto Attempt(Relay& relay, Call& call, const net::HttpRequest& request, Assignment& assignment,
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -106,8 +106,32 @@
   std::string content;
 };
 
-using ControlMessage =
-    std::variant<Hello, Demand, GrantReturn, Grant, Load, Service, Digest, FetchRequest, Published>;
+// What an entry that admits by itself has at one replica.
+struct ReplicaUse {
+  std::string replica;
+  std::uint32_t in_flight = 0;
+  // Prompt tokens that the replica has yet to read.
+  std::uint64_t unread = 0;
+};
+
+// Recent service of one workspace at the sender.
+struct AccountUse {
+  std::string service;
+  std::string workspace;
+  std::uint64_t used = 0;
+};
+
+// State of an entry that admits by itself. Rows are those that changed since the last message.
+struct EntryState {
+  // The sender's listener for other processes, and those that it knows of.
+  std::string address;
+  std::vector<std::string> known;
+  std::vector<ReplicaUse> replicas;
+  std::vector<AccountUse> accounts;
+};
+
+using ControlMessage = std::variant<Hello, Demand, GrantReturn, Grant, Load, Service, Digest,
+                                    FetchRequest, Published, EntryState>;
 
 auto Encode(const ControlMessage& message) -> std::string;
 
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -107,6 +107,24 @@
   to.set_content(from.content);
 }
 
+auto Fill(const EntryState& from, pb::ControlMessage& envelope) -> void {
+  auto& to = *envelope.mutable_entry_state();
+  to.set_address(from.address);
+  for (const auto& address : from.known) to.add_known(address);
+  for (const auto& row : from.replicas) {
+    auto* out = to.add_replicas();
+    out->set_replica(row.replica);
+    out->set_in_flight(row.in_flight);
+    out->set_unread(row.unread);
+  }
+  for (const auto& row : from.accounts) {
+    auto* out = to.add_accounts();
+    out->set_service(row.service);
+    out->set_workspace(row.workspace);
+    out->set_used(row.used);
+  }
+}
+
 auto ToStruct(const pb::Hello& from, const std::string& peer) -> Hello {
   return {from.id(),     from.incarnation(),    ToEnum<core::Role>(from.role(), peer),
           from.region(), from.failure_domain(), from.pool()};
@@ -148,8 +166,22 @@
           from.draining()};
 }
 
+auto ToStruct(const pb::EntryState& from) -> EntryState {
+  EntryState to;
+  to.address = from.address();
+  to.known.assign(from.known().begin(), from.known().end());
+  for (const auto& row : from.replicas()) {
+    to.replicas.push_back({row.replica(), row.in_flight(), row.unread()});
+  }
+  for (const auto& row : from.accounts()) {
+    to.accounts.push_back({row.service(), row.workspace(), row.used()});
+  }
+  return to;
+}
+
 constexpr std::array<std::string_view, std::variant_size_v<ControlMessage>> kKinds = {
-    "hello", "demand", "grant_return", "grant", "load", "service", "digest", "fetch", "published"};
+    "hello",   "demand", "grant_return", "grant",     "load",
+    "service", "digest", "fetch",        "published", "entry_state"};
 
 }  // namespace
 
@@ -184,6 +216,8 @@
     case pb::ControlMessage::kPublished:
       return Published{envelope.published().kind(), envelope.published().name(),
                        envelope.published().version(), envelope.published().content()};
+    case pb::ControlMessage::kEntryState:
+      return ToStruct(envelope.entry_state());
     case pb::ControlMessage::KIND_NOT_SET:
       break;
   }
