Prefer the replica that keeps a prompt's shared parts, also when it is busy

Change: a replica that keeps the parts may have 26,000 unread tokens, another one 5,000; entries turn to the same replicas, in the order of their ranks, when the first is full.

--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -84,17 +84,22 @@
   double tokens_per_ms = 55;
   // Unread prompt tokens at one replica, of all entries, beyond which it gets no further prompt.
   // About 0.3 s of reading: more would wait in the replica's own queue, where arrival order rules.
-  std::uint64_t max_unread = 16000;
+  std::uint64_t max_unread = 26000;
+  // The same for a prompt whose shared parts the replica does not keep.
+  std::uint64_t max_unread_anew = 5000;
   // Share of a replica's slots that may be in use. The last slots slow all requests down.
   double full_share = 0.9;
   // Extra cost of a replica in another failure domain of the region, and in another region, in
   // milliseconds: delay and billed bytes.
   double domain_cost_ms = 30;
-  double region_cost_ms = 120;
+  double region_cost_ms = 60;
   // Extra cost of reading a shared token at a replica that is not expected to keep it, in
   // milliseconds. Reading a part twice takes capacity from all requests, so a caller had better
   // wait for the replica that keeps it.
-  double reread_cost_ms = 0.06;
+  double reread_cost_ms = 0.15;
+  // Extra cost of each rank at a replica that does not keep the shared parts, in milliseconds, so
+  // that all entries turn to the same few replicas when the first is busy.
+  double rank_cost_ms = 15;
   // Slowdown of all requests of a replica by one more request, as milliseconds of the new one.
   double request_cost_ms = 4;
   // Age from which a report on other entries' requests counts as half.
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -51,10 +51,11 @@
 }
 
 auto HasRoom(const Replica& replica, const ReplicaPolicy& policy, const Reading& reading,
-             const Use& use) -> bool {
+             std::uint64_t shared, const Use& use) -> bool {
   const double full = std::max(1.0, std::floor(replica.listing.slots * policy.full_share));
   if (use.in_flight + 1 > full) return false;
-  return use.unread == 0 || use.unread + reading.unread <= policy.max_unread;
+  const auto limit = reading.shared_kept < shared ? policy.max_unread_anew : policy.max_unread;
+  return use.unread == 0 || use.unread + reading.unread <= limit;
 }
 
 auto DistanceCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin)
@@ -78,16 +79,19 @@
   return cost + static_cast<double>(shared - reading.shared_kept) * policy.reread_cost_ms;
 }
 
-// Returns the id of the replica that should keep the shared parts of the prompt; empty without any.
-auto Owner(const std::map<std::string, Replica>& replicas, const Need& need, core::Time now)
-    -> std::string {
-  if (need.prompt == nullptr || need.prompt->parts.size() < 2) return {};
+// Ranks the replicas for the shared parts of the prompt, 0 for the one that should keep them.
+// Without shared parts all have rank 0.
+auto Ranks(const std::map<std::string, Replica>& replicas, const Need& need, core::Time now)
+    -> std::map<std::string, std::size_t> {
+  std::map<std::string, std::size_t> ranks;
+  if (need.prompt == nullptr || need.prompt->parts.size() < 2) return ranks;
   std::vector<std::string> ids;
   for (const auto& [id, replica] : replicas) {
     if (Usable(replica, need, now) && replica.aside_until <= now) ids.push_back(id);
   }
-  if (ids.empty()) return {};
-  return ids[core::RendezvousOwner(std::to_string(SharedHash(*need.prompt)), ids)];
+  const auto order = core::RendezvousOrder(std::to_string(SharedHash(*need.prompt)), ids);
+  for (std::size_t rank = 0; rank < order.size(); ++rank) ranks[ids[order[rank]]] = rank;
+  return ranks;
 }
 
 auto FailureAside(const ReplicaPolicy& policy, std::uint32_t doublings) -> core::Duration {
@@ -156,21 +160,24 @@
   if (replicas == table.services.end()) return {};
   const auto& prompt = need.prompt == nullptr ? kNoPrompt : *need.prompt;
   const auto shared = SharedTokens(prompt);
-  const auto owner = Owner(replicas->second, need, now);
+  const auto ranks = Ranks(replicas->second, need, now);
   Choice choice;
   const Replica* aside = nullptr;
   double best_cost = 0;
   for (const auto& [id, replica] : replicas->second) {
     if (!Usable(replica, need, now)) continue;
     if (choice.status == ChoiceStatus::none) choice.status = ChoiceStatus::full;
-    const auto reading = Expect(replica, prompt, id == owner);
+    const auto ranked = ranks.find(id);
+    const std::size_t rank = ranked == ranks.end() ? 0 : ranked->second;
+    const auto reading = Expect(replica, prompt, ranked != ranks.end() && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
-    if (!HasRoom(replica, policy, reading, use)) continue;
+    if (!HasRoom(replica, policy, reading, shared, use)) continue;
     if (replica.aside_until > now) {
       if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
       continue;
     }
-    const double cost = StartCost(replica, policy, origin, reading, shared, use);
+    double cost = StartCost(replica, policy, origin, reading, shared, use);
+    if (reading.shared_kept < shared) cost += static_cast<double>(rank) * policy.rank_cost_ms;
     if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
     choice = {ChoiceStatus::chosen, id, replica.listing.address, reading.unread};
     best_cost = cost;
--- /dev/null
+++ b/libs/direct/test/fleet_test.cc
@@ -0,0 +1,75 @@
+#include "filbertstair/direct/fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+class FleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FleetTest);
+  CPPUNIT_TEST(testLongestPrefixOfTheHost);
+  CPPUNIT_TEST(testWeights);
+  CPPUNIT_TEST(testCredentials);
+  CPPUNIT_TEST(testRepeatable);
+  CPPUNIT_TEST(testCredentialLease);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a request of one host or path that is served by another's route.
+  auto testLongestPrefixOfTheHost() -> void {
+    Fleet fleet;
+    fleet.routes.push_back({.name = "a", .host = "x.example", .prefix = "/a/", .targets = {}});
+    fleet.routes.push_back({.name = "ab", .host = "x.example", .prefix = "/a/b/", .targets = {}});
+    fleet.routes.push_back({.name = "other", .host = "y.example", .prefix = "/", .targets = {}});
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), FindRoute(fleet, "x.example", "/a/b/c")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), FindRoute(fleet, "x.example:80", "/a/b?q=/a/b/")->name);
+    CPPUNIT_ASSERT(FindRoute(fleet, "x.example", "/a") == nullptr);
+    CPPUNIT_ASSERT(FindRoute(fleet, "z.example", "/a/") == nullptr);
+  }
+
+  // Guards against a split that does not follow the weights, or sends to a weight of 0.
+  auto testWeights() -> void {
+    Route route;
+    route.targets = {{"a", 90}, {"b", 10}, {"c", 0}};
+    std::map<std::string, int> counts;
+    for (std::uint64_t hash = 0; hash < 1000; ++hash) ++counts[PickService(route, hash)];
+    CPPUNIT_ASSERT_EQUAL(900, counts["a"]);
+    CPPUNIT_ASSERT_EQUAL(100, counts["b"]);
+    CPPUNIT_ASSERT_EQUAL(0, counts["c"]);
+  }
+
+  auto testCredentials() -> void {
+    Fleet fleet;
+    fleet.credentials["key"] = "w";
+    CPPUNIT_ASSERT_EQUAL(std::string("w"), *FindWorkspace(fleet, "key"));
+    CPPUNIT_ASSERT(FindWorkspace(fleet, "") == nullptr);
+    CPPUNIT_ASSERT(FindWorkspace(fleet, "key ") == nullptr);
+  }
+
+  // Guards against running a stream twice that must not be resumed.
+  auto testRepeatable() -> void {
+    Route route;
+    route.call_class = core::CallClass::repeatable;
+    CPPUNIT_ASSERT(Repeatable(route));
+    route.call_class = core::CallClass::once;
+    CPPUNIT_ASSERT(!Repeatable(route));
+    route.streaming = true;
+    CPPUNIT_ASSERT(!Repeatable(route));
+    route.resumable = true;
+    CPPUNIT_ASSERT(Repeatable(route));
+  }
+
+  // Guards against a credential that still works 5 s after it was taken away.
+  auto testCredentialLease() -> void {
+    const core::Duration confirmed = std::chrono::seconds(100);
+    CPPUNIT_ASSERT(IsCurrent(confirmed, confirmed + milliseconds(4000)));
+    CPPUNIT_ASSERT(!IsCurrent(confirmed, confirmed + milliseconds(4900)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/test/kept_test.cc
@@ -0,0 +1,64 @@
+#include "filbertstair/direct/kept.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::direct {
+namespace {
+
+auto MakePrompt(std::vector<Part> parts) -> Prompt {
+  Prompt prompt;
+  prompt.model = "m";
+  for (const auto& part : parts) prompt.tokens_in += part.tokens;
+  prompt.parts = std::move(parts);
+  return prompt;
+}
+
+class KeptTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(KeptTest);
+  CPPUNIT_TEST(testPartsCountFromTheStart);
+  CPPUNIT_TEST(testLeastRecentlyUsedYields);
+  CPPUNIT_TEST(testSharedHash);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against counting a part as kept though the parts before it differ.
+  auto testPartsCountFromTheStart() -> void {
+    KeptParts kept;
+    Keep(kept, MakePrompt({{1, 100}, {2, 50}}), 1000);
+    CPPUNIT_ASSERT_EQUAL(150u, KeptTokens(kept, MakePrompt({{1, 100}, {2, 50}, {3, 10}})));
+    CPPUNIT_ASSERT_EQUAL(100u, KeptTokens(kept, MakePrompt({{1, 100}, {4, 50}})));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, MakePrompt({{2, 50}})));
+    auto other = MakePrompt({{1, 100}});
+    other.model = "n";
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, other));
+  }
+
+  // Guards against memory that grows without bound, and against dropping what is used most.
+  auto testLeastRecentlyUsedYields() -> void {
+    KeptParts kept;
+    Keep(kept, MakePrompt({{1, 400}}), 1000);
+    Keep(kept, MakePrompt({{2, 400}}), 1000);
+    Keep(kept, MakePrompt({{1, 400}}), 1000);
+    Keep(kept, MakePrompt({{3, 400}}), 1000);
+    CPPUNIT_ASSERT_EQUAL(400u, KeptTokens(kept, MakePrompt({{1, 400}})));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, MakePrompt({{2, 400}})));
+    CPPUNIT_ASSERT(kept.tokens <= 1000);
+    CPPUNIT_ASSERT_EQUAL(kept.recent.size(), kept.index.size());
+  }
+
+  // Guards against a hash that covers the request's own part, which would spread shared parts over
+  // all replicas.
+  auto testSharedHash() -> void {
+    const auto first = MakePrompt({{1, 10}, {2, 10}, {3, 10}});
+    const auto second = MakePrompt({{1, 10}, {2, 10}, {4, 10}});
+    const auto third = MakePrompt({{1, 10}, {5, 10}, {3, 10}});
+    CPPUNIT_ASSERT_EQUAL(SharedHash(first), SharedHash(second));
+    CPPUNIT_ASSERT(SharedHash(first) != SharedHash(third));
+    CPPUNIT_ASSERT_EQUAL(20u, SharedTokens(first));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(KeptTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- /dev/null
+++ b/libs/direct/test/queue_test.cc
@@ -0,0 +1,123 @@
+#include "filbertstair/direct/queue.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class QueueTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QueueTest);
+  CPPUNIT_TEST(testLeastServedComesFirst);
+  CPPUNIT_TEST(testUrgencyWithinAWorkspace);
+  CPPUNIT_TEST(testServiceElsewhereCounts);
+  CPPUNIT_TEST(testServiceDecays);
+  CPPUNIT_TEST(testMaxMinSharesUnderFlood);
+  CPPUNIT_TEST(testSweepKeepsTheServed);
+  CPPUNIT_TEST_SUITE_END();
+
+  const QueuePolicy policy;
+  const core::Time now{seconds(1000)};
+
+ public:
+  auto testLeastServedComesFirst() -> void {
+    FairQueue queue;
+    Charge(queue, this->policy, "a", 100, this->now);
+    Charge(queue, this->policy, "b", 10, this->now);
+    Enqueue(queue, "a", {1, 0, 1});
+    Enqueue(queue, "b", {2, 0, 1});
+    CPPUNIT_ASSERT_EQUAL(Ticket{2}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+    CPPUNIT_ASSERT(Remove(queue, "b", 2));
+    CPPUNIT_ASSERT(!Remove(queue, "b", 2));
+    CPPUNIT_ASSERT_EQUAL(Ticket{1}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+  }
+
+  // Guards against urgent requests behind others of their own workspace.
+  auto testUrgencyWithinAWorkspace() -> void {
+    FairQueue queue;
+    Enqueue(queue, "a", {1, 2, 1});
+    Enqueue(queue, "a", {2, 1, 1});
+    Enqueue(queue, "a", {3, 1, 1});
+    CPPUNIT_ASSERT_EQUAL(Ticket{2}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+    Remove(queue, "a", 2);
+    CPPUNIT_ASSERT_EQUAL(Ticket{3}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+  }
+
+  // Guards against a workspace that gets a share at each entry over which it spreads its callers.
+  auto testServiceElsewhereCounts() -> void {
+    FairQueue queue;
+    Charge(queue, this->policy, "local", 50, this->now);
+    SetPeerUsed(queue, "spread", "entry-2", 40, this->now);
+    SetPeerUsed(queue, "spread", "entry-3", 40, this->now);
+    Enqueue(queue, "spread", {1, 0, 1});
+    Enqueue(queue, "local", {2, 0, 1});
+    CPPUNIT_ASSERT_EQUAL(Ticket{2}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+    DropPeer(queue, "entry-2");
+    CPPUNIT_ASSERT_EQUAL(Ticket{1}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
+  }
+
+  // Guards against idle time that earns credit without bound, and against old service that is held
+  // against a workspace for ever.
+  auto testServiceDecays() -> void {
+    FairQueue queue;
+    Charge(queue, this->policy, "a", 1000, this->now);
+    const auto& account = queue.accounts.at("a");
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1000, Used(account, this->policy, this->now), 1e-6);
+    const auto later = this->now + this->policy.window * 5;
+    CPPUNIT_ASSERT(Used(account, this->policy, later) < 10);
+  }
+
+  // Guards against a flood, or large requests, that take more than an equal share: four workspaces
+  // that ask for 1, 4, 20 and 100 units a tick of 12 share the rest of what the first leaves.
+  auto testMaxMinSharesUnderFlood() -> void {
+    FairQueue queue;
+    const std::vector<std::pair<std::string, int>> asked = {
+        {"small", 1}, {"medium", 4}, {"large", 20}, {"flood", 100}};
+    std::map<std::string, double> served;
+    Ticket ticket = 0;
+    for (int tick = 0; tick < 2000; ++tick) {
+      const auto at = this->now + milliseconds(10) * tick;
+      for (const auto& [workspace, units] : asked) {
+        const int size = workspace == "large" ? 4 : 1;
+        auto& waiting = queue.accounts[workspace].waiting;
+        for (int i = 0; i < units / size && waiting.size() < 200; ++i) {
+          Enqueue(queue, workspace, {++ticket, 0, static_cast<double>(size)});
+        }
+      }
+      for (double free = 12; free > 0;) {
+        const auto next = PeekNext(queue, this->policy, at);
+        if (!next) break;
+        const auto workspace = *next->workspace;
+        const auto waiter = *next->waiter;
+        Remove(queue, workspace, waiter.ticket);
+        Charge(queue, this->policy, workspace, waiter.cost, at);
+        free -= waiter.cost;
+        if (tick >= 1000) served[workspace] += waiter.cost;
+      }
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1000, served["small"], 50);
+    for (const auto& workspace : {"medium", "large", "flood"}) {
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(served["flood"], served[workspace], 0.05 * served["flood"]);
+    }
+  }
+
+  auto testSweepKeepsTheServed() -> void {
+    FairQueue queue;
+    Charge(queue, this->policy, "served", 1000, this->now);
+    Enqueue(queue, "waiting", {1, 0, 1});
+    Sweep(queue, this->policy, this->now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, queue.accounts.size());
+    Remove(queue, "waiting", 1);
+    Sweep(queue, this->policy, this->now + this->policy.window * 20);
+    CPPUNIT_ASSERT(queue.accounts.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QueueTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -65,12 +65,14 @@
     boost::json::array replicas;
     for (const auto& [service, members] : table.replicas.services) {
       for (const auto& [id, replica] : members) {
+        const auto elsewhere = table.replicas.elsewhere.find(id);
+        const bool used = elsewhere != table.replicas.elsewhere.end();
         replicas.push_back({{"id", id},
                             {"service", service},
                             {"state", core::Name(replica.listing.state)},
                             {"in_flight", replica.in_flight},
                             {"unread_tokens", replica.unread},
-                            {"others", replica.others},
+                            {"elsewhere", used ? elsewhere->second.in_flight : 0},
                             {"set_aside", replica.aside_until > now}});
       }
     }
--- /dev/null
+++ b/libs/relay/test/fixture.h
@@ -0,0 +1,232 @@
+#ifndef FILBERTSTAIR_RELAY_TEST_FIXTURE_H_
+#define FILBERTSTAIR_RELAY_TEST_FIXTURE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "filbertstair/net/http_client.h"
+#include "filbertstair/net/http_server.h"
+#include "filbertstair/relay/relay.h"
+#include "filbertstair/runtime/pool.h"
+
+namespace filbertstair::relay {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr milliseconds kTimeout{5000};
+
+// Headers of a front end of the tests' own, to show that the relay needs no particular names.
+inline auto TestDialect() -> Dialect {
+  Dialect dialect;
+  dialect.read_call = [](const net::HttpRequest& request) {
+    CallHead head;
+    head.attempt = net::FindHeader(request.headers, "Id");
+    head.credential = net::FindHeader(request.headers, "Key");
+    head.last_event = net::FindHeader(request.headers, "After");
+    return head;
+  };
+  dialect.forward_headers = [](const net::HttpRequest& request, const Forward& forward) {
+    net::Headers headers = {{"Host", std::string(net::FindHeader(request.headers, "Host"))},
+                            {"Id", std::string(net::FindHeader(request.headers, "Id"))},
+                            {"Replica", std::string(forward.replica)},
+                            {"Workspace", std::string(forward.workspace)}};
+    if (!forward.last_event.empty()) headers.emplace_back("After", forward.last_event);
+    return headers;
+  };
+  dialect.read_answer = [](const net::HttpAnswer& answer) {
+    AnswerHead head;
+    head.attempt = net::FindHeader(answer.headers, "Id");
+    head.refused = !net::FindHeader(answer.headers, "Not-Run").empty();
+    head.receipt = !net::FindHeader(answer.headers, "Receipt").empty();
+    return head;
+  };
+  dialect.answer_headers = [](const net::HttpAnswer& answer) {
+    auto headers = answer.headers;
+    std::erase_if(headers, [](const auto& header) {
+      return header.first == "Content-Length" || header.first == "Transfer-Encoding" ||
+             header.first == "Connection";
+    });
+    return headers;
+  };
+  return dialect;
+}
+
+// Returns `count` loopback ports that are free now.
+inline auto FreePorts(std::size_t count) -> std::vector<std::uint16_t> {
+  boost::asio::io_context io;
+  std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    acceptors.emplace_back(
+        io, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    ports.push_back(acceptors.back().local_endpoint().port());
+  }
+  return ports;
+}
+
+inline auto MakeSettings(const std::string& id) -> settings::Settings {
+  const auto ports = FreePorts(3);
+  settings::Settings settings;
+  settings.id = id;
+  settings.region = "north";
+  settings.failure_domain = "n1";
+  settings.workers = 1;
+  settings.callers = {"127.0.0.1", ports[0]};
+  settings.peers = {"127.0.0.1", ports[1]};
+  settings.admin = {"127.0.0.1", ports[2]};
+  return settings;
+}
+
+// A replica, with what it was asked. `serve` runs on the replica's own worker.
+struct FakeReplica {
+  using Serve = std::function<void(const net::HttpRequest&, net::Responder&)>;
+
+  FakeReplica(std::string id, Serve serve)
+      : id(std::move(id)), address("127.0.0.1:" + std::to_string(FreePorts(1)[0])) {
+    std::promise<void> listening;
+    this->pool.Post(0, [&, serve] {
+      net::HttpHandlers handlers;
+      handlers.request = [this, serve](const net::HttpRequest& request, net::Responder& responder) {
+        {
+          const std::lock_guard lock(this->mutex);
+          this->requests.push_back(request);
+        }
+        serve(request, responder);
+      };
+      handlers.fault = [](net::RequestFault, net::Responder& responder) {
+        responder.Respond(400, {}, "");
+      };
+      handlers.closing = [] { return false; };
+      net::ListenHttp(this->address, {}, handlers);
+      listening.set_value();
+    });
+    listening.get_future().get();
+  }
+
+  auto Requests() -> std::vector<net::HttpRequest> {
+    const std::lock_guard lock(this->mutex);
+    return this->requests;
+  }
+
+  const std::string id;
+  const std::string address;
+
+ private:
+  runtime::Pool pool{1, [](const std::exception&) {}};
+  std::mutex mutex;
+  std::vector<net::HttpRequest> requests;
+};
+
+// Headers of a replica's answer to the request.
+inline auto AnswerHeaders(const net::HttpRequest& request) -> net::Headers {
+  return {{"Id", std::string(net::FindHeader(request.headers, "Id"))}, {"Receipt", "r"}};
+}
+
+struct CallerAnswer {
+  int status = 0;
+  net::Headers headers;
+  std::string body;
+  // Whether the answer came to its end.
+  bool whole = false;
+};
+
+// An entry that admits by itself, with a configuration of one route per kind of call.
+struct Fleet {
+  explicit Fleet(settings::Settings settings = MakeSettings("entry-1"))
+      : node(std::move(settings), 1), relay(Start(this->node, TestDialect())) {}
+
+  auto Configure(direct::Fleet fleet) -> void {
+    AcceptFleet(*this->relay, std::move(fleet));
+    Confirm(*this->relay, BootTime());
+  }
+
+  auto List(const FakeReplica& replica, const std::string& service = "s") -> void {
+    direct::Listing listing;
+    listing.id = replica.id;
+    listing.service = service;
+    listing.address = replica.address;
+    listing.failure_domain = "n1";
+    listing.slots = 8;
+    AcceptListing(*this->relay, listing);
+  }
+
+  // Runs one request and returns its answer, as far as it came.
+  auto Call(net::HttpRequest request, bool admin = false) -> CallerAnswer {
+    const auto address =
+        settings::FormatAddress(admin ? this->node.settings.admin : this->node.settings.callers);
+    std::promise<CallerAnswer> done;
+    this->callers.Post(0, [&] {
+      CallerAnswer out;
+      try {
+        net::HttpExchange exchange;
+        exchange.Connect(address, kTimeout);
+        request.headers.emplace_back("Host", "a.example");
+        exchange.Send(request, kTimeout);
+        const auto head = exchange.ReadHead(kTimeout);
+        out.status = head.status;
+        out.headers = head.headers;
+        for (auto piece = exchange.Read(kTimeout); !piece.empty();
+             piece = exchange.Read(kTimeout)) {
+          out.body += piece;
+        }
+        out.whole = true;
+      } catch (const std::exception&) {
+        // The answer shows how far it came.
+      }
+      done.set_value(out);
+    });
+    return done.get_future().get();
+  }
+
+  node::Node node;
+  std::shared_ptr<Relay> relay;
+  runtime::Pool callers{1, [](const std::exception&) {}};
+};
+
+inline auto MakeRoute(const std::string& prefix) -> direct::Route {
+  direct::Route route;
+  route.name = prefix;
+  route.host = "a.example";
+  route.prefix = prefix;
+  route.targets = {{"s", 1}};
+  route.timeout = seconds(4);
+  return route;
+}
+
+// Routes: /once/, /again/ (repeatable), /stream/ (resumable), /stream-once/, and /open/ without a
+// credential. Workspace w holds the credential k.
+inline auto MakeFleet() -> direct::Fleet {
+  direct::Fleet fleet;
+  fleet.version = 1;
+  fleet.credentials["k"] = "w";
+  fleet.routes.push_back(MakeRoute("/once/"));
+  fleet.routes.push_back(MakeRoute("/open/"));
+  fleet.routes.back().open = true;
+  fleet.routes.push_back(MakeRoute("/again/"));
+  fleet.routes.back().call_class = core::CallClass::repeatable;
+  fleet.routes.back().attempts = 2;
+  fleet.routes.push_back(MakeRoute("/stream/"));
+  fleet.routes.back().streaming = true;
+  fleet.routes.back().resumable = true;
+  fleet.routes.back().attempts = 2;
+  fleet.routes.push_back(MakeRoute("/stream-once/"));
+  fleet.routes.back().streaming = true;
+  return fleet;
+}
+
+inline auto Get(const std::string& target, const std::string& id = "1") -> net::HttpRequest {
+  return {"GET", target, {{"Id", id}, {"Key", "k"}}, "", ""};
+}
+
+}  // namespace filbertstair::relay
+
+#endif  // FILBERTSTAIR_RELAY_TEST_FIXTURE_H_
--- /dev/null
+++ b/libs/relay/test/peers_test.cc
@@ -0,0 +1,69 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/json.hpp>
+
+#include "fixture.h"
+
+namespace filbertstair::relay {
+namespace {
+
+// Returns the number of requests that the entry knows other entries to have at the replica.
+auto Elsewhere(Fleet& fleet, const std::string& replica) -> std::int64_t {
+  const auto status = boost::json::parse(fleet.Call(Get("/status"), true).body).as_object();
+  for (const auto& item : status.at("replicas").as_array()) {
+    const auto& row = item.as_object();
+    if (row.at("id").as_string() == replica) return row.at("elsewhere").as_int64();
+  }
+  return -1;
+}
+
+auto WaitFor(const std::function<bool()>& condition) -> bool {
+  const auto deadline = std::chrono::steady_clock::now() + seconds(8);
+  while (std::chrono::steady_clock::now() < deadline) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return condition();
+}
+
+class PeersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeersTest);
+  CPPUNIT_TEST(testEntriesLearnOfEachOthersRequests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against entries that fill a replica because they don't know of each other, also if they
+  // know of each other only through a third one.
+  auto testEntriesLearnOfEachOthersRequests() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      runtime::SleepFor(seconds(2));
+      responder.Respond(200, AnswerHeaders(request), "");
+    });
+    auto settings = MakeSettings("entry-2");
+    Fleet seed;
+    settings.seeds = {seed.node.settings.peers};
+    Fleet second(settings);
+    auto last = MakeSettings("entry-3");
+    last.seeds = {seed.node.settings.peers};
+    Fleet third(last);
+    for (auto* fleet : {&seed, &second, &third}) {
+      fleet->Configure(MakeFleet());
+      fleet->List(replica);
+    }
+    std::vector<std::future<CallerAnswer>> answers;
+    CPPUNIT_ASSERT(WaitFor([&] {
+      if (answers.empty()) {
+        answers.push_back(
+            std::async(std::launch::async, [&] { return second.Call(Get("/once/x")); }));
+      }
+      return Elsewhere(third, "a") == 1 && Elsewhere(seed, "a") == 1;
+    }));
+    CPPUNIT_ASSERT_EQUAL(200, answers.front().get().status);
+    CPPUNIT_ASSERT(WaitFor([&] { return Elsewhere(third, "a") == 0; }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
+
+}  // namespace
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/test/relay_test.cc
@@ -0,0 +1,225 @@
+#include "filbertstair/relay/relay.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fixture.h"
+
+namespace filbertstair::relay {
+namespace {
+
+auto RespondOk(const net::HttpRequest& request, net::Responder& responder) -> void {
+  responder.Respond(200, AnswerHeaders(request), "body of " + request.target);
+}
+
+auto Cut(const net::HttpRequest&, net::Responder& responder) -> void { responder.Abort(); }
+
+class RelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(testWholeAnswerIsUnchanged);
+  CPPUNIT_TEST(testRefusalsBeforeAnyReplica);
+  CPPUNIT_TEST(testStaleConfigurationRefuses);
+  CPPUNIT_TEST(testVersionNeverGoesBack);
+  CPPUNIT_TEST(testOnceCallRunsOnce);
+  CPPUNIT_TEST(testRepeatableCallIsRepeated);
+  CPPUNIT_TEST(testRefusingReplicaProvesNotRun);
+  CPPUNIT_TEST(testUnreachableReplicaProvesNotRun);
+  CPPUNIT_TEST(testReplicasOwnFailureIsPassedOn);
+  CPPUNIT_TEST(testSuccessWithoutReceipt);
+  CPPUNIT_TEST(testAnswerToAnotherRequest);
+  CPPUNIT_TEST(testDrain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testWholeAnswerIsUnchanged() -> void {
+    FakeReplica replica("a", RespondOk);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    const auto answer = fleet.Call(Get("/once/x?y=1"));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("body of /once/x?y=1"), answer.body);
+    CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Receipt") == "r");
+    const auto& request = replica.Requests().at(0);
+    CPPUNIT_ASSERT(net::FindHeader(request.headers, "Workspace") == "w");
+    CPPUNIT_ASSERT(net::FindHeader(request.headers, "Replica") == "a");
+    CPPUNIT_ASSERT(net::FindHeader(request.headers, "Key").empty());
+  }
+
+  // Guards against statuses that promise something else than what happened, and against work for
+  // requests that are not allowed.
+  auto testRefusalsBeforeAnyReplica() -> void {
+    FakeReplica replica("a", RespondOk);
+    Fleet fleet;
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/once/x")).status);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/readyz"), true).status);
+    fleet.Configure(MakeFleet());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/readyz"), true).status);
+    const auto none = fleet.Call(Get("/once/x"));
+    CPPUNIT_ASSERT_EQUAL(503, none.status);
+    CPPUNIT_ASSERT(!net::FindHeader(none.headers, "Retry-After").empty());
+    fleet.List(replica);
+    CPPUNIT_ASSERT_EQUAL(404, fleet.Call(Get("/nowhere/")).status);
+    CPPUNIT_ASSERT_EQUAL(401, fleet.Call({"GET", "/once/x", {{"Id", "1"}}, "", ""}).status);
+    CPPUNIT_ASSERT_EQUAL(
+        401, fleet.Call({"GET", "/once/x", {{"Id", "1"}, {"Key", "z"}}, "", ""}).status);
+    CPPUNIT_ASSERT_EQUAL(400, fleet.Call({"GET", "/once/x", {{"Key", "k"}}, "", ""}).status);
+    CPPUNIT_ASSERT(replica.Requests().empty());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call({"GET", "/open/x", {{"Id", "1"}}, "", ""}).status);
+  }
+
+  // Guards against a credential that was taken away and still works at an entry that cannot know.
+  auto testStaleConfigurationRefuses() -> void {
+    FakeReplica replica("a", RespondOk);
+    Fleet fleet;
+    AcceptFleet(*fleet.relay, MakeFleet());
+    fleet.List(replica);
+    Confirm(*fleet.relay, BootTime() - direct::kCredentialLease);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/once/x")).status);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/readyz"), true).status);
+    Confirm(*fleet.relay, BootTime());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x")).status);
+  }
+
+  // Guards against an old configuration that arrives late and undoes a newer one.
+  auto testVersionNeverGoesBack() -> void {
+    Fleet fleet;
+    auto newer = MakeFleet();
+    newer.version = 5;
+    newer.credentials.clear();
+    newer.credentials["other"] = "w";
+    CPPUNIT_ASSERT(AcceptFleet(*fleet.relay, newer));
+    CPPUNIT_ASSERT(!AcceptFleet(*fleet.relay, MakeFleet()));
+    CPPUNIT_ASSERT(!AcceptFleet(*fleet.relay, newer));
+    Confirm(*fleet.relay, BootTime());
+    CPPUNIT_ASSERT_EQUAL(401, fleet.Call(Get("/once/x")).status);
+  }
+
+  // Guards against running a call twice whose answer was lost, and against a status that promises
+  // that it did not run.
+  auto testOnceCallRunsOnce() -> void {
+    FakeReplica first("a", Cut);
+    FakeReplica second("b", Cut);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto answer = fleet.Call(Get("/once/x"));
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+    CPPUNIT_ASSERT(net::FindHeader(answer.headers, "X-Outcome") == "unknown");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.Requests().size() + second.Requests().size());
+  }
+
+  auto testRepeatableCallIsRepeated() -> void {
+    FakeReplica first("a", Cut);
+    FakeReplica second("b", RespondOk);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/again/x")).status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.Requests().size());
+  }
+
+  // Guards against losing a call that a replica refused, and against more attempts than the route
+  // allows.
+  auto testRefusingReplicaProvesNotRun() -> void {
+    const auto refuse = [](const net::HttpRequest& request, net::Responder& responder) {
+      auto headers = AnswerHeaders(request);
+      headers.emplace_back("Not-Run", "1");
+      responder.Respond(503, headers, "");
+    };
+    FakeReplica first("a", refuse);
+    FakeReplica second("b", refuse);
+    FakeReplica third("c", RespondOk);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto once = fleet.Call(Get("/once/x"));
+    CPPUNIT_ASSERT_EQUAL(503, once.status);
+    CPPUNIT_ASSERT(net::FindHeader(once.headers, "X-Outcome") == "not_run");
+    CPPUNIT_ASSERT(net::FindHeader(once.headers, "Receipt").empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.Requests().size() + second.Requests().size());
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/again/x")).status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, first.Requests().size() + second.Requests().size());
+  }
+
+  auto testUnreachableReplicaProvesNotRun() -> void {
+    FakeReplica live("b", RespondOk);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    direct::Listing dead;
+    dead.id = "a";
+    dead.service = "s";
+    dead.address = "127.0.0.1:" + std::to_string(FreePorts(1)[0]);
+    dead.failure_domain = "n1";
+    dead.slots = 8;
+    AcceptListing(*fleet.relay, dead);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/once/x")).status);
+    fleet.List(live);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x", "2")).status);
+  }
+
+  // Guards against hiding a replica's own failure behind one of the entry's.
+  auto testReplicasOwnFailureIsPassedOn() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(500, AnswerHeaders(request), "broken");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    for (const auto& target : {"/once/x", "/again/x"}) {
+      const auto answer = fleet.Call(Get(target));
+      CPPUNIT_ASSERT_EQUAL(500, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("broken"), answer.body);
+      CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Receipt") == "r");
+    }
+  }
+
+  // Guards against passing on a success that no replica vouches for.
+  auto testSuccessWithoutReceipt() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(200, {{"Id", std::string(net::FindHeader(request.headers, "Id"))}}, "?");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    CPPUNIT_ASSERT_EQUAL(502, fleet.Call(Get("/once/x")).status);
+  }
+
+  // Guards against an answer that belongs to another request.
+  auto testAnswerToAnotherRequest() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest&, net::Responder& responder) {
+      responder.Respond(200, {{"Id", "someone else"}, {"Receipt", "r"}}, "not yours");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    const auto answer = fleet.Call(Get("/once/x"));
+    CPPUNIT_ASSERT(answer.status >= 500);
+    CPPUNIT_ASSERT(answer.body.find("not yours") == std::string::npos);
+  }
+
+  // Guards against a planned stop that cuts a request, or stays in rotation.
+  auto testDrain() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      runtime::SleepFor(milliseconds(300));
+      RespondOk(request, responder);
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    auto answer = std::async(std::launch::async, [&] { return fleet.Call(Get("/once/x")); });
+    while (replica.Requests().empty()) std::this_thread::sleep_for(milliseconds(5));
+    fleet.node.pool.Post(0, [&] { Drain(*fleet.relay); });
+    const auto finished = answer.get();
+    CPPUNIT_ASSERT_EQUAL(200, finished.status);
+    CPPUNIT_ASSERT(finished.whole);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/readyz"), true).status);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+}  // namespace
+}  // namespace filbertstair::relay
--- /dev/null
+++ b/libs/relay/test/stream_test.cc
@@ -0,0 +1,139 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fixture.h"
+
+namespace filbertstair::relay {
+namespace {
+
+constexpr int kEvents = 6;
+
+auto Event(int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+auto AllEvents() -> std::string {
+  std::string out;
+  for (int id = 1; id <= kEvents; ++id) out += Event(id);
+  return out;
+}
+
+// Streams the events after the one that the request names; ends inside event `cut`, if there is
+// one.
+auto Stream(const net::HttpRequest& request, net::Responder& responder, int cut) -> void {
+  const auto after = net::FindHeader(request.headers, "After");
+  auto headers = AnswerHeaders(request);
+  headers.emplace_back("Started-After", after);
+  responder.Begin(200, headers);
+  for (int id = after.empty() ? 1 : std::stoi(std::string(after)) + 1; id <= kEvents; ++id) {
+    if (id == cut) {
+      responder.Write(Event(id).substr(0, 8));
+      runtime::SleepFor(milliseconds(20));
+      responder.Abort();
+      return;
+    }
+    responder.Write(Event(id));
+    runtime::SleepFor(milliseconds(2));
+  }
+  responder.End();
+}
+
+auto StreamCutAt(int cut) -> FakeReplica::Serve {
+  return [cut](const net::HttpRequest& request, net::Responder& responder) {
+    Stream(request, responder, cut);
+  };
+}
+
+class StreamTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StreamTest);
+  CPPUNIT_TEST(testWholeStream);
+  CPPUNIT_TEST(testResumedAfterTheLastWholeEvent);
+  CPPUNIT_TEST(testCutStreamDoesNotLookComplete);
+  CPPUNIT_TEST(testResumedWhereTheCallerResumes);
+  CPPUNIT_TEST(testCallerThatLeavesFreesTheReplica);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  auto testWholeStream() -> void {
+    FakeReplica replica("a", StreamCutAt(0));
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    const auto answer = fleet.Call(Get("/stream-once/x"));
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+  }
+
+  // Guards against events that are missing, come twice or are joined from two runs, at every place
+  // where a replica may stop.
+  auto testResumedAfterTheLastWholeEvent() -> void {
+    for (int cut = 1; cut <= kEvents; ++cut) {
+      FakeReplica first("a", StreamCutAt(cut));
+      FakeReplica second("b", StreamCutAt(0));
+      Fleet fleet;
+      fleet.Configure(MakeFleet());
+      fleet.List(first);
+      fleet.List(second);
+      const auto answer = fleet.Call(Get("/stream/x"));
+      CPPUNIT_ASSERT(answer.whole);
+      CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+      CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Started-After").empty());
+      const auto after = cut == 1 ? "" : std::to_string(cut - 1);
+      CPPUNIT_ASSERT_EQUAL(after,
+                           std::string(net::FindHeader(second.Requests().at(0).headers, "After")));
+    }
+  }
+
+  auto testCutStreamDoesNotLookComplete() -> void {
+    FakeReplica first("a", StreamCutAt(4));
+    FakeReplica second("b", StreamCutAt(0));
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    const auto answer = fleet.Call(Get("/stream-once/x"));
+    CPPUNIT_ASSERT(!answer.whole);
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), answer.body);
+  }
+
+  // Guards against starting over where the caller itself resumes a stream.
+  auto testResumedWhereTheCallerResumes() -> void {
+    FakeReplica replica("a", StreamCutAt(0));
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    auto request = Get("/stream/x");
+    request.headers.emplace_back("After", "4");
+    CPPUNIT_ASSERT_EQUAL(Event(5) + Event(6), fleet.Call(request).body);
+  }
+
+  // Guards against a replica that works on for a caller that has left.
+  auto testCallerThatLeavesFreesTheReplica() -> void {
+    std::promise<void> left;
+    FakeReplica replica("a", [&](const net::HttpRequest& request, net::Responder& responder) {
+      responder.OnCallerGone([&] { left.set_value(); });
+      responder.Begin(200, AnswerHeaders(request));
+      responder.Write(Event(1));
+      runtime::SleepFor(seconds(3));
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    std::promise<void> gone;
+    fleet.callers.Post(0, [&] {
+      net::HttpExchange exchange;
+      exchange.Connect(settings::FormatAddress(fleet.node.settings.callers), kTimeout);
+      auto request = Get("/stream-once/x");
+      request.headers.emplace_back("Host", "a.example");
+      exchange.Send(request, kTimeout);
+      exchange.ReadHead(kTimeout);
+      exchange.Cancel();
+      gone.set_value();
+    });
+    gone.get_future().get();
+    CPPUNIT_ASSERT(left.get_future().wait_for(seconds(2)) == std::future_status::ready);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamTest);
+
+}  // namespace
+}  // namespace filbertstair::relay
