Bound log lines per request event and write them on a thread of their own

A flood of refusals took processor time from callers, one line each, and a reader of the output that stalled would have blocked the workers. Logs go to standard output.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -106,8 +106,10 @@
   } catch (const core::Error& error) {
     node::LogError(Level::error, Event::start_failed, error);
     std::cerr << "filbertstaird: " << error.what() << '\n';
+    telemetry::FlushLog();
     _exit(kExitRefused);
   }
+  telemetry::FlushLog();
   // The workers' fibers still wait for I/O; leaving without unwinding them is safe, as nothing is
   // kept.
   _exit(0);
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -1,15 +1,43 @@
 #include "filbertstair/telemetry/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "filbertstair/telemetry/line_budget.h"
 
 namespace filbertstair::telemetry {
 namespace {
 
 std::atomic<Format> log_format = Format::text;
 
+// Lines that wait for a slow reader of the output. More than these displace the oldest.
+constexpr std::size_t kQueuedLines = 4096;
+
+// Longest wait for the lines before the process exits, and the time between two looks.
+constexpr std::chrono::milliseconds kFlushTime{100};
+constexpr std::chrono::milliseconds kFlushPoll{2};
+
+// Whether there may be a line of the event for each request, whose number nothing bounds.
+auto IsPerRequest(Event event) -> bool {
+  const int number = static_cast<int>(event);
+  return number >= 400 && number < 500;
+}
+
+// Returns how many lines of the event were left out before this one, or nothing if this one is.
+auto TakeEventLine(Event event) -> std::optional<std::uint64_t> {
+  if (!IsPerRequest(event)) return 0;
+  static std::mutex mutex;
+  static std::map<Event, LineBudget> budgets;
+  const std::lock_guard lock(mutex);
+  return TakeLine(budgets[event], std::chrono::steady_clock::now());
+}
+
 auto ToSpdlog(Level level) -> spdlog::level::level_enum {
   switch (level) {
     case Level::debug:
@@ -51,7 +79,8 @@
 
 namespace detail {
 
-auto FormatText(Event event, std::initializer_list<Field> fields) -> std::string {
+auto FormatText(Event event, std::initializer_list<Field> fields, std::string_view dropped)
+    -> std::string {
   std::string out = fmt::format("{} {}", static_cast<int>(event), core::Name(event));
   for (const auto& [name, value] : fields) {
     if (value.empty()) continue;
@@ -64,10 +93,12 @@
       out += value;
     }
   }
+  if (!dropped.empty()) out += fmt::format(" dropped={}", dropped);
   return out;
 }
 
-auto FormatJson(Event event, std::initializer_list<Field> fields) -> std::string {
+auto FormatJson(Event event, std::initializer_list<Field> fields, std::string_view dropped)
+    -> std::string {
   std::string out =
       fmt::format(R"("event":{},"name":"{}")", static_cast<int>(event), core::Name(event));
   for (const auto& [name, value] : fields) {
@@ -77,14 +108,18 @@
     out += ':';
     AppendString(out, value);
   }
+  if (!dropped.empty()) out += fmt::format(R"(,"dropped":{})", dropped);
   return out;
 }
 
 }  // namespace detail
 
 auto SetUpLog(Level level, Format format, const std::string& process) -> void {
-  auto logger =
-      std::make_shared<spdlog::logger>(process, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  // A thread of its own writes the lines, so that a reader that stalls blocks no worker.
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  auto logger = std::make_shared<spdlog::async_logger>(
+      process, std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
+      spdlog::async_overflow_policy::overrun_oldest);
   log_format = format;
   if (format == Format::json) {
     logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","process":"%n",%v})");
@@ -99,9 +134,24 @@
 auto Log(Level level, Event event, std::initializer_list<Field> fields) -> void {
   auto* logger = spdlog::default_logger_raw();
   if (!logger->should_log(ToSpdlog(level))) return;
-  const auto line = log_format == Format::json ? detail::FormatJson(event, fields)
-                                               : detail::FormatText(event, fields);
+  const auto dropped = TakeEventLine(event);
+  if (!dropped) return;
+  const auto count = *dropped == 0 ? std::string() : std::to_string(*dropped);
+  const auto line = log_format == Format::json ? detail::FormatJson(event, fields, count)
+                                               : detail::FormatText(event, fields, count);
   logger->log(ToSpdlog(level), "{}", line);
 }
 
+auto FlushLog() -> void {
+  const auto pool = spdlog::thread_pool();
+  if (!pool) return;
+  spdlog::default_logger_raw()->flush();
+  const auto deadline = std::chrono::steady_clock::now() + kFlushTime;
+  while (pool->queue_size() > 0 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kFlushPoll);
+  }
+  // The last line leaves the queue before it is written.
+  std::this_thread::sleep_for(kFlushPoll);
+}
+
 }  // namespace filbertstair::telemetry
--- /dev/null
+++ b/libs/telemetry/test/line_budget_test.cc
@@ -0,0 +1,45 @@
+#include "filbertstair/telemetry/line_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::telemetry {
+namespace {
+
+class LineBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LineBudgetTest);
+  CPPUNIT_TEST(testFloodIsBoundedAndCounted);
+  CPPUNIT_TEST(testQuietEventsAreAllWritten);
+  CPPUNIT_TEST_SUITE_END();
+
+  const std::chrono::steady_clock::time_point start{std::chrono::seconds(1000)};
+
+ public:
+  // Guards against a flood of requests that turns into a flood of lines, and against lines that are
+  // left out without a count.
+  auto testFloodIsBoundedAndCounted() -> void {
+    LineBudget budget;
+    std::uint64_t written = 0;
+    std::uint64_t dropped = 0;
+    constexpr int kLines = 100000;
+    for (int i = 0; i < kLines; ++i) {
+      const auto line = TakeLine(budget, this->start + std::chrono::microseconds(100) * i);
+      if (!line) continue;
+      ++written;
+      dropped += *line;
+    }
+    CPPUNIT_ASSERT(written <= kLineBurst + 10 * kLinesPerSecond + 1);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kLines}, written + dropped + budget.dropped);
+  }
+
+  auto testQuietEventsAreAllWritten() -> void {
+    LineBudget budget;
+    for (int i = 0; i < 1000; ++i) {
+      CPPUNIT_ASSERT(TakeLine(budget, this->start + std::chrono::milliseconds(100) * i));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LineBudgetTest);
+
+}  // namespace
+}  // namespace filbertstair::telemetry
