--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -199,7 +199,7 @@
   });
   WatchCaller(call, responder);
   auto refused = RunAttempts(relay, *call, request, responder);
-  if (refused && call->held && !call->caller_gone) {
+  if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
     call->begun = true;
     responder.Respond(call->held->status, call->held->headers, call->held->body);
     return std::nullopt;
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -137,6 +137,8 @@
   std::string body;
   // Whether the answer came to its end.
   bool whole = false;
+  // How the answer failed to come to its end, if other than by the end of the connection.
+  std::string left;
 };
 
 // An entry that admits by itself, with a configuration of one route per kind of call.
@@ -179,8 +181,12 @@
           out.body += piece;
         }
         out.whole = true;
-      } catch (const std::exception&) {
-        // The answer shows how far it came.
+      } catch (const std::exception& error) {
+        const std::string what = error.what();
+        if (what.find("partial message") == std::string::npos &&
+            what.find("end of stream") == std::string::npos) {
+          out.left = what;
+        }
       }
       done.set_value(out);
     });
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(testWholeStream);
   CPPUNIT_TEST(testResumedAfterTheLastWholeEvent);
   CPPUNIT_TEST(testCutStreamDoesNotLookComplete);
+  CPPUNIT_TEST(testHeldAnswerIsNotAddedToAStream);
   CPPUNIT_TEST(testResumedWhereTheCallerResumes);
   CPPUNIT_TEST(testCallerThatLeavesFreesTheReplica);
   CPPUNIT_TEST_SUITE_END();
@@ -94,6 +95,23 @@
     CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), answer.body);
   }
 
+  // Guards against a failed answer of the first replica that is sent after the second one's stream
+  // broke off: callers could not read what they got.
+  auto testHeldAnswerIsNotAddedToAStream() -> void {
+    FakeReplica first("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(500, AnswerHeaders(request), "broken");
+    });
+    FakeReplica second("b", StreamCutAt(4));
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto answer = fleet.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT(!answer.whole);
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), answer.body);
+    CPPUNIT_ASSERT(answer.left.empty());
+  }
+
   // Guards against starting over where the caller itself resumes a stream.
   auto testResumedWhereTheCallerResumes() -> void {
     FakeReplica replica("a", StreamCutAt(0));
