Leave room to less served workspaces that wait at other entries

Change: entries tell which workspaces wait; one that leads over the least served of them may use a smaller share of a replica's room.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -29,11 +29,17 @@
   core::Time at{};
 };
 
+// A workspace at another entry: its recent service there, and whether requests of it wait there.
+struct PeerAccount {
+  Recent recent;
+  bool waiting = false;
+};
+
 // A workspace's recent service and waiting requests.
 struct Account {
   // Service taken through this entry, and through others by their id.
   Recent own;
-  std::map<std::string, Recent> peers;
+  std::map<std::string, PeerAccount> peers;
   // In order of urgency, then of arrival.
   std::deque<Waiter> waiting;
 };
@@ -41,6 +47,12 @@
 struct QueuePolicy {
   // Time over which shares are compared. Service taken earlier counts less and less.
   core::Duration window = std::chrono::seconds(4);
+  // Lead over the least served workspace with waiting requests, at any entry, that costs nothing:
+  // about two large requests.
+  double free_lead = 20000;
+  // Least share of a replica's room that a workspace may use, however far it leads, so that
+  // replicas do not idle while others wait elsewhere.
+  double least_room = 0.3;
 };
 
 // Waiting requests of one service by workspace.
@@ -59,6 +71,12 @@
 auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now)
     -> std::optional<Next>;
 
+// Returns the share of a replica's room that the workspace may use. Entries compete for the same
+// room; one whose callers all belong to a workspace that leads leaves the rest to those entries
+// where less served workspaces wait.
+auto RoomShare(const FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+               core::Time now) -> double;
+
 // Removes a waiting request. Returns false if it does not wait.
 auto Remove(FairQueue& queue, const std::string& workspace, Ticket ticket) -> bool;
 
@@ -66,10 +84,9 @@
 auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
             core::Time now) -> void;
 
-// Takes another entry's word on a workspace's recent service there, and forgets an entry that is
-// gone.
-auto SetPeerUsed(FairQueue& queue, const std::string& workspace, const std::string& peer,
-                 double used, core::Time now) -> void;
+// Takes another entry's word on a workspace there, and forgets an entry that is gone.
+auto SetPeerAccount(FairQueue& queue, const std::string& workspace, const std::string& peer,
+                    const PeerAccount& account) -> void;
 auto DropPeer(FairQueue& queue, const std::string& peer) -> void;
 
 // Returns recent service at `now`: of one source, and of a workspace over all entries.
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -83,7 +83,8 @@
   // Prompt tokens that a replica reads in a millisecond, before it has been seen to.
   double tokens_per_ms = 55;
   // Unread prompt tokens at one replica, of all entries, beyond which it gets no further prompt.
-  // About 0.3 s of reading: more would wait in the replica's own queue, where arrival order rules.
+  // About 0.5 s of reading, half of the longest objective: more would wait in the replica's own
+  // queue, where arrival order rules.
   std::uint64_t max_unread = 26000;
   // The same for a prompt whose shared parts the replica does not keep.
   std::uint64_t max_unread_anew = 5000;
@@ -138,6 +139,8 @@
   const Prompt* prompt = nullptr;
   // Replicas that this request was sent to before.
   const std::set<std::string>* tried = nullptr;
+  // Share of a replica's room that the request may use.
+  double room = 1;
 };
 
 enum class ChoiceStatus { chosen, full, none };
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -9,6 +9,13 @@
 // Recent service below which a workspace counts as idle: less than any request costs.
 constexpr double kNegligible = 0.5;
 
+// Whether requests of the workspace wait at any entry.
+auto IsWaiting(const Account& account) -> bool {
+  return !account.waiting.empty() ||
+         std::any_of(account.peers.begin(), account.peers.end(),
+                     [](const auto& item) { return item.second.waiting; });
+}
+
 }  // namespace
 
 auto Enqueue(FairQueue& queue, const std::string& workspace, const Waiter& waiter) -> void {
@@ -27,7 +34,7 @@
 
 auto Used(const Account& account, const QueuePolicy& policy, core::Time now) -> double {
   double used = Used(account.own, policy, now);
-  for (const auto& [peer, recent] : account.peers) used += Used(recent, policy, now);
+  for (const auto& [id, peer] : account.peers) used += Used(peer.recent, policy, now);
   return used;
 }
 
@@ -45,6 +52,19 @@
   return next;
 }
 
+auto RoomShare(const FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+               core::Time now) -> double {
+  const auto account = queue.accounts.find(workspace);
+  if (account == queue.accounts.end()) return 1;
+  const double used = Used(account->second, policy, now);
+  double least = used;
+  for (const auto& [name, other] : queue.accounts) {
+    if (IsWaiting(other)) least = std::min(least, Used(other, policy, now));
+  }
+  if (used <= least + policy.free_lead) return 1;
+  return std::max(policy.least_room, (least + policy.free_lead) / used);
+}
+
 auto Remove(FairQueue& queue, const std::string& workspace, Ticket ticket) -> bool {
   const auto account = queue.accounts.find(workspace);
   if (account == queue.accounts.end()) return false;
@@ -60,9 +80,9 @@
   account.own = {std::max(0.0, Used(account.own, policy, now) + cost), now};
 }
 
-auto SetPeerUsed(FairQueue& queue, const std::string& workspace, const std::string& peer,
-                 double used, core::Time now) -> void {
-  queue.accounts[workspace].peers[peer] = {used, now};
+auto SetPeerAccount(FairQueue& queue, const std::string& workspace, const std::string& peer,
+                    const PeerAccount& account) -> void {
+  queue.accounts[workspace].peers[peer] = account;
 }
 
 auto DropPeer(FairQueue& queue, const std::string& peer) -> void {
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -51,11 +51,12 @@
 }
 
 auto HasRoom(const Replica& replica, const ReplicaPolicy& policy, const Reading& reading,
-             std::uint64_t shared, const Use& use) -> bool {
-  const double full = std::max(1.0, std::floor(replica.listing.slots * policy.full_share));
+             std::uint64_t shared, const Use& use, double room) -> bool {
+  const double full = std::max(1.0, std::floor(replica.listing.slots * policy.full_share * room));
   if (use.in_flight + 1 > full) return false;
   const auto limit = reading.shared_kept < shared ? policy.max_unread_anew : policy.max_unread;
-  return use.unread == 0 || use.unread + reading.unread <= limit;
+  return use.unread == 0 ||
+         static_cast<double>(use.unread + reading.unread) <= static_cast<double>(limit) * room;
 }
 
 auto DistanceCost(const Replica& replica, const ReplicaPolicy& policy, const Origin& origin)
@@ -171,7 +172,7 @@
     const std::size_t rank = ranked == ranks.end() ? 0 : ranked->second;
     const auto reading = Expect(replica, prompt, ranked != ranks.end() && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
-    if (!HasRoom(replica, policy, reading, shared, use)) continue;
+    if (!HasRoom(replica, policy, reading, shared, use, need.room)) continue;
     if (replica.aside_until > now) {
       if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
       continue;
--- a/libs/direct/test/queue_test.cc
+++ b/libs/direct/test/queue_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testServiceElsewhereCounts);
   CPPUNIT_TEST(testServiceDecays);
   CPPUNIT_TEST(testMaxMinSharesUnderFlood);
+  CPPUNIT_TEST(testLeaderLeavesRoomToOthersElsewhere);
   CPPUNIT_TEST(testSweepKeepsTheServed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,8 +52,8 @@
   auto testServiceElsewhereCounts() -> void {
     FairQueue queue;
     Charge(queue, this->policy, "local", 50, this->now);
-    SetPeerUsed(queue, "spread", "entry-2", 40, this->now);
-    SetPeerUsed(queue, "spread", "entry-3", 40, this->now);
+    SetPeerAccount(queue, "spread", "entry-2", {{40, this->now}, false});
+    SetPeerAccount(queue, "spread", "entry-3", {{40, this->now}, false});
     Enqueue(queue, "spread", {1, 0, 1});
     Enqueue(queue, "local", {2, 0, 1});
     CPPUNIT_ASSERT_EQUAL(Ticket{2}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
@@ -105,6 +106,23 @@
     }
   }
 
+  // Guards against a workspace that gets three times the service of another because its callers
+  // are spread over more entries, which all compete for the same replicas.
+  auto testLeaderLeavesRoomToOthersElsewhere() -> void {
+    FairQueue queue;
+    Charge(queue, this->policy, "leader", 300000, this->now);
+    Enqueue(queue, "leader", {1, 0, 1});
+    CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "leader", this->now));
+    SetPeerAccount(queue, "behind", "entry-2", {{100000, this->now}, false});
+    CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "leader", this->now));
+    SetPeerAccount(queue, "behind", "entry-2", {{100000, this->now}, true});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, RoomShare(queue, this->policy, "leader", this->now), 1e-9);
+    CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "behind", this->now));
+    SetPeerAccount(queue, "behind", "entry-2", {{0, this->now}, true});
+    CPPUNIT_ASSERT_EQUAL(this->policy.least_room,
+                         RoomShare(queue, this->policy, "leader", this->now));
+  }
+
   auto testSweepKeepsTheServed() -> void {
     FairQueue queue;
     Charge(queue, this->policy, "served", 1000, this->now);
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -38,8 +38,9 @@
     const auto ticket = next->waiter->ticket;
     const std::string workspace = *next->workspace;
     auto& pending = *table.pending.at(ticket);
+    const auto room = direct::RoomShare(queue, relay.policies.queue, workspace, now);
     const auto choice = direct::Choose(table.replicas, relay.policies.replicas, relay.origin,
-                                       {service, pending.prompt, pending.tried}, now);
+                                       {service, pending.prompt, pending.tried, room}, now);
     if (choice.status == direct::ChoiceStatus::full) return;
     if (choice.status == direct::ChoiceStatus::chosen) {
       Assign(relay, table, pending, choice);
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -29,7 +29,11 @@
 // What a linked entry was last told, used by the link's own fibers.
 struct Told {
   std::map<std::string, direct::Use> replicas;
-  std::map<std::pair<std::string, std::string>, double> accounts;
+  struct Account {
+    double used = 0;
+    bool waiting = false;
+  };
+  std::map<std::pair<std::string, std::string>, Account> accounts;
   core::Time accounts_at{};
   core::Time heard{};
 };
@@ -53,10 +57,11 @@
   for (const auto& [service, queue] : table.queues) {
     for (const auto& [workspace, account] : queue.accounts) {
       const double used = direct::Used(account.own, relay.policies.queue, now);
+      const bool waiting = !account.waiting.empty();
       auto& last = told.accounts[{service, workspace}];
-      if (std::abs(used - last) < kAccountChange) continue;
-      last = used;
-      message.accounts.push_back({service, workspace, static_cast<std::uint64_t>(used)});
+      if (std::abs(used - last.used) < kAccountChange && waiting == last.waiting) continue;
+      last = {used, waiting};
+      message.accounts.push_back({service, workspace, static_cast<std::uint64_t>(used), waiting});
     }
   }
 }
@@ -88,8 +93,8 @@
       direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
     }
     for (const auto& row : message.accounts) {
-      direct::SetPeerUsed(table.queues[row.service], row.workspace, peer,
-                          static_cast<double>(row.used), now);
+      direct::SetPeerAccount(table.queues[row.service], row.workspace, peer,
+                             {{static_cast<double>(row.used), now}, row.waiting});
     }
     if (message.replicas.empty()) return;
     for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -114,11 +114,12 @@
   std::uint64_t unread = 0;
 };
 
-// Recent service of one workspace at the sender.
+// Recent service of one workspace at the sender, and whether requests of it wait there.
 struct AccountUse {
   std::string service;
   std::string workspace;
   std::uint64_t used = 0;
+  bool waiting = false;
 };
 
 // State of an entry that admits by itself. Rows are those that changed since the last message.
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -122,6 +122,7 @@
     out->set_service(row.service);
     out->set_workspace(row.workspace);
     out->set_used(row.used);
+    out->set_waiting(row.waiting);
   }
 }
 
@@ -174,7 +175,7 @@
     to.replicas.push_back({row.replica(), row.in_flight(), row.unread()});
   }
   for (const auto& row : from.accounts()) {
-    to.accounts.push_back({row.service(), row.workspace(), row.used()});
+    to.accounts.push_back({row.service(), row.workspace(), row.used(), row.waiting()});
   }
   return to;
 }
