Use replicas that are set aside only if all are

Change: a failed replica is chosen only if no sound one exists, and one that can't be reached is set aside at once. The new test fails without it.

--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -175,9 +175,13 @@
 
 auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void;
 
-// Records an answer, or that the replica failed. A failure sets it aside for a time that doubles.
+// How a replica failed: it could not be reached, or it did not answer as it should.
+enum class Fault { unreachable, bad_answer };
+
+// Records an answer, or that the replica failed. One that can't be reached is set aside at once,
+// another one after several failures in a row, for a time that doubles.
 auto Succeeded(Replica& replica) -> void;
-auto Failed(Replica& replica, const ReplicaPolicy& policy, core::Time now) -> void;
+auto Failed(Replica& replica, const ReplicaPolicy& policy, Fault fault, core::Time now) -> void;
 
 }  // namespace filbertstair::direct
 
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -167,26 +167,28 @@
   double best_cost = 0;
   for (const auto& [id, replica] : replicas->second) {
     if (!Usable(replica, need, now)) continue;
+    if (replica.aside_until > now) {
+      if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
+      continue;
+    }
     if (choice.status == ChoiceStatus::none) choice.status = ChoiceStatus::full;
     const auto ranked = ranks.find(id);
     const std::size_t rank = ranked == ranks.end() ? 0 : ranked->second;
     const auto reading = Expect(replica, prompt, ranked != ranks.end() && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
     if (!HasRoom(replica, policy, reading, shared, use, need.room)) continue;
-    if (replica.aside_until > now) {
-      if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
-      continue;
-    }
     double cost = StartCost(replica, policy, origin, reading, shared, use);
     if (reading.shared_kept < shared) cost += static_cast<double>(rank) * policy.rank_cost_ms;
     if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
     choice = {ChoiceStatus::chosen, id, replica.listing.address, reading.unread};
     best_cost = cost;
   }
-  if (choice.status == ChoiceStatus::chosen || aside == nullptr) return choice;
+  if (choice.status != ChoiceStatus::none || aside == nullptr) return choice;
   // With every replica set aside, the one that returns first is as good as any.
-  return {ChoiceStatus::chosen, aside->listing.id, aside->listing.address,
-          Expect(*aside, prompt, false).unread};
+  const auto reading = Expect(*aside, prompt, false);
+  const auto use = TotalUse(table, *aside, policy, now);
+  if (!HasRoom(*aside, policy, reading, shared, use, need.room)) return {ChoiceStatus::full};
+  return {ChoiceStatus::chosen, aside->listing.id, aside->listing.address, reading.unread};
 }
 
 auto Assigned(Replica& replica, const ReplicaPolicy& policy, const Prompt& prompt,
@@ -234,8 +236,11 @@
   replica.aside_until = {};
 }
 
-auto Failed(Replica& replica, const ReplicaPolicy& policy, core::Time now) -> void {
+auto Failed(Replica& replica, const ReplicaPolicy& policy, Fault fault, core::Time now) -> void {
   ++replica.failures;
+  if (fault == Fault::unreachable) {
+    replica.failures = std::max(replica.failures, policy.failures_to_set_aside);
+  }
   if (replica.failures < policy.failures_to_set_aside) return;
   replica.aside_until = now + FailureAside(policy, replica.failures - policy.failures_to_set_aside);
 }
--- a/libs/direct/test/replicas_test.cc
+++ b/libs/direct/test/replicas_test.cc
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(testForgivenDelisting);
   CPPUNIT_TEST(testRestartForgetsKeptParts);
   CPPUNIT_TEST(testSetAside);
+  CPPUNIT_TEST(testFullReplicasAreNoReasonForFailedOnes);
   CPPUNIT_TEST(testTriedReplicasAreLeftOut);
   CPPUNIT_TEST(testOtherServicesAddress);
   CPPUNIT_TEST_SUITE_END();
@@ -191,13 +192,15 @@
     Upsert(table, Make("b", "n1"));
     auto& replica = *Find(table, "llm", "a");
     for (std::uint32_t i = 0; i < this->policy.failures_to_set_aside; ++i) {
-      Failed(replica, this->policy, this->now);
+      Failed(replica, this->policy, Fault::bad_answer, this->now);
     }
     CPPUNIT_ASSERT_EQUAL(std::string("b"), this->ChooseFor(table, nullptr).id);
     const auto first = replica.aside_until - this->now;
-    Failed(replica, this->policy, this->now);
+    Failed(replica, this->policy, Fault::bad_answer, this->now);
     CPPUNIT_ASSERT(replica.aside_until - this->now == 2 * first);
-    for (int i = 0; i < 40; ++i) Failed(replica, this->policy, this->now);
+    for (int i = 0; i < 40; ++i) {
+      Failed(replica, this->policy, Fault::bad_answer, this->now);
+    }
     CPPUNIT_ASSERT(replica.aside_until - this->now == this->policy.max_aside);
     Delist(table, "b", core::Time{});
     CPPUNIT_ASSERT_EQUAL(std::string("a"), this->ChooseFor(table, nullptr).id);
@@ -205,6 +208,16 @@
     CPPUNIT_ASSERT(replica.aside_until == core::Time{});
   }
 
+  // Guards against requests that are spent on replicas that are down because the others are busy.
+  auto testFullReplicasAreNoReasonForFailedOnes() -> void {
+    ReplicaTable table;
+    Upsert(table, Make("a", "n1", 1));
+    Upsert(table, Make("b", "n1", 1));
+    Failed(*Find(table, "llm", "a"), this->policy, Fault::unreachable, this->now);
+    Assigned(*Find(table, "llm", "b"), this->policy, {}, 0);
+    CPPUNIT_ASSERT(this->ChooseFor(table, nullptr).status == ChoiceStatus::full);
+  }
+
   auto testTriedReplicasAreLeftOut() -> void {
     const auto table = MakeTable();
     const std::set<std::string> tried = {"a", "b", "c", "d"};
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -61,12 +61,13 @@
   });
 }
 
-auto NoteFailed(Relay& relay, const Call& call, const Assignment& assignment) -> void {
+auto NoteFailed(Relay& relay, const Call& call, const Assignment& assignment, direct::Fault fault)
+    -> void {
   const auto now = node::Now();
   std::uint32_t failures = 0;
   bool aside = false;
   WithReplica(relay, assignment, [&](direct::Replica& replica) {
-    direct::Failed(replica, relay.policies.replicas, now);
+    direct::Failed(replica, relay.policies.replicas, fault, now);
     failures = replica.failures;
     aside = replica.aside_until > now;
   });
@@ -214,7 +215,7 @@
   const auto& head = answer.head;
   if (head.refused) {
     while (!call.exchange->Read(Remaining(call)).empty()) continue;
-    if (head.other_replica) NoteFailed(relay, call, assignment);
+    if (head.other_replica) NoteFailed(relay, call, assignment, direct::Fault::unreachable);
     if (head.load) {
       WithReplica(relay, assignment, [&](direct::Replica& replica) {
         direct::Reported(replica, *head.load, node::Now());
@@ -244,7 +245,7 @@
                     {.kind = node::TraceKind::attempted, .peer = assignment.replica});
   bool reused = false;
   if (auto failure = Connect(relay, call, assignment, reused)) {
-    NoteFailed(relay, call, assignment);
+    NoteFailed(relay, call, assignment, direct::Fault::unreachable);
     return failure;
   }
   try {
@@ -256,7 +257,9 @@
   } catch (const core::Error& error) {
     call.exchange->Cancel();
     if (error.GetStep() == Step::respond) throw;
-    if (!call.caller_gone && node::Now() < call.deadline) NoteFailed(relay, call, assignment);
+    if (!call.caller_gone && node::Now() < call.deadline) {
+      NoteFailed(relay, call, assignment, direct::Fault::bad_answer);
+    }
     return Fail(node::Now() < call.deadline ? Reason::connection_lost : Reason::deadline_exceeded,
                 Outcome::unknown, error.GetStep(), error.what());
   }
