--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -44,15 +44,22 @@
   return started;
 }
 
-// Starts the role and returns the function that begins its graceful shutdown.
-auto StartRole(node::Node& node) -> std::function<void()> {
+// What the signals of the platform do to a role that has started.
+struct RoleActions {
+  std::function<void()> drain;
+  std::function<void(const settings::Settings&)> reload = [](const settings::Settings&) {};
+};
+
+auto StartRole(node::Node& node) -> RoleActions {
   if (node.settings.admission == settings::Admission::entry) {
-    return [relay = StartRelay(node)] { relay::Drain(*relay); };
+    const auto relay = StartRelay(node);
+    return {[relay] { relay::Drain(*relay); },
+            [relay](const settings::Settings& s) { relay::AddSeeds(*relay, s.seeds); }};
   }
   if (node.settings.role == core::Role::entry) {
-    return [entry = entry::Start(node)] { entry::Drain(*entry); };
+    return {.drain = [entry = entry::Start(node)] { entry::Drain(*entry); }};
   }
-  return [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); };
+  return {.drain = [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); }};
 }
 
 auto ToLevel(settings::LogLevel level) -> Level { return static_cast<Level>(level); }
@@ -67,12 +74,14 @@
                                             .count());
 }
 
-// Blocks the signals that end the daemon in all threads, to be taken by Wait.
+// Blocks the signals that end the daemon or reload its settings in all threads, to be taken by
+// AwaitEnd.
 auto BlockSignals() -> sigset_t {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
@@ -88,7 +97,36 @@
   return left;
 }
 
-auto Run(const settings::Settings& settings) -> int {
+// Reads the settings file again and applies what may change while the daemon runs.
+auto Reload(const std::string& path, const RoleActions& actions) -> void {
+  try {
+    const auto result = settings::ReadFile(path);
+    if (result.settings) {
+      telemetry::SetLevel(ToLevel(result.settings->log_level));
+      actions.reload(*result.settings);
+      telemetry::Log(Level::info, Event::settings_reloaded, {{"file", path}});
+      return;
+    }
+    telemetry::Log(Level::error, Event::settings_rejected,
+                   {{"file", path}, {"error", schema::Describe(result.problems.front())}});
+  } catch (const core::Error& error) {
+    telemetry::Log(Level::error, Event::settings_rejected,
+                   {{"file", path}, {"error", error.what()}});
+  }
+}
+
+// Waits for a signal that ends the daemon.
+auto AwaitEnd(const sigset_t& signals, const std::string& path, const RoleActions& actions)
+    -> void {
+  while (true) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    if (signal != SIGHUP) return;
+    Reload(path, actions);
+  }
+}
+
+auto Run(const settings::Settings& settings, const std::string& path) -> int {
   const auto signals = BlockSignals();
   node::Node node(settings, Now());
   telemetry::Log(Level::info, Event::started,
@@ -97,10 +135,9 @@
                   {"failure_domain", settings.failure_domain},
                   {"version", FILBERTSTAIR_VERSION}});
   try {
-    const auto drain = StartRole(node);
-    int signal = 0;
-    sigwait(&signals, &signal);
-    drain();
+    const auto actions = StartRole(node);
+    AwaitEnd(signals, path, actions);
+    actions.drain();
     const auto cut = FinishRequests(node);
     telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
   } catch (const core::Error& error) {
@@ -134,7 +171,7 @@
     if (!result.settings) return kExitRefused;
     telemetry::SetUpLog(ToLevel(result.settings->log_level), ToFormat(result.settings->log_format),
                         result.settings->id);
-    return Run(*result.settings);
+    return Run(*result.settings, path);
   } catch (const core::Error& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
     return kExitRefused;
--- a/libs/relay/include/filbertstair/relay/relay.h
+++ b/libs/relay/include/filbertstair/relay/relay.h
@@ -24,6 +24,9 @@
 // kept connections are closed after their current request.
 auto Drain(Relay& relay) -> void;
 
+// Links to further entries, as new settings may name them.
+auto AddSeeds(Relay& relay, const std::vector<settings::Address>& seeds) -> void;
+
 // Puts a configuration in force if its version is above that in force. Returns whether it did.
 auto AcceptFleet(Relay& relay, direct::Fleet fleet) -> bool;
 
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -227,10 +227,8 @@
   telemetry::Log(Level::info, Event::listening, {{"purpose", "peers"}, {"address", address}});
 }
 
-auto LinkSeeds(Relay& relay) -> void {
-  for (const auto& seed : relay.node.settings.seeds) {
-    AddPeer(relay, settings::FormatAddress(seed), true);
-  }
+auto AddSeeds(Relay& relay, const std::vector<settings::Address>& seeds) -> void {
+  for (const auto& seed : seeds) AddPeer(relay, settings::FormatAddress(seed), true);
 }
 
 auto WakePeers(Relay& relay) -> void {
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -136,7 +136,7 @@
     node.pool.Post(i, [relay] { SweepLoop(*relay); });
   }
   node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
-  LinkSeeds(*relay);
+  AddSeeds(*relay, node.settings.seeds);
   return relay;
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -166,10 +166,8 @@
 // Assigns replicas to waiting requests of the service. The table is locked.
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void;
 
-// Accepts links from other entries on the calling worker, and opens those to the seeds, from which
-// the others are learnt.
+// Accepts links from other entries on the calling worker.
 auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
-auto LinkSeeds(Relay& relay) -> void;
 
 // Tells the linked entries soon that the load changed. Call without the dispatch table.
 auto WakePeers(Relay& relay) -> void;
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -14,6 +14,8 @@
   listening = 103,
   start_failed = 104,
   ready = 105,
+  settings_reloaded = 106,
+  settings_rejected = 107,
   object_accepted = 200,
   object_rejected = 201,
   object_conflict = 202,
@@ -39,13 +41,15 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 25> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 27> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
     {telemetry::Event::listening, "listening"},
     {telemetry::Event::start_failed, "start_failed"},
     {telemetry::Event::ready, "ready"},
+    {telemetry::Event::settings_reloaded, "settings_reloaded"},
+    {telemetry::Event::settings_rejected, "settings_rejected"},
     {telemetry::Event::object_accepted, "object_accepted"},
     {telemetry::Event::object_rejected, "object_rejected"},
     {telemetry::Event::object_conflict, "object_conflict"},
--- a/libs/telemetry/include/filbertstair/telemetry/log.h
+++ b/libs/telemetry/include/filbertstair/telemetry/log.h
@@ -17,6 +17,9 @@
 // level info on. Lines are written by a thread of their own; no caller of Log waits for it.
 auto SetUpLog(Level level, Format format, const std::string& process) -> void;
 
+// Changes the least severe level that is written.
+auto SetLevel(Level level) -> void;
+
 // Waits a short time for the lines that are not written yet. Call before the process exits.
 auto FlushLog() -> void;
 
--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -142,6 +142,8 @@
   logger->log(ToSpdlog(level), "{}", line);
 }
 
+auto SetLevel(Level level) -> void { spdlog::default_logger_raw()->set_level(ToSpdlog(level)); }
+
 auto FlushLog() -> void {
   const auto pool = spdlog::thread_pool();
   if (!pool) return;
