--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -62,9 +62,10 @@
   pending->cost = Cost(call);
   const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
     const auto id = ++table.last_ticket;
+    auto& queue = table.queues[call.service];
     table.pending[id] = pending;
-    direct::Enqueue(table.queues[call.service], call.workspace,
-                    {id, call.route->priority, pending->cost});
+    pending->ahead = queue.waiting;
+    direct::Enqueue(queue, call.workspace, {id, call.route->priority, pending->cost});
     AssignWaiting(relay, table, call.service);
     return id;
   });
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <cctype>
 #include <functional>
 
 #include "filbertstair/core/error.h"
@@ -50,7 +52,6 @@
                   "version " + std::to_string(call.fleet->version) + " was not confirmed in time",
                   kRetryConfigured);
   }
-  call.head = relay.dialect.read_call(request);
   if (call.head.attempt.empty()) {
     return Refuse(Reason::malformed_request, Step::read, "the request has no id");
   }
@@ -86,6 +87,13 @@
   std::string peer;
 };
 
+auto DescribeWait(const Call& call) -> std::string {
+  const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(node::Now() - call.arrived);
+  return "no replica had room within " + std::to_string(waited.count()) + " ms; " +
+         std::to_string(call.pending->ahead) + " requests of the service waited on arrival";
+}
+
 auto ToRefused(const Progress& progress, const Call& call) -> Refused {
   Refused refused;
   refused.peer = progress.peer;
@@ -97,8 +105,8 @@
   } else {
     refused.reason = call.pending->hopeless ? Reason::no_endpoint : Reason::no_room;
     refused.step = Step::queue;
-    refused.message = call.pending->hopeless ? "the service has no usable replica"
-                                             : "no replica had room in time";
+    refused.message =
+        call.pending->hopeless ? "the service has no usable replica" : DescribeWait(call);
   }
   refused.outcome = progress.may_have_run ? Outcome::unknown : Outcome::not_run;
   // A status that promises that the request did not run is given exactly if that is proved.
@@ -161,6 +169,7 @@
     if (call.tried.empty()) {
       relay.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
     }
+    call.replica = assignment->replica;
     auto failure = Attempt(relay, call, request, *assignment, responder);
     Release(relay, *assignment);
     if (!failure) return std::nullopt;
@@ -207,6 +216,15 @@
   return refused;
 }
 
+// Whether a caller's id can stand in log lines and in the target of a trace as it is.
+auto IsPlain(std::string_view id) -> bool {
+  constexpr std::size_t kMaxSize = 64;
+  return !id.empty() && id.size() <= kMaxSize &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) {
+           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+         });
+}
+
 auto Finish(Relay& relay, const Call& call, const std::optional<Refused>& refused,
             net::Responder& responder) -> void {
   node::RecordEnd(relay.node, call.id, refused ? &*refused : nullptr);
@@ -214,9 +232,10 @@
     relay.node.metrics.Count(Metric::requests, core::Name(Outcome::ran));
     telemetry::Log(Level::info, Event::request_finished,
                    {{"request", call.id},
-                    {"attempt", call.head.attempt},
                     {"workspace", call.workspace},
-                    {"service", call.service}});
+                    {"service", call.service},
+                    {"peer", call.replica},
+                    {"version", std::to_string(call.fleet->version)}});
   } else if (responder.HasBegun()) {
     node::LogCut(relay.node, call.id, call.workspace, *refused);
     responder.Abort();
@@ -231,7 +250,9 @@
     -> void {
   const node::InFlightGuard in_flight(relay.node.in_flight);
   const auto call = std::make_shared<Call>();
-  call->id = node::NextRequestId(relay.node);
+  call->head = relay.dialect.read_call(request);
+  // The caller's own id, so that a complaint leads straight to the lines of the request.
+  call->id = IsPlain(call->head.attempt) ? call->head.attempt : node::NextRequestId(relay.node);
   call->arrived = node::Now();
   call->fleet = CurrentFleet(relay);
   node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -46,6 +46,8 @@
   const direct::Prompt* prompt = nullptr;
   const std::set<std::string>* tried = nullptr;
   double cost = 1;
+  // Requests of the service that waited when this one arrived.
+  std::size_t ahead = 0;
   std::optional<Assignment> assignment;
   // Set if no replica is left that the request could be sent to.
   bool hopeless = false;
@@ -130,7 +132,8 @@
   // Connection to the replica while there is one.
   Exchange exchange;
   bool caller_gone = false;
-  // Replicas that the request was sent to.
+  // The replica of the last attempt, and all that the request was sent to.
+  std::string replica;
   std::set<std::string> tried;
   direct::EventCutter events;
   std::optional<HeldAnswer> held;
