Serve open routes without the platform, and forgive lapsed replicas in time

Cause 1: an entry whose configuration was not confirmed refused requests that need no credential as well, and all entries left the rotation with the store down. Change: only requests with a credential, and unknown routes, are refused; an entry stays ready unless another one is better off. Cause 2: the changes that report lapsed replicas come with the first answer after an outage, before it counted as one. Change: the answer is noted before what it says. Also lint findings of the new code, a bound on idle connections, and fields that nothing used.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -29,7 +29,7 @@
 
 // Starts an entry that admits by itself, fed by the platform's store.
 auto StartRelay(node::Node& node) -> std::shared_ptr<relay::Relay> {
-  const auto started = relay::Start(node, platform::HeaderDialect());
+  auto started = relay::Start(node, platform::HeaderDialect());
   platform::Sink sink;
   sink.fleet = [started](direct::Fleet fleet) { relay::AcceptFleet(*started, std::move(fleet)); };
   sink.listing = [started](direct::Listing listing) {
@@ -39,6 +39,7 @@
   sink.listings = [started](std::vector<direct::Listing> listings) {
     relay::AcceptListings(*started, std::move(listings));
   };
+  sink.answered = [started](core::Duration time) { relay::NoteAnswer(*started, time); };
   sink.confirmed = [started](core::Duration time) { relay::Confirm(*started, time); };
   node.pool.Post(0, [&node, sink = std::move(sink)] { platform::WatchStore(node, sink); });
   return started;
--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -45,9 +45,7 @@
 };
 
 struct ServiceSpec {
-  // Requests that one replica runs at once. 0 if only the replica itself states it.
-  std::uint32_t slots = 0;
-  // Connections that a replica accepts from all callers together.
+  // Connections that a replica accepts from all callers together; 0 if not stated.
   std::uint32_t max_connections = 0;
 };
 
@@ -56,8 +54,6 @@
   std::uint64_t max_body_bytes = 8u << 20;
   core::Duration header_timeout = std::chrono::seconds(3);
   core::Duration idle_timeout = std::chrono::seconds(15);
-  // Tokens that all replicas handle per second; a generated token counts twice. 0 if unknown.
-  double tokens_per_second = 0;
 };
 
 // The configuration of the whole fleet as one value.
--- a/libs/direct/src/events.cc
+++ b/libs/direct/src/events.cc
@@ -18,11 +18,11 @@
 
 // Returns the value of the last "id" field in the events, or nothing.
 auto LastId(std::string_view events) -> std::optional<std::string_view> {
-  constexpr std::string_view kField = "id:";
-  for (auto at = events.rfind(kField); at != std::string_view::npos;
-       at = at == 0 ? std::string_view::npos : events.rfind(kField, at - 1)) {
+  constexpr std::string_view field = "id:";
+  for (auto at = events.rfind(field); at != std::string_view::npos;
+       at = at == 0 ? std::string_view::npos : events.rfind(field, at - 1)) {
     if (at == 0 || events[at - 1] == '\n') {
-      auto value = events.substr(at + kField.size());
+      auto value = events.substr(at + field.size());
       value = value.substr(0, value.find_first_of("\r\n"));
       if (value.starts_with(' ')) value.remove_prefix(1);
       return value;
--- a/libs/direct/src/kept.cc
+++ b/libs/direct/src/kept.cc
@@ -7,8 +7,8 @@
 
 // A part is kept only together with the parts before it, so its key covers them too.
 auto Chain(std::uint64_t key, std::uint64_t id) -> std::uint64_t {
-  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15;
-  key = (key ^ id) * kMultiplier;
+  constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+  key = (key ^ id) * multiplier;
   return key ^ (key >> 29);
 }
 
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -96,8 +96,8 @@
 }
 
 auto FailureAside(const ReplicaPolicy& policy, std::uint32_t doublings) -> core::Duration {
-  constexpr std::uint32_t kMaxDoublings = 10;
-  const auto factor = std::int64_t{1} << std::min(doublings, kMaxDoublings);
+  constexpr std::uint32_t max_doublings = 10;
+  const auto factor = std::int64_t{1} << std::min(doublings, max_doublings);
   return std::min(policy.aside * factor, policy.max_aside);
 }
 
@@ -156,10 +156,10 @@
 
 auto Choose(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
             const Need& need, core::Time now) -> Choice {
-  static const Prompt kNoPrompt;
+  static const Prompt no_prompt;
   const auto replicas = table.services.find(need.service);
   if (replicas == table.services.end()) return {};
-  const auto& prompt = need.prompt == nullptr ? kNoPrompt : *need.prompt;
+  const auto& prompt = need.prompt == nullptr ? no_prompt : *need.prompt;
   const auto shared = SharedTokens(prompt);
   const auto ranks = Ranks(replicas->second, need, now);
   Choice choice;
@@ -187,7 +187,10 @@
   // With every replica set aside, the one that returns first is as good as any.
   const auto reading = Expect(*aside, prompt, false);
   const auto use = TotalUse(table, *aside, policy, now);
-  if (!HasRoom(*aside, policy, reading, shared, use, need.room)) return {ChoiceStatus::full};
+  if (!HasRoom(*aside, policy, reading, shared, use, need.room)) {
+    choice.status = ChoiceStatus::full;
+    return choice;
+  }
   return {ChoiceStatus::chosen, aside->listing.id, aside->listing.address, reading.unread};
 }
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -93,11 +93,11 @@
                   beast::tcp_stream& stream, beast::flat_buffer& buffer)
     -> boost::system::error_code {
   if (buffer.size() > 0) return {};
-  constexpr std::size_t kFirstRead = 4096;
+  constexpr std::size_t first_read = 4096;
   listener.idle.insert(&stream);
   stream.expires_after(limits.idle);
   const auto result = runtime::Await([&](auto handler) {
-    stream.async_read_some(buffer.prepare(kFirstRead), std::move(handler));
+    stream.async_read_some(buffer.prepare(first_read), std::move(handler));
   });
   listener.idle.erase(&stream);
   buffer.commit(result.size);
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -83,8 +83,9 @@
 // Time on the process's monotonic clock.
 auto Now() -> core::Time;
 
-// A draining process keeps its listeners open for this long, so that the balancer, which asks once a
-// second and needs two misses, and the other processes learn of it before connections are refused.
+// A draining process keeps its listeners open for this long, so that the balancer, which asks once
+// a second and needs two misses, and the other processes learn of it before connections are
+// refused.
 inline constexpr core::Duration kDrainNotice = std::chrono::milliseconds(2500);
 
 // Marks the process as draining, logs and records it. Returns false if it was draining already.
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -208,6 +208,18 @@
   return std::nullopt;
 }
 
+// Connections to one replica that this worker keeps idle, so that those of all entries together
+// stay below what the replica accepts.
+auto MaxIdle(const Call& call) -> std::size_t {
+  constexpr std::size_t unstated = 16;
+  constexpr std::size_t share = 8;
+  const auto service = call.fleet->services.find(call.service);
+  if (service == call.fleet->services.end() || service->second.max_connections == 0) {
+    return unstated;
+  }
+  return std::max<std::size_t>(1, service->second.max_connections / share);
+}
+
 auto IsSuccess(int status) -> bool { return status >= 200 && status < 300; }
 
 auto PassOn(Relay& relay, Call& call, Assignment& assignment, const Answer& answer,
@@ -252,7 +264,8 @@
     call.exchange->Send(ToForwarded(relay, call, request, assignment), kSendTimeout);
     const auto answer = ReadAnswer(relay, call, assignment, reused);
     auto failure = PassOn(relay, call, assignment, answer, responder);
-    PutIdle(relay, assignment.address, std::move(call.exchange), answer.head.keep_alive);
+    PutIdle(relay, assignment.address, std::move(call.exchange), answer.head.keep_alive,
+            MaxIdle(call));
     return failure;
   } catch (const core::Error& error) {
     call.exchange->Cancel();
--- a/libs/relay/src/connections.cc
+++ b/libs/relay/src/connections.cc
@@ -28,8 +28,9 @@
 }
 
 auto PutIdle(Relay& relay, const std::string& address, Exchange exchange,
-             std::optional<core::Duration> keep_alive) -> void {
-  if (!exchange->Reusable()) {
+             std::optional<core::Duration> keep_alive, std::size_t max_idle) -> void {
+  auto& worker = relay.workers[runtime::WorkerIndex()];
+  if (!exchange->Reusable() || worker.idle[address].size() >= max_idle) {
     exchange->Cancel();
     return;
   }
@@ -38,7 +39,6 @@
     exchange->Cancel();
     return;
   }
-  auto& worker = relay.workers[runtime::WorkerIndex()];
   worker.idle[address].push_back({std::move(exchange), node::Now() + limit});
 }
 
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -11,9 +11,9 @@
 
 auto Assign(Relay& relay, DispatchTable& table, Pending& pending, const direct::Choice& choice)
     -> void {
-  static const direct::Prompt kNoPrompt;
+  static const direct::Prompt no_prompt;
   auto& replica = *direct::Find(table.replicas, pending.service, choice.id);
-  const auto& prompt = pending.prompt == nullptr ? kNoPrompt : *pending.prompt;
+  const auto& prompt = pending.prompt == nullptr ? no_prompt : *pending.prompt;
   direct::Assigned(replica, relay.policies.replicas, prompt, choice.unread);
   pending.assignment = Assignment{pending.service, choice.id, choice.address, choice.unread};
 }
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -10,7 +10,8 @@
 using telemetry::Event;
 using telemetry::Level;
 
-// Gap between confirmations that counts as an outage of the platform's list: two missed answers.
+// Time since the last confirmation that counts as an outage of the platform's list: two missed
+// answers.
 constexpr core::Duration kOutage = std::chrono::milliseconds(2500);
 // After an outage of the platform's list, live replicas are back in it within about two seconds.
 constexpr core::Duration kForgiveTime = std::chrono::milliseconds(2300);
@@ -95,11 +96,14 @@
   });
 }
 
-auto Confirm(Relay& relay, core::Duration time) -> void {
-  const core::Duration previous{relay.confirmed.exchange(time.count())};
+auto NoteAnswer(Relay& relay, core::Duration time) -> void {
+  const core::Duration previous{relay.confirmed.load()};
   if (previous == core::Duration::zero() || time - previous < kOutage) return;
-  relay.dispatch.With(
-      [&](DispatchTable& table) { table.forgive_until = node::Now() + kForgiveTime; });
+  relay.dispatch.With([&](DispatchTable& table) {
+    table.forgive_until = std::max(table.forgive_until, node::Now() + kForgiveTime);
+  });
 }
 
+auto Confirm(Relay& relay, core::Duration time) -> void { relay.confirmed = time.count(); }
+
 }  // namespace filbertstair::relay
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -69,6 +69,7 @@
 auto SendState(Relay& relay, Told& told, node::Outbox& outbox, bool period_over) -> void {
   const auto now = node::Now();
   wire::EntryState message;
+  message.current = HasCurrentFleet(relay);
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicas(table, told, message);
     CollectAccounts(relay, table, told, message, now);
@@ -99,6 +100,13 @@
     if (message.replicas.empty()) return;
     for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
   });
+  relay.peers.With([&](PeerTable& table) {
+    if (message.current) {
+      table.current.insert(peer);
+    } else {
+      table.current.erase(peer);
+    }
+  });
   if (!message.address.empty()) Learn(relay, message.address);
   for (const auto& address : message.known) Learn(relay, address);
 }
@@ -108,6 +116,7 @@
     direct::DropPeer(table.replicas, peer);
     for (auto& [service, queue] : table.queues) direct::DropPeer(queue, peer);
   });
+  relay.peers.With([&](PeerTable& table) { table.current.erase(peer); });
 }
 
 // Each entry tells its state on the links that it opened and hears the others' on those that it
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -20,8 +20,12 @@
 // Largest body before a configuration states a limit.
 constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
 
+// An entry whose configuration is not confirmed leaves callers to those that are better off, if
+// there are any; without the platform all serve what needs no credential.
 auto IsReady(Relay& relay) -> bool {
-  return !relay.node.draining && CurrentFleet(relay) != nullptr && HasCurrentFleet(relay);
+  if (relay.node.draining || CurrentFleet(relay) == nullptr) return false;
+  if (HasCurrentFleet(relay)) return true;
+  return relay.peers.With([](const PeerTable& table) { return table.current.empty(); });
 }
 
 auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -29,9 +29,16 @@
   return {reason, Outcome::not_run, step, "", std::move(message), retry_after};
 }
 
+auto RefuseStale(const Call& call) -> Refused {
+  return Refuse(Reason::stale_configuration, Step::document,
+                "version " + std::to_string(call.fleet->version) + " was not confirmed in time",
+                kRetryConfigured);
+}
+
 // Finds the workspace that holds the request's credential.
-auto Authorize(const Call& call, std::string& workspace) -> std::optional<Refused> {
+auto Authorize(Relay& relay, const Call& call, std::string& workspace) -> std::optional<Refused> {
   if (call.route->open || call.fleet->credentials.empty()) return std::nullopt;
+  if (!HasCurrentFleet(relay)) return RefuseStale(call);
   const auto* holder = direct::FindWorkspace(*call.fleet, call.head.credential);
   if (holder == nullptr) {
     return Refuse(
@@ -47,22 +54,19 @@
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
                   kRetryConfigured);
   }
-  if (!HasCurrentFleet(relay)) {
-    return Refuse(Reason::stale_configuration, Step::document,
-                  "version " + std::to_string(call.fleet->version) + " was not confirmed in time",
-                  kRetryConfigured);
-  }
   if (call.head.attempt.empty()) {
     return Refuse(Reason::malformed_request, Step::read, "the request has no id");
   }
   call.route =
       direct::FindRoute(*call.fleet, net::FindHeader(request.headers, "Host"), request.target);
   if (call.route == nullptr) {
+    // A newer version may have the route.
+    if (!HasCurrentFleet(relay)) return RefuseStale(call);
     return Refuse(
         Reason::unknown_service, Step::route,
         "no route for the host and path in version " + std::to_string(call.fleet->version));
   }
-  if (auto refused = Authorize(call, call.workspace)) return refused;
+  if (auto refused = Authorize(relay, call, call.workspace)) return refused;
   call.service = direct::PickService(*call.route, std::hash<std::string>()(call.head.attempt));
   call.deadline = call.arrived +
                   std::min(call.route->timeout, call.head.remaining.value_or(call.route->timeout));
@@ -218,8 +222,8 @@
 
 // Whether a caller's id can stand in log lines and in the target of a trace as it is.
 auto IsPlain(std::string_view id) -> bool {
-  constexpr std::size_t kMaxSize = 64;
-  return !id.empty() && id.size() <= kMaxSize &&
+  constexpr std::size_t max_size = 64;
+  return !id.empty() && id.size() <= max_size &&
          std::all_of(id.begin(), id.end(), [](unsigned char c) {
            return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
          });
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -85,6 +85,8 @@
 };
 struct PeerTable {
   std::map<std::string, PeerLink> peers;
+  // Ids of entries with a link to this one whose configuration was confirmed in time.
+  std::set<std::string> current;
 };
 
 struct Policies {
@@ -183,9 +185,10 @@
 // Returns an idle connection to the address that is still open, or null.
 auto TakeIdle(Relay& relay, const std::string& address) -> Exchange;
 
-// Keeps a connection for the next request if it may carry one.
+// Keeps a connection for the next request if it may carry one, and if fewer than `max_idle` are
+// kept to the address.
 auto PutIdle(Relay& relay, const std::string& address, Exchange exchange,
-             std::optional<core::Duration> keep_alive) -> void;
+             std::optional<core::Duration> keep_alive, std::size_t max_idle) -> void;
 
 // Closes idle connections of the calling worker whose time is over.
 auto SweepIdle(WorkerState& worker, core::Time now) -> void;
--- a/libs/telemetry/include/filbertstair/telemetry/log.h
+++ b/libs/telemetry/include/filbertstair/telemetry/log.h
@@ -26,8 +26,8 @@
 using Field = std::pair<std::string_view, std::string_view>;
 
 // Writes one line with the event's number and name and the fields, such as request, workspace, step
-// and peer. Fields with an empty value are left out. Lines of events that may occur for each request
-// are bounded per event; a line tells in `dropped` how many were left out before it.
+// and peer. Fields with an empty value are left out. Lines of events that may occur for each
+// request are bounded per event; a line tells in `dropped` how many were left out before it.
 auto Log(Level level, Event event, std::initializer_list<Field> fields) -> void;
 
 namespace detail {
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -129,6 +129,8 @@
   std::vector<std::string> known;
   std::vector<ReplicaUse> replicas;
   std::vector<AccountUse> accounts;
+  // Whether the sender's configuration was confirmed in time.
+  bool current = false;
 };
 
 using ControlMessage = std::variant<Hello, Demand, GrantReturn, Grant, Load, Service, Digest,
