--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -90,7 +90,7 @@
 struct FakeReplica {
   using Serve = std::function<void(const net::HttpRequest&, net::Responder&)>;
 
-  FakeReplica(std::string id, Serve serve)
+  FakeReplica(std::string id, const Serve& serve)
       : id(std::move(id)), address("127.0.0.1:" + std::to_string(FreePorts(1)[0])) {
     std::promise<void> listening;
     this->pool.Post(0, [&, serve] {
