Drop state of a request that can be derived

The peer of a refusal is the replica of the last attempt, which the call already has, and a waiting request's workspace was not read. Behaviour stays.

--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -56,7 +56,6 @@
   call.pending = std::make_shared<Pending>();
   const auto pending = call.pending;
   pending->service = call.service;
-  pending->workspace = call.workspace;
   pending->prompt = call.head.prompt ? &*call.head.prompt : nullptr;
   pending->tried = &call.tried;
   pending->cost = Cost(call);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -88,7 +88,6 @@
   int connects = 0;
   bool may_have_run = false;
   std::optional<Failure> last;
-  std::string peer;
 };
 
 auto DescribeWait(const Call& call) -> std::string {
@@ -100,7 +99,7 @@
 
 auto ToRefused(const Progress& progress, const Call& call) -> Refused {
   Refused refused;
-  refused.peer = progress.peer;
+  refused.peer = call.replica;
   refused.retry_after = call.route->objective;
   if (progress.last) {
     refused.reason = progress.last->reason;
@@ -189,7 +188,6 @@
       ++progress.connects;
     }
     progress.may_have_run = progress.may_have_run || failure->outcome != Outcome::not_run;
-    progress.peer = assignment->replica;
     progress.last = failure;
     if (!MayContinue(call, progress, *failure)) return ToRefused(progress, call);
     LogRetry(relay, call, *assignment, *failure);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -42,7 +42,6 @@
 struct Pending {
   runtime::Signal changed;
   std::string service;
-  std::string workspace;
   const direct::Prompt* prompt = nullptr;
   const std::set<std::string>* tried = nullptr;
   double cost = 1;
