Let entries judge the age of a peer's confirmed configuration themselves

Cause: platform.daemon_test failed once beside load because an entry heard only once a second whether another's configuration was confirmed. After both leases ended it took the other one for better off for up to a second, and said that it was not ready.

Change: EntryState carries the time left of the sender's lease instead of a flag, and the receiver ends it by its own clock.

Before: the new test in relay.peers_test fails with the flag's rule (run on this code with the deadline an hour away).

--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -79,9 +79,9 @@
 // Whether a request may run more than once.
 auto Repeatable(const Route& route) -> bool;
 
-// Whether a configuration that was current at `confirmed` may still decide on credentials at `now`.
-// Both are times of a clock that runs while the VM is suspended.
-auto IsCurrent(core::Duration confirmed, core::Duration now) -> bool;
+// Returns the time after `now` for which a configuration that was current at `confirmed` may decide
+// on credentials; zero if it may not. Both are times of a clock that runs while the VM is suspended.
+auto LeaseLeft(core::Duration confirmed, core::Duration now) -> core::Duration;
 
 // A revoked credential must be refused 5 s after the revocation, wherever the process was
 // meanwhile. The difference covers the time between this check and the replica's start.
--- a/libs/direct/src/fleet.cc
+++ b/libs/direct/src/fleet.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/direct/fleet.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace filbertstair::direct {
@@ -36,8 +37,8 @@
   return route.streaming ? route.resumable : route.call_class == core::CallClass::repeatable;
 }
 
-auto IsCurrent(core::Duration confirmed, core::Duration now) -> bool {
-  return now - confirmed < kCredentialLease;
+auto LeaseLeft(core::Duration confirmed, core::Duration now) -> core::Duration {
+  return std::max(confirmed + kCredentialLease - now, core::Duration::zero());
 }
 
 }  // namespace filbertstair::direct
--- a/libs/direct/test/fleet_test.cc
+++ b/libs/direct/test/fleet_test.cc
@@ -64,8 +64,8 @@
   // Guards against a credential that still works 5 s after it was taken away.
   auto testCredentialLease() -> void {
     const core::Duration confirmed = std::chrono::seconds(100);
-    CPPUNIT_ASSERT(IsCurrent(confirmed, confirmed + milliseconds(4000)));
-    CPPUNIT_ASSERT(!IsCurrent(confirmed, confirmed + milliseconds(4900)));
+    CPPUNIT_ASSERT(LeaseLeft(confirmed, confirmed + milliseconds(4000)) > milliseconds(0));
+    CPPUNIT_ASSERT(LeaseLeft(confirmed, confirmed + milliseconds(4900)) == milliseconds(0));
   }
 };
 
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -51,11 +51,14 @@
   return relay.fleet.With([](const auto& fleet) { return fleet; });
 }
 
-auto HasCurrentFleet(Relay& relay) -> bool {
+auto FleetLease(Relay& relay) -> core::Duration {
   const auto confirmed = relay.confirmed.load();
-  return confirmed != 0 && direct::IsCurrent(core::Duration(confirmed), BootTime());
+  if (confirmed == 0) return core::Duration::zero();
+  return direct::LeaseLeft(core::Duration(confirmed), BootTime());
 }
 
+auto HasCurrentFleet(Relay& relay) -> bool { return FleetLease(relay) > core::Duration::zero(); }
+
 auto AcceptFleet(Relay& relay, direct::Fleet fleet) -> bool {
   const auto version = fleet.version;
   const auto next = std::make_shared<const direct::Fleet>(std::move(fleet));
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -69,7 +69,7 @@
 auto SendState(Relay& relay, Told& told, node::Outbox& outbox, bool period_over) -> void {
   const auto now = node::Now();
   wire::EntryState message;
-  message.current = HasCurrentFleet(relay);
+  message.lease_us = static_cast<std::uint64_t>(FleetLease(relay).count());
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicas(table, told, message);
     CollectAccounts(relay, table, told, message, now);
@@ -101,11 +101,8 @@
     for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
   });
   relay.peers.With([&](PeerTable& table) {
-    if (message.current) {
-      table.current.insert(peer);
-    } else {
-      table.current.erase(peer);
-    }
+    const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
+    table.current_until[peer] = now + core::Duration(lease);
   });
   if (!message.address.empty()) Learn(relay, message.address);
   for (const auto& address : message.known) Learn(relay, address);
@@ -116,7 +113,7 @@
     direct::DropPeer(table.replicas, peer);
     for (auto& [service, queue] : table.queues) direct::DropPeer(queue, peer);
   });
-  relay.peers.With([&](PeerTable& table) { table.current.erase(peer); });
+  relay.peers.With([&](PeerTable& table) { table.current_until.erase(peer); });
 }
 
 // Each entry tells its state on the links that it opened and hears the others' on those that it
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/relay/relay.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
@@ -25,7 +26,10 @@
 auto IsReady(Relay& relay) -> bool {
   if (relay.node.draining || CurrentFleet(relay) == nullptr) return false;
   if (HasCurrentFleet(relay)) return true;
-  return relay.peers.With([](const PeerTable& table) { return table.current.empty(); });
+  return relay.peers.With([now = node::Now()](const PeerTable& table) {
+    return std::none_of(table.current_until.begin(), table.current_until.end(),
+                        [now](const auto& entry) { return entry.second > now; });
+  });
 }
 
 auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -84,8 +84,9 @@
 };
 struct PeerTable {
   std::map<std::string, PeerLink> peers;
-  // Ids of entries with a link to this one whose configuration was confirmed in time.
-  std::set<std::string> current;
+  // Times until which the configurations of the entries with a link to this one count as
+  // confirmed, by id.
+  std::map<std::string, core::Time> current_until;
 };
 
 struct Policies {
@@ -154,7 +155,11 @@
 
 auto CurrentFleet(Relay& relay) -> std::shared_ptr<const direct::Fleet>;
 
-// Whether the configuration in force was confirmed recently enough to decide on credentials.
+// Time for which the configuration in force may still decide on credentials without another
+// confirmation.
+auto FleetLease(Relay& relay) -> core::Duration;
+
+// Whether that time is not over.
 auto HasCurrentFleet(Relay& relay) -> bool;
 
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -17,6 +17,8 @@
   return -1;
 }
 
+auto IsReady(Fleet& fleet) -> bool { return fleet.Call(Get("/readyz"), true).status == 200; }
+
 auto WaitFor(const std::function<bool()>& condition) -> bool {
   const auto deadline = std::chrono::steady_clock::now() + seconds(8);
   while (std::chrono::steady_clock::now() < deadline) {
@@ -29,6 +31,7 @@
 class PeersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeersTest);
   CPPUNIT_TEST(testEntriesLearnOfEachOthersRequests);
+  CPPUNIT_TEST(testReadyAsSoonAsNoPeerIsBetterOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -61,6 +64,35 @@
     CPPUNIT_ASSERT_EQUAL(200, answers.front().get().status);
     CPPUNIT_ASSERT(WaitFor([&] { return Elsewhere(third, "a") == 0; }));
   }
+
+  // Guards against an entry that sends its callers to a peer whose configuration lapsed after the
+  // peer's last message. Both lapse within 200 ms, and messages are a second apart.
+  auto testReadyAsSoonAsNoPeerIsBetterOff() -> void {
+    const auto confirm_for = [](Fleet& fleet, core::Duration lease) {
+      Confirm(*fleet.relay, BootTime() - direct::kCredentialLease + lease);
+    };
+    Fleet first;
+    auto settings = MakeSettings("entry-2");
+    settings.seeds = {first.node.settings.peers};
+    Fleet second(settings);
+    first.Configure(MakeFleet());
+    second.Configure(MakeFleet());
+    for (const milliseconds phase : {milliseconds(0), milliseconds(300), milliseconds(600)}) {
+      confirm_for(first, seconds(4));
+      confirm_for(second, seconds(4));
+      CPPUNIT_ASSERT(WaitFor([&] { return IsReady(first); }));
+      std::this_thread::sleep_for(milliseconds(1500));
+      confirm_for(first, core::Duration::zero());
+      CPPUNIT_ASSERT(!IsReady(first));
+      std::this_thread::sleep_for(phase);
+      confirm_for(second, milliseconds(1500));
+      // Longer than the time between two messages.
+      std::this_thread::sleep_for(milliseconds(1200));
+      CPPUNIT_ASSERT(!IsReady(first));
+      std::this_thread::sleep_for(milliseconds(500));
+      CPPUNIT_ASSERT(IsReady(first));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -129,8 +129,8 @@
   std::vector<std::string> known;
   std::vector<ReplicaUse> replicas;
   std::vector<AccountUse> accounts;
-  // Whether the sender's configuration was confirmed in time.
-  bool current = false;
+  // Microseconds for which the sender's configuration still counts as confirmed.
+  std::uint64_t lease_us = 0;
 };
 
 using ControlMessage = std::variant<Hello, Demand, GrantReturn, Grant, Load, Service, Digest,
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -110,7 +110,7 @@
 auto Fill(const EntryState& from, pb::ControlMessage& envelope) -> void {
   auto& to = *envelope.mutable_entry_state();
   to.set_address(from.address);
-  to.set_current(from.current);
+  to.set_lease_us(from.lease_us);
   for (const auto& address : from.known) to.add_known(address);
   for (const auto& row : from.replicas) {
     auto* out = to.add_replicas();
@@ -171,7 +171,7 @@
 auto ToStruct(const pb::EntryState& from) -> EntryState {
   EntryState to;
   to.address = from.address();
-  to.current = from.current();
+  to.lease_us = from.lease_us();
   to.known.assign(from.known().begin(), from.known().end());
   for (const auto& row : from.replicas()) {
     to.replicas.push_back({row.replica(), row.in_flight(), row.unread()});
