Bound the load messages of an entry over all its links

Cause: with 27 entries each sent up to 50 messages a second on each of 26 links. The smallest VMs of the grown sites have 0.09 cores; entries there were behind by more than a second, and requests of clients that had left were sent on (GONE).

Change: 250 messages a second over all links, so 104 ms between two messages on one of 26 links. Digests and configuration keep their period.

Older knowledge of other entries' load costs less than the messages did.

--- a/libs/node/include/filbertstair/node/control.h
+++ b/libs/node/include/filbertstair/node/control.h
@@ -20,6 +20,9 @@
 // Longest wait for the peer's Hello.
 inline constexpr std::chrono::milliseconds kHelloTimeout{2000};
 
+// Least time between two updates caused by Outbox::Wake, so that a burst of changes is one message.
+inline constexpr std::chrono::milliseconds kMinUpdateGap{20};
+
 // What a role does on a control stream. The functions run on fibers of the stream's worker.
 struct ControlHandlers {
   // Called with the peer's Hello, before anything else. Returns false to turn the peer away.
@@ -29,6 +32,8 @@
   // Called every kControlPeriod and after Outbox::Wake to push what the peer should know.
   std::function<void(const wire::Hello&, Outbox&, bool period_over)> update;
   std::function<void(const wire::Hello&)> close;
+  // Least time between two updates of this stream; kMinUpdateGap without it.
+  std::function<std::chrono::milliseconds()> update_gap;
 };
 
 // Runs a control stream until it ends. Exchanges Hello and configuration, notes the peer's signs of
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -10,9 +10,6 @@
 using telemetry::Level;
 using telemetry::Metric;
 
-// Least time between two updates caused by Outbox::Wake, so that a burst of changes is one message.
-constexpr std::chrono::milliseconds kMinUpdateGap{20};
-
 auto SendMessage(Node& node, net::Stream& stream, const wire::ControlMessage& message) -> void {
   const auto bytes = wire::Encode(message);
   node.metrics.Count(Metric::control_sent, wire::KindName(message),
@@ -58,7 +55,8 @@
       if (!messages.empty()) continue;
       runtime::SleepFor(std::chrono::duration_cast<core::Duration>(next_update - now));
     }
-    next_update = std::chrono::steady_clock::now() + kMinUpdateGap;
+    next_update = std::chrono::steady_clock::now() +
+                  (handlers.update_gap ? handlers.update_gap() : kMinUpdateGap);
     if (period_over) {
       next_period = now + kControlPeriod;
       outbox.Push(PeriodicDigest(node));
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -23,6 +23,9 @@
 constexpr core::Duration kAccountInterval = std::chrono::milliseconds(100);
 // Change of an account's recent service that is worth a message, in tokens or requests.
 constexpr double kAccountChange = 500;
+// Load messages that one entry sends in a second over all its links. With 26 links and one per 20 ms
+// on each, they took a third of an entry's processor time.
+constexpr int kMessagesPerSecond = 250;
 // Entries that one entry is linked to. Beyond them it relies on the replicas' own reports.
 constexpr std::size_t kMaxLinks = 24;
 
@@ -66,6 +69,13 @@
   }
 }
 
+// Least time between two load messages on one link.
+auto UpdateGap(Relay& relay) -> std::chrono::milliseconds {
+  const auto links = relay.peers.With([](const PeerTable& table) { return table.peers.size(); });
+  const std::chrono::milliseconds gap{links * 1000 / kMessagesPerSecond};
+  return std::max(gap, node::kMinUpdateGap);
+}
+
 auto SendState(Relay& relay, Told& told, node::Outbox& outbox, bool period_over) -> void {
   const auto now = node::Now();
   wire::EntryState message;
@@ -139,6 +149,7 @@
     if (node::Now() - told->heard > kSilence) outbox.Close();
     SendState(relay, *told, outbox, period_over);
   };
+  handlers.update_gap = [&relay] { return UpdateGap(relay); };
   handlers.close = [&relay, address](const wire::Hello&) {
     relay.peers.With([&](PeerTable& table) {
       const auto known = table.peers.find(address);
