Decide in time that does not grow with the number of peers

Cause: each load message of a peer made an entry try its queues again, and each try summed the service of all workspaces over all peers (an exponential for each) and ranked all replicas by way of a map of ids.

Change: an account keeps the decayed sum over its peers; room that peers freed is assigned at most every 10 ms, and only if they freed some; the candidates of a choice are one sorted vector.

The sum is checked against the peers' words in direct.queue_test.

--- a/libs/core/include/filbertstair/core/rendezvous.h
+++ b/libs/core/include/filbertstair/core/rendezvous.h
@@ -2,6 +2,7 @@
 #define FILBERTSTAIR_CORE_RENDEZVOUS_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,6 +13,10 @@
 // Rendezvous hashing: every process that knows the same ids ranks them identically for a key, in
 // whatever order it lists them, and adding or removing an id moves only the keys of that id.
 
+// Returns the preference of the key for the id; the id with the highest one owns the key. For
+// callers that rank other structures than lists of ids.
+auto RendezvousScore(std::uint64_t key, std::string_view id) -> std::uint64_t;
+
 // Returns the indices of `ids` from the most to the least preferred for `key`. Ids with equal
 // hashes are ranked by their text.
 auto RendezvousOrder(std::string_view key, std::span<const std::string> ids)
--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -40,6 +40,10 @@
   // Service taken through this entry, and through others by their id.
   Recent own;
   std::map<std::string, PeerAccount> peers;
+  // Sum of the peers' service, and the number of them where requests wait. All service decays
+  // alike, so a sum of it does too, and no choice has to look at each peer.
+  Recent elsewhere;
+  std::size_t waiting_elsewhere = 0;
   // In order of urgency, then of arrival.
   std::deque<Waiter> waiting;
 };
@@ -85,9 +89,10 @@
             core::Time now) -> void;
 
 // Takes another entry's word on a workspace there, and forgets an entry that is gone.
-auto SetPeerAccount(FairQueue& queue, const std::string& workspace, const std::string& peer,
-                    const PeerAccount& account) -> void;
-auto DropPeer(FairQueue& queue, const std::string& peer) -> void;
+auto SetPeerAccount(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+                    const std::string& peer, const PeerAccount& account) -> void;
+auto DropPeer(FairQueue& queue, const QueuePolicy& policy, const std::string& peer, core::Time now)
+    -> void;
 
 // Returns recent service at `now`: of one source, and of a workspace over all entries.
 auto Used(const Recent& recent, const QueuePolicy& policy, core::Time now) -> double;
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -168,9 +168,12 @@
 auto Began(Replica& replica, std::uint64_t unread) -> void;
 auto Ended(Replica& replica) -> void;
 
-// Takes another entry's word on what it has at a replica, and forgets an entry that is gone.
+// Takes another entry's word on what it has at a replica. Returns whether it has less there than
+// before, so that waiting requests may have room now.
 auto SetPeerUse(ReplicaTable& table, const std::string& peer, const std::string& replica, Use use)
-    -> void;
+    -> bool;
+
+// Forgets what an entry that is gone had.
 auto DropPeer(ReplicaTable& table, const std::string& peer) -> void;
 
 auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void;
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -11,9 +11,18 @@
 
 // Whether requests of the workspace wait at any entry.
 auto IsWaiting(const Account& account) -> bool {
-  return !account.waiting.empty() ||
-         std::any_of(account.peers.begin(), account.peers.end(),
-                     [](const auto& item) { return item.second.waiting; });
+  return !account.waiting.empty() || account.waiting_elsewhere > 0;
+}
+
+auto Add(Recent& recent, const QueuePolicy& policy, double amount, core::Time now) -> void {
+  recent = {std::max(0.0, Used(recent, policy, now) + amount), now};
+}
+
+// Takes what the peer last said of the workspace out of the account's sums.
+auto Subtract(Account& account, const QueuePolicy& policy, const PeerAccount& peer, core::Time now)
+    -> void {
+  Add(account.elsewhere, policy, -Used(peer.recent, policy, now), now);
+  if (peer.waiting) --account.waiting_elsewhere;
 }
 
 }  // namespace
@@ -33,9 +42,7 @@
 }
 
 auto Used(const Account& account, const QueuePolicy& policy, core::Time now) -> double {
-  double used = Used(account.own, policy, now);
-  for (const auto& [id, peer] : account.peers) used += Used(peer.recent, policy, now);
-  return used;
+  return Used(account.own, policy, now) + Used(account.elsewhere, policy, now);
 }
 
 auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now)
@@ -76,22 +83,33 @@
 
 auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
             core::Time now) -> void {
-  auto& account = queue.accounts[workspace];
-  account.own = {std::max(0.0, Used(account.own, policy, now) + cost), now};
+  Add(queue.accounts[workspace].own, policy, cost, now);
 }
 
-auto SetPeerAccount(FairQueue& queue, const std::string& workspace, const std::string& peer,
-                    const PeerAccount& account) -> void {
-  queue.accounts[workspace].peers[peer] = account;
+auto SetPeerAccount(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+                    const std::string& peer, const PeerAccount& account) -> void {
+  auto& ours = queue.accounts[workspace];
+  auto& known = ours.peers[peer];
+  const auto now = account.recent.at;
+  Subtract(ours, policy, known, now);
+  known = account;
+  Add(ours.elsewhere, policy, known.recent.amount, now);
+  if (known.waiting) ++ours.waiting_elsewhere;
 }
 
-auto DropPeer(FairQueue& queue, const std::string& peer) -> void {
-  for (auto& [workspace, account] : queue.accounts) account.peers.erase(peer);
+auto DropPeer(FairQueue& queue, const QueuePolicy& policy, const std::string& peer, core::Time now)
+    -> void {
+  for (auto& [workspace, account] : queue.accounts) {
+    const auto known = account.peers.find(peer);
+    if (known == account.peers.end()) continue;
+    Subtract(account, policy, known->second, now);
+    account.peers.erase(known);
+  }
 }
 
 auto Sweep(FairQueue& queue, const QueuePolicy& policy, core::Time now) -> void {
   std::erase_if(queue.accounts, [&](const auto& item) {
-    return item.second.waiting.empty() && Used(item.second, policy, now) < kNegligible;
+    return !IsWaiting(item.second) && Used(item.second, policy, now) < kNegligible;
   });
 }
 
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -80,19 +80,37 @@
   return cost + static_cast<double>(shared - reading.shared_kept) * policy.reread_cost_ms;
 }
 
-// Ranks the replicas for the shared parts of the prompt, 0 for the one that should keep them.
-// Without shared parts all have rank 0.
-auto Ranks(const std::map<std::string, Replica>& replicas, const Need& need, core::Time now)
-    -> std::map<std::string, std::size_t> {
-  std::map<std::string, std::size_t> ranks;
-  if (need.prompt == nullptr || need.prompt->parts.size() < 2) return ranks;
-  std::vector<std::string> ids;
+// Replicas that may be chosen, and the one that returns first of those that are set aside.
+struct Candidates {
+  struct Item {
+    const Replica* replica = nullptr;
+    std::uint64_t score = 0;
+  };
+  // For a prompt with shared parts in the order in which the replicas should keep them.
+  std::vector<Item> items;
+  const Replica* aside = nullptr;
+};
+
+auto FindCandidates(const std::map<std::string, Replica>& replicas, const Need& need,
+                    const Prompt& prompt, core::Time now) -> Candidates {
+  Candidates out;
+  const bool ranked = prompt.parts.size() > 1;
+  const auto hash = ranked ? SharedHash(prompt) : 0;
+  out.items.reserve(replicas.size());
   for (const auto& [id, replica] : replicas) {
-    if (Usable(replica, need, now) && replica.aside_until <= now) ids.push_back(id);
+    if (!Usable(replica, need, now)) continue;
+    if (replica.aside_until > now) {
+      const bool first = out.aside == nullptr || replica.aside_until < out.aside->aside_until;
+      if (first) out.aside = &replica;
+      continue;
+    }
+    out.items.push_back({&replica, ranked ? core::RendezvousScore(hash, id) : 0});
   }
-  const auto order = core::RendezvousOrder(std::to_string(SharedHash(*need.prompt)), ids);
-  for (std::size_t rank = 0; rank < order.size(); ++rank) ranks[ids[order[rank]]] = rank;
-  return ranks;
+  if (!ranked) return out;
+  std::sort(out.items.begin(), out.items.end(), [](const auto& a, const auto& b) {
+    return a.score != b.score ? a.score > b.score : a.replica->listing.id < b.replica->listing.id;
+  });
+  return out;
 }
 
 auto FailureAside(const ReplicaPolicy& policy, std::uint32_t doublings) -> core::Duration {
@@ -161,28 +179,23 @@
   if (replicas == table.services.end()) return {};
   const auto& prompt = need.prompt == nullptr ? no_prompt : *need.prompt;
   const auto shared = SharedTokens(prompt);
-  const auto ranks = Ranks(replicas->second, need, now);
+  const auto candidates = FindCandidates(replicas->second, need, prompt, now);
+  const bool ranked = prompt.parts.size() > 1;
   Choice choice;
-  const Replica* aside = nullptr;
+  if (!candidates.items.empty()) choice.status = ChoiceStatus::full;
   double best_cost = 0;
-  for (const auto& [id, replica] : replicas->second) {
-    if (!Usable(replica, need, now)) continue;
-    if (replica.aside_until > now) {
-      if (aside == nullptr || replica.aside_until < aside->aside_until) aside = &replica;
-      continue;
-    }
-    if (choice.status == ChoiceStatus::none) choice.status = ChoiceStatus::full;
-    const auto ranked = ranks.find(id);
-    const std::size_t rank = ranked == ranks.end() ? 0 : ranked->second;
-    const auto reading = Expect(replica, prompt, ranked != ranks.end() && rank == 0);
+  for (std::size_t rank = 0; rank < candidates.items.size(); ++rank) {
+    const auto& replica = *candidates.items[rank].replica;
+    const auto reading = Expect(replica, prompt, ranked && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
     if (!HasRoom(replica, policy, reading, shared, use, need.room)) continue;
     double cost = StartCost(replica, policy, origin, reading, shared, use);
     if (reading.shared_kept < shared) cost += static_cast<double>(rank) * policy.rank_cost_ms;
     if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
-    choice = {ChoiceStatus::chosen, id, replica.listing.address, reading.unread};
+    choice = {ChoiceStatus::chosen, replica.listing.id, replica.listing.address, reading.unread};
     best_cost = cost;
   }
+  const auto* aside = candidates.aside;
   if (choice.status != ChoiceStatus::none || aside == nullptr) return choice;
   // With every replica set aside, the one that returns first is as good as any.
   const auto reading = Expect(*aside, prompt, false);
@@ -210,14 +223,16 @@
 }
 
 auto SetPeerUse(ReplicaTable& table, const std::string& peer, const std::string& replica, Use use)
-    -> void {
+    -> bool {
   auto& known = table.peers[peer][replica];
+  const bool freed = use.in_flight < known.in_flight || use.unread < known.unread;
   auto& sum = table.elsewhere[replica];
   sum.in_flight += use.in_flight - known.in_flight;
   sum.unread += use.unread - known.unread;
   known = use;
   if (sum == Use{}) table.elsewhere.erase(replica);
   if (use == Use{}) table.peers[peer].erase(replica);
+  return freed;
 }
 
 auto DropPeer(ReplicaTable& table, const std::string& peer) -> void {
--- a/libs/direct/test/queue_test.cc
+++ b/libs/direct/test/queue_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(testLeastServedComesFirst);
   CPPUNIT_TEST(testUrgencyWithinAWorkspace);
   CPPUNIT_TEST(testServiceElsewhereCounts);
+  CPPUNIT_TEST(testSumOverPeersStaysTrue);
   CPPUNIT_TEST(testServiceDecays);
   CPPUNIT_TEST(testMaxMinSharesUnderFlood);
   CPPUNIT_TEST(testLeaderLeavesRoomToOthersElsewhere);
@@ -52,15 +53,45 @@
   auto testServiceElsewhereCounts() -> void {
     FairQueue queue;
     Charge(queue, this->policy, "local", 50, this->now);
-    SetPeerAccount(queue, "spread", "entry-2", {{40, this->now}, false});
-    SetPeerAccount(queue, "spread", "entry-3", {{40, this->now}, false});
+    SetPeerAccount(queue, this->policy, "spread", "entry-2", {{40, this->now}, false});
+    SetPeerAccount(queue, this->policy, "spread", "entry-3", {{40, this->now}, false});
     Enqueue(queue, "spread", {1, 0, 1});
     Enqueue(queue, "local", {2, 0, 1});
     CPPUNIT_ASSERT_EQUAL(Ticket{2}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
-    DropPeer(queue, "entry-2");
+    DropPeer(queue, this->policy, "entry-2", this->now);
     CPPUNIT_ASSERT_EQUAL(Ticket{1}, PeekNext(queue, this->policy, this->now)->waiter->ticket);
   }
 
+  // Guards against a sum over entries that drifts from what they said, over many changes, an entry
+  // that leaves, and times that come out of order.
+  auto testSumOverPeersStaysTrue() -> void {
+    FairQueue queue;
+    std::mt19937 random(1);
+    std::map<std::string, PeerAccount> said;
+    auto at = this->now;
+    for (int i = 0; i < 20000; ++i) {
+      at += milliseconds(random() % 20);
+      const auto peer = "entry-" + std::to_string(random() % 30);
+      if (random() % 100 == 0) {
+        DropPeer(queue, this->policy, peer, at);
+        said.erase(peer);
+        continue;
+      }
+      const auto time = at - milliseconds(random() % 5);
+      said[peer] = {{static_cast<double>(random() % 100000), time}, random() % 2 == 0};
+      SetPeerAccount(queue, this->policy, "a", peer, said[peer]);
+    }
+    double expected = 0;
+    std::size_t waiting = 0;
+    for (const auto& [peer, account] : said) {
+      expected += Used(account.recent, this->policy, at);
+      waiting += account.waiting ? 1 : 0;
+    }
+    const auto& account = queue.accounts.at("a");
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(expected, Used(account, this->policy, at), 1e-3 * expected);
+    CPPUNIT_ASSERT_EQUAL(waiting, account.waiting_elsewhere);
+  }
+
   // Guards against idle time that earns credit without bound, and against old service that is held
   // against a workspace for ever.
   auto testServiceDecays() -> void {
@@ -113,12 +144,12 @@
     Charge(queue, this->policy, "leader", 300000, this->now);
     Enqueue(queue, "leader", {1, 0, 1});
     CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "leader", this->now));
-    SetPeerAccount(queue, "behind", "entry-2", {{100000, this->now}, false});
+    SetPeerAccount(queue, this->policy, "behind", "entry-2", {{100000, this->now}, false});
     CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "leader", this->now));
-    SetPeerAccount(queue, "behind", "entry-2", {{100000, this->now}, true});
+    SetPeerAccount(queue, this->policy, "behind", "entry-2", {{100000, this->now}, true});
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, RoomShare(queue, this->policy, "leader", this->now), 1e-9);
     CPPUNIT_ASSERT_EQUAL(1.0, RoomShare(queue, this->policy, "behind", this->now));
-    SetPeerAccount(queue, "behind", "entry-2", {{0, this->now}, true});
+    SetPeerAccount(queue, this->policy, "behind", "entry-2", {{0, this->now}, true});
     CPPUNIT_ASSERT_EQUAL(this->policy.least_room,
                          RoomShare(queue, this->policy, "leader", this->now));
   }
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -23,8 +23,8 @@
 constexpr core::Duration kAccountInterval = std::chrono::milliseconds(100);
 // Change of an account's recent service that is worth a message, in tokens or requests.
 constexpr double kAccountChange = 500;
-// Load messages that one entry sends in a second over all its links. With 26 links and one per 20 ms
-// on each, they took a third of an entry's processor time.
+// Load messages that one entry sends in a second over all its links. With 26 links and one per 20
+// ms on each, they took a third of an entry's processor time.
 constexpr int kMessagesPerSecond = 250;
 // Entries that one entry is linked to. Beyond them it relies on the replicas' own reports.
 constexpr std::size_t kMaxLinks = 24;
@@ -99,17 +99,17 @@
 
 auto HandleState(Relay& relay, const std::string& peer, const wire::EntryState& message) -> void {
   const auto now = node::Now();
+  bool freed = false;
   relay.dispatch.With([&](DispatchTable& table) {
     for (const auto& row : message.replicas) {
-      direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
+      freed |= direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
     }
     for (const auto& row : message.accounts) {
-      direct::SetPeerAccount(table.queues[row.service], row.workspace, peer,
+      direct::SetPeerAccount(table.queues[row.service], relay.policies.queue, row.workspace, peer,
                              {{static_cast<double>(row.used), now}, row.waiting});
     }
-    if (message.replicas.empty()) return;
-    for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
   });
+  if (freed) relay.freed.Notify();
   relay.peers.With([&](PeerTable& table) {
     const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
     table.current_until[peer] = now + core::Duration(lease);
@@ -121,7 +121,9 @@
 auto ForgetPeer(Relay& relay, const std::string& peer) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
     direct::DropPeer(table.replicas, peer);
-    for (auto& [service, queue] : table.queues) direct::DropPeer(queue, peer);
+    for (auto& [service, queue] : table.queues) {
+      direct::DropPeer(queue, relay.policies.queue, peer, node::Now());
+    }
   });
   relay.peers.With([&](PeerTable& table) { table.current_until.erase(peer); });
 }
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -18,6 +18,9 @@
 
 // Interval at which idle connections, decayed accounts and delisted replicas are dropped.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(500);
+// Least time between two assignments of room that other entries freed; well below the time that a
+// request may wait.
+constexpr core::Duration kAssignInterval = std::chrono::milliseconds(10);
 // Largest body before a configuration states a limit.
 constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
 
@@ -111,6 +114,18 @@
   node::ListenAdmin(relay->node, handlers);
 }
 
+// Assigns waiting requests to room that other entries have freed. Their messages come too often to
+// look at the queues for each of them.
+auto AssignLoop(Relay& relay) -> void {
+  while (true) {
+    relay.freed.Wait();
+    relay.dispatch.With([&](DispatchTable& table) {
+      for (const auto& [service, queue] : table.queues) AssignWaiting(relay, table, service);
+    });
+    runtime::SleepFor(kAssignInterval);
+  }
+}
+
 auto SweepLoop(Relay& relay) -> void {
   while (true) {
     runtime::SleepFor(kSweepInterval);
@@ -143,6 +158,7 @@
     });
     node.pool.Post(i, [relay] { SweepLoop(*relay); });
   }
+  node.pool.Post(0, [relay] { AssignLoop(*relay); });
   node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
   AddSeeds(*relay, node.settings.seeds);
   return relay;
