Don't send a request whose caller has left

The fiber that would notice runs after the one that sends the request.

Change: the entry looks at the caller's socket right before it sends.

Before: the new test in relay.stream_test fails; after: it passes.

--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -57,6 +57,10 @@
   // callback runs on a fiber of the same worker.
   auto OnCallerGone(std::function<void()> gone) -> void;
 
+  // Returns whether the caller has closed its connection, also if OnCallerGone's fiber has not run
+  // since because the worker is behind.
+  auto IsCallerGone() -> bool;
+
  private:
   detail::HttpExchange& exchange;
 };
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -267,6 +267,15 @@
   });
 }
 
+auto Responder::IsCallerGone() -> bool {
+  auto& socket = this->exchange.stream.socket();
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  char next = 0;
+  socket.receive(boost::asio::buffer(&next, 1), detail::Tcp::socket::message_peek, error);
+  return error && error != boost::asio::error::would_block;
+}
+
 auto HttpListener::Drain() -> void {
   this->state->draining = true;
   boost::system::error_code ignored;
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -260,6 +260,13 @@
     NoteFailed(relay, call, assignment, direct::Fault::unreachable);
     return failure;
   }
+  if (responder.IsCallerGone()) {
+    call.caller_gone = true;
+    auto failure =
+        Fail(Reason::withdrawn, Outcome::not_run, Step::queue, "the caller closed its connection");
+    failure.sent = false;
+    return failure;
+  }
   try {
     call.exchange->Send(ToForwarded(relay, call, request, assignment), kSendTimeout);
     const auto answer = ReadAnswer(relay, call, assignment, reused);
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(testHeldAnswerIsNotAddedToAStream);
   CPPUNIT_TEST(testResumedWhereTheCallerResumes);
   CPPUNIT_TEST(testCallerThatLeavesFreesTheReplica);
+  CPPUNIT_TEST(testRequestOfACallerThatLeftIsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -149,6 +150,39 @@
     gone.get_future().get();
     CPPUNIT_ASSERT(left.get_future().wait_for(seconds(2)) == std::future_status::ready);
   }
+
+  // Guards against an entry that is behind with its work and sends on what callers have given up.
+  auto testRequestOfACallerThatLeftIsNotSent() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(200, AnswerHeaders(request), "");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    std::promise<void> stopped;
+    std::promise<void> gone;
+    auto left = gone.get_future();
+    fleet.node.pool.Post(0, [&] {
+      stopped.set_value();
+      left.wait();
+    });
+    stopped.get_future().get();
+    fleet.callers.Post(0, [&] {
+      net::HttpExchange exchange;
+      exchange.Connect(settings::FormatAddress(fleet.node.settings.callers), kTimeout);
+      auto request = Get("/once/x", "left");
+      request.headers.emplace_back("Host", "a.example");
+      exchange.Send(request, kTimeout);
+      exchange.Cancel();
+      gone.set_value();
+    });
+    left.wait();
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x", "stays")).status);
+    std::this_thread::sleep_for(milliseconds(100));
+    for (const auto& request : replica.Requests()) {
+      CPPUNIT_ASSERT(net::FindHeader(request.headers, "Id") == "stays");
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamTest);
