Turn callers away while an entry is behind with its work

Cause: a hot caller of the grown sites sends 340 requests a second to one VM with 0.09 cores. Its worker accepted one connection a turn and its turns took 30 ms (logged), so the backlog filled with connections that callers had given up; descriptors ran out, failed connects were held against the replicas (305 in the log, 300 a second), and the entry still said that it was ready.

Change: each worker watches how late its timers run. While they are late by 12 ms it is not ready and closes connections after their answers; from 25 ms on it refuses with the new reason overloaded. All waiting connections are accepted in one turn. A lack of own descriptors (step allocate) is no fault of the replica.

--- a/libs/core/include/filbertstair/core/error.h
+++ b/libs/core/include/filbertstair/core/error.h
@@ -23,10 +23,11 @@
   admit,
   engine,
   respond,
-  platform
+  platform,
+  allocate,
 };
 template <>
-inline constexpr NameTable<Step, 14> kNames<Step>{{
+inline constexpr NameTable<Step, 15> kNames<Step>{{
     {Step::settings, "settings"},
     {Step::listen, "listen"},
     {Step::resolve, "resolve"},
@@ -41,6 +42,7 @@
     {Step::engine, "engine"},
     {Step::respond, "respond"},
     {Step::platform, "platform"},
+    {Step::allocate, "allocate"},
 }};
 
 // Error that carries the step and the peer at which it arose. `peer` is an address, a process id or
--- a/libs/core/include/filbertstair/core/reason.h
+++ b/libs/core/include/filbertstair/core/reason.h
@@ -17,6 +17,7 @@
   unknown_workspace,
   unknown_credential,
   stale_configuration,
+  overloaded,
   invalid_idempotency_key,
   no_configuration,
   queue_full,
@@ -41,7 +42,7 @@
   internal_error,
 };
 template <>
-inline constexpr NameTable<Reason, 29> kNames<Reason>{{
+inline constexpr NameTable<Reason, 30> kNames<Reason>{{
     {Reason::malformed_request, "malformed_request"},
     {Reason::request_too_large, "request_too_large"},
     {Reason::unknown_service, "unknown_service"},
@@ -49,6 +50,7 @@
     {Reason::unknown_workspace, "unknown_workspace"},
     {Reason::unknown_credential, "unknown_credential"},
     {Reason::stale_configuration, "stale_configuration"},
+    {Reason::overloaded, "overloaded"},
     {Reason::invalid_idempotency_key, "invalid_idempotency_key"},
     {Reason::no_configuration, "no_configuration"},
     {Reason::queue_full, "queue_full"},
@@ -74,21 +76,36 @@
 }};
 
 // HTTP status with which a refusal is answered, by reason.
-inline constexpr std::array<std::pair<Reason, int>, 29> kStatus{{
-    {Reason::malformed_request, 400},    {Reason::request_too_large, 413},
-    {Reason::unknown_service, 404},      {Reason::conflicting_names, 400},
-    {Reason::unknown_workspace, 403},    {Reason::unknown_credential, 401},
-    {Reason::stale_configuration, 503},  {Reason::invalid_idempotency_key, 400},
-    {Reason::no_configuration, 503},     {Reason::queue_full, 429},
-    {Reason::deadline_exceeded, 504},    {Reason::draining, 503},
-    {Reason::no_endpoint, 503},          {Reason::no_room, 503},
-    {Reason::grant_expired, 503},        {Reason::stale_incarnation, 503},
-    {Reason::duplicate_attempt, 409},    {Reason::key_repeated, 409},
-    {Reason::key_history_lost, 409},     {Reason::wrong_owner, 503},
-    {Reason::owner_unreachable, 503},    {Reason::withdrawn, 503},
-    {Reason::endpoint_unreachable, 502}, {Reason::engine_unreachable, 502},
-    {Reason::engine_error, 502},         {Reason::connection_lost, 502},
-    {Reason::answer_cut, 502},           {Reason::retry_budget_exhausted, 503},
+inline constexpr std::array<std::pair<Reason, int>, 30> kStatus{{
+    {Reason::malformed_request, 400},
+    {Reason::request_too_large, 413},
+    {Reason::unknown_service, 404},
+    {Reason::conflicting_names, 400},
+    {Reason::unknown_workspace, 403},
+    {Reason::unknown_credential, 401},
+    {Reason::stale_configuration, 503},
+    {Reason::overloaded, 503},
+    {Reason::invalid_idempotency_key, 400},
+    {Reason::no_configuration, 503},
+    {Reason::queue_full, 429},
+    {Reason::deadline_exceeded, 504},
+    {Reason::draining, 503},
+    {Reason::no_endpoint, 503},
+    {Reason::no_room, 503},
+    {Reason::grant_expired, 503},
+    {Reason::stale_incarnation, 503},
+    {Reason::duplicate_attempt, 409},
+    {Reason::key_repeated, 409},
+    {Reason::key_history_lost, 409},
+    {Reason::wrong_owner, 503},
+    {Reason::owner_unreachable, 503},
+    {Reason::withdrawn, 503},
+    {Reason::endpoint_unreachable, 502},
+    {Reason::engine_unreachable, 502},
+    {Reason::engine_error, 502},
+    {Reason::connection_lost, 502},
+    {Reason::answer_cut, 502},
+    {Reason::retry_budget_exhausted, 503},
     {Reason::internal_error, 500},
 }};
 
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/pressure.h
@@ -0,0 +1,42 @@
+#ifndef FILBERTSTAIR_DIRECT_PRESSURE_H_
+#define FILBERTSTAIR_DIRECT_PRESSURE_H_
+
+#include "filbertstair/core/types.h"
+
+namespace filbertstair::direct {
+
+struct PressurePolicy {
+  // Delay of timers from which an entry counts as behind with its work. A request takes some ten
+  // turns of its worker up to its first event, so that it then loses 120 ms of an objective of
+  // 250 ms or more. An entry that is in time is late by 1 to 3 ms.
+  core::Duration behind = std::chrono::milliseconds(12);
+  // Delay from which new requests are refused, so that their callers turn to another entry while
+  // there is time: half of an objective of 500 ms.
+  core::Duration refuse = std::chrono::milliseconds(25);
+  // Longest delay that counts. A single one, as after the VM was suspended, is no overload.
+  core::Duration max_delay = std::chrono::milliseconds(45);
+  // Time for which an entry takes no new callers after it was behind. Callers come back as soon as
+  // it is ready, so a shorter time would have it behind again at once.
+  core::Duration recover = std::chrono::seconds(3);
+};
+
+// How far an entry is behind with its work, seen from how late its timers run.
+struct Pressure {
+  // Mean delay of the timers, in which the last one counts for a quarter.
+  core::Duration delay{};
+  core::Time behind_until{};
+};
+
+// Records that a timer ran `late` after its time.
+auto NoteDelay(Pressure& pressure, const PressurePolicy& policy, core::Duration late,
+               core::Time now) -> void;
+
+// Whether the entry should leave new callers to others.
+auto IsBehind(const Pressure& pressure, core::Time now) -> bool;
+
+// Whether a new request should be refused at once.
+auto MustRefuse(const Pressure& pressure, const PressurePolicy& policy) -> bool;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_PRESSURE_H_
--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -17,6 +17,9 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+// Connections accepted in one turn of the worker. One a turn lets the backlog grow while the worker
+// has much to do, until all that is accepted has been given up by its caller.
+inline constexpr int kAcceptBatch = 64;
 // Wait before accepting again after an error such as too many open files.
 inline constexpr std::chrono::milliseconds kAcceptBackoff{100};
 
@@ -36,25 +39,37 @@
   return acceptor;
 }
 
+// Accepts the connections that wait. Returns the error that ended it, if any.
+inline auto AcceptWaiting(Tcp::acceptor& acceptor, const std::function<void(Tcp::socket)>& serve)
+    -> boost::system::error_code {
+  boost::system::error_code error;
+  for (int i = 0; i < kAcceptBatch; ++i) {
+    Tcp::socket socket(runtime::Io());
+    acceptor.accept(socket, error);
+    if (error == boost::asio::error::would_block) return {};
+    if (error) return error;
+    boost::system::error_code ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+    runtime::Spawn([serve, shared] { serve(std::move(*shared)); });
+  }
+  return error;
+}
+
 // Runs `serve` on a fiber of its own for each accepted connection.
 inline auto AcceptLoop(const std::shared_ptr<Tcp::acceptor>& acceptor,
                        std::function<void(Tcp::socket)> serve) -> void {
   runtime::Spawn([acceptor, serve = std::move(serve)] {
+    boost::system::error_code ignored;
+    acceptor->non_blocking(true, ignored);
     while (acceptor->is_open()) {
-      Tcp::socket socket(runtime::Io());
       const auto result = runtime::Await([&](auto handler) {
-        acceptor->async_accept(
-            socket, [handler](const boost::system::error_code& error) mutable { handler(error); });
+        acceptor->async_wait(
+            Tcp::acceptor::wait_read,
+            [handler](const boost::system::error_code& error) mutable { handler(error); });
       });
-      if (result.error) {
-        if (!acceptor->is_open()) break;
-        runtime::SleepFor(kAcceptBackoff);
-        continue;
-      }
-      boost::system::error_code ignored;
-      socket.set_option(Tcp::no_delay(true), ignored);
-      auto shared = std::make_shared<Tcp::socket>(std::move(socket));
-      runtime::Spawn([serve, shared] { serve(std::move(*shared)); });
+      if (!acceptor->is_open()) break;
+      if (result.error || AcceptWaiting(*acceptor, serve)) runtime::SleepFor(kAcceptBackoff);
     }
   });
 }
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -41,6 +41,11 @@
   throw core::Error(step, peer, timed_out ? "timed out" : error.message());
 }
 
+auto IsOutOfDescriptors(const boost::system::error_code& error) -> bool {
+  return error == boost::system::errc::too_many_files_open ||
+         error == boost::system::errc::too_many_files_open_in_system;
+}
+
 auto ToMessage(const HttpRequest& request) -> http::request<http::string_body> {
   http::request<http::string_body> message;
   message.method_string(request.method);
@@ -65,6 +70,9 @@
   c.stream.expires_after(timeout);
   const auto result =
       runtime::Await([&](auto handler) { c.stream.async_connect(endpoint, std::move(handler)); });
+  if (IsOutOfDescriptors(result.error)) {
+    throw core::Error(core::Step::allocate, address, result.error.message());
+  }
   Check(result.error, core::Step::connect, address);
   boost::system::error_code ignored;
   c.stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -94,8 +94,9 @@
   try {
     call.exchange->Connect(assignment.address, std::min(kConnectTimeout, Remaining(call)));
   } catch (const core::Error& error) {
-    auto failure =
-        Fail(Reason::endpoint_unreachable, Outcome::not_run, error.GetStep(), error.what());
+    const bool local = error.GetStep() == Step::allocate;
+    auto failure = Fail(local ? Reason::overloaded : Reason::endpoint_unreachable, Outcome::not_run,
+                        error.GetStep(), error.what());
     failure.sent = false;
     return failure;
   }
@@ -257,7 +258,9 @@
                     {.kind = node::TraceKind::attempted, .peer = assignment.replica});
   bool reused = false;
   if (auto failure = Connect(relay, call, assignment, reused)) {
-    NoteFailed(relay, call, assignment, direct::Fault::unreachable);
+    if (failure->reason != Reason::overloaded) {
+      NoteFailed(relay, call, assignment, direct::Fault::unreachable);
+    }
     return failure;
   }
   if (responder.IsCallerGone()) {
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -21,13 +21,18 @@
 // Least time between two assignments of room that other entries freed; well below the time that a
 // request may wait.
 constexpr core::Duration kAssignInterval = std::chrono::milliseconds(10);
+// Interval at which the delay of timers is looked at.
+constexpr core::Duration kPressureInterval = std::chrono::milliseconds(50);
 // Largest body before a configuration states a limit.
 constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
 
+auto ThisWorker(Relay& relay) -> WorkerState& { return relay.workers[runtime::WorkerIndex()]; }
+
 // An entry whose configuration is not confirmed leaves callers to those that are better off, if
 // there are any; without the platform all serve what needs no credential.
 auto IsReady(Relay& relay) -> bool {
   if (relay.node.draining || CurrentFleet(relay) == nullptr) return false;
+  if (direct::IsBehind(ThisWorker(relay).pressure, node::Now())) return false;
   if (HasCurrentFleet(relay)) return true;
   return relay.peers.With([now = node::Now()](const PeerTable& table) {
     return std::none_of(table.current_until.begin(), table.current_until.end(),
@@ -60,9 +65,11 @@
   handlers.fault = [relay](net::RequestFault fault, net::Responder& responder) {
     node::AnswerRefused(relay->node, "", "", node::ToRefused(fault), responder);
   };
-  handlers.closing = [relay] { return relay->node.draining.load(); };
+  handlers.closing = [relay] {
+    return relay->node.draining || direct::IsBehind(ThisWorker(*relay).pressure, node::Now());
+  };
   handlers.limits = [relay] { return LimitsInForce(*relay); };
-  relay->workers[runtime::WorkerIndex()].callers =
+  ThisWorker(*relay).callers =
       std::make_shared<net::HttpListener>(net::ListenHttp(address, {}, std::move(handlers)));
   telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
 }
@@ -126,11 +133,29 @@
   }
 }
 
+// Watches how late the worker's timers run.
+auto WatchPressure(Relay& relay) -> void {
+  auto& pressure = ThisWorker(relay).pressure;
+  while (true) {
+    const auto due = node::Now() + kPressureInterval;
+    runtime::SleepFor(kPressureInterval);
+    const auto now = node::Now();
+    const bool before = pressure.behind_until != core::Time{};
+    direct::NoteDelay(pressure, relay.policies.pressure, now - due, now);
+    const bool behind = direct::IsBehind(pressure, now);
+    if (behind == before) continue;
+    if (!behind) pressure.behind_until = {};
+    telemetry::Log(behind ? Level::warning : Level::info,
+                   behind ? Event::overloaded : Event::overload_ended,
+                   {{"delay_us", std::to_string(pressure.delay.count())}});
+  }
+}
+
 auto SweepLoop(Relay& relay) -> void {
   while (true) {
     runtime::SleepFor(kSweepInterval);
     const auto now = node::Now();
-    SweepIdle(relay.workers[runtime::WorkerIndex()], now);
+    SweepIdle(ThisWorker(relay), now);
     if (runtime::WorkerIndex() != 0) continue;
     relay.dispatch.With([&](DispatchTable& table) {
       direct::Sweep(table.replicas, now);
@@ -157,6 +182,7 @@
       ListenCallers(relay);
     });
     node.pool.Post(i, [relay] { SweepLoop(*relay); });
+    node.pool.Post(i, [relay] { WatchPressure(*relay); });
   }
   node.pool.Post(0, [relay] { AssignLoop(*relay); });
   node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -24,6 +24,9 @@
 // Time after which a caller comes back to an entry that has no configuration, or a stale one.
 constexpr core::Duration kRetryConfigured = std::chrono::milliseconds(500);
 
+// Time after which a caller comes back, most likely to another entry, if this one is overloaded.
+constexpr core::Duration kRetryOverloaded = std::chrono::milliseconds(100);
+
 auto Refuse(Reason reason, Step step, std::string message,
             core::Duration retry_after = std::chrono::seconds(1)) -> Refused {
   return {reason, Outcome::not_run, step, "", std::move(message), retry_after};
@@ -49,6 +52,15 @@
   return std::nullopt;
 }
 
+// Refuses a request if this entry is so far behind with its work that another one is faster.
+auto RefuseBehind(Relay& relay) -> std::optional<Refused> {
+  const auto& pressure = relay.workers[runtime::WorkerIndex()].pressure;
+  if (!direct::MustRefuse(pressure, relay.policies.pressure)) return std::nullopt;
+  return Refuse(Reason::overloaded, Step::queue,
+                "timers run late by " + std::to_string(pressure.delay.count()) + " us",
+                kRetryOverloaded);
+}
+
 auto Resolve(Relay& relay, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (call.fleet == nullptr) {
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
@@ -122,7 +134,7 @@
 // Whether the request may be sent to another replica after the failure.
 auto MayContinue(const Call& call, const Progress& progress, const Failure& failure) -> bool {
   if (call.caller_gone || node::Now() >= call.deadline) return false;
-  if (progress.connects >= kMaxConnects) return false;
+  if (progress.connects >= kMaxConnects || failure.reason == Reason::overloaded) return false;
   if (!failure.sent) return true;
   if (call.tried.size() >= call.route->attempts) return false;
   if (call.begun && !(call.route->streaming && call.route->resumable)) return false;
@@ -204,6 +216,7 @@
 
 auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
             net::Responder& responder) -> std::optional<Refused> {
+  if (auto refused = RefuseBehind(relay)) return refused;
   if (auto refused = Resolve(relay, request, *call)) return refused;
   relay.dispatch.With([&](DispatchTable& table) {
     direct::CountRequest(table.budgets[call->service], relay.policies.budget, node::Now());
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -13,6 +13,7 @@
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
 #include "filbertstair/direct/fleet.h"
+#include "filbertstair/direct/pressure.h"
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
 #include "filbertstair/net/http_client.h"
@@ -64,14 +65,17 @@
   core::Time forgive_until{};
 };
 
-// Idle connections to replicas, by address, the last used one at the end; used by one worker only.
+// An idle connection to a replica.
 struct IdleConnection {
   Exchange exchange;
   core::Time until{};
 };
+// State that is used by one worker only.
 struct WorkerState {
+  // By address, the last used one at the end.
   std::map<std::string, std::list<IdleConnection>> idle;
   std::shared_ptr<net::HttpListener> callers;
+  direct::Pressure pressure;
 };
 
 // Another entry, by the address of its listener.
@@ -93,6 +97,7 @@
   direct::ReplicaPolicy replicas;
   direct::QueuePolicy queue;
   direct::BudgetPolicy budget;
+  direct::PressurePolicy pressure;
 };
 
 struct Relay {
--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(testSuccessWithoutReceipt);
   CPPUNIT_TEST(testAnswerToAnotherRequest);
   CPPUNIT_TEST(testDrain);
+  CPPUNIT_TEST(testOverloadedEntryTurnsCallersAway);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +245,39 @@
     CPPUNIT_ASSERT(finished.whole);
     CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/readyz"), true).status);
   }
+
+  // Guards against an entry that is seconds behind with its work, says that it is ready, and lets
+  // its callers run into their deadlines.
+  auto testOverloadedEntryTurnsCallersAway() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(200, AnswerHeaders(request), "");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    fleet.node.pool.Post(0, [] {
+      for (int i = 0; i < 10; ++i) {
+        std::this_thread::sleep_for(milliseconds(400));
+        runtime::SleepFor(milliseconds(1));
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(1500));
+    const auto answer = fleet.Call(Get("/once/x"));
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+    CPPUNIT_ASSERT(answer.body.find("overloaded") != std::string::npos);
+    CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Connection") == "close");
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/readyz"), true).status);
+    // The work goes on for at most 2.5 s, and the pause is 3 s; a busy machine may add to that.
+    const auto deadline = std::chrono::steady_clock::now() + seconds(20);
+    int status = 0;
+    while (status != 200 && std::chrono::steady_clock::now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(100));
+      Confirm(*fleet.relay, BootTime());
+      status = fleet.Call(Get("/readyz"), true).status;
+    }
+    CPPUNIT_ASSERT_EQUAL(200, status);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x")).status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -16,6 +16,8 @@
   ready = 105,
   settings_reloaded = 106,
   settings_rejected = 107,
+  overloaded = 108,
+  overload_ended = 109,
   object_accepted = 200,
   object_rejected = 201,
   object_conflict = 202,
@@ -41,7 +43,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 27> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 29> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -50,6 +52,8 @@
     {telemetry::Event::ready, "ready"},
     {telemetry::Event::settings_reloaded, "settings_reloaded"},
     {telemetry::Event::settings_rejected, "settings_rejected"},
+    {telemetry::Event::overloaded, "overloaded"},
+    {telemetry::Event::overload_ended, "overload_ended"},
     {telemetry::Event::object_accepted, "object_accepted"},
     {telemetry::Event::object_rejected, "object_rejected"},
     {telemetry::Event::object_conflict, "object_conflict"},
