Tell other entries which replica reads a shared part

Cause: an entry knew only of the shared parts that it had sent itself.

Change: EntryState carries each shared part that a replica is sent and was not believed to keep. An entry that links up is told the last 2,048.

Tests: direct.kept_test, wire.control_test, relay.peers_test.

--- a/libs/direct/include/filbertstair/direct/kept.h
+++ b/libs/direct/include/filbertstair/direct/kept.h
@@ -25,12 +25,15 @@
   std::vector<Part> parts;
 };
 
-// Parts that one replica is believed to keep: those that this entry sent there, the least recently
+// Parts that one replica is believed to keep: those that entries sent there, the least recently
 // used ones dropped when their tokens exceed `capacity`.
 struct KeptParts {
+  // A part, by a key that covers the parts before it.
   struct Item {
     std::uint64_t key = 0;
     std::uint32_t tokens = 0;
+
+    auto operator==(const Item&) const -> bool = default;
   };
   std::list<Item> recent;
   std::unordered_map<std::uint64_t, std::list<Item>::iterator> index;
@@ -43,6 +46,12 @@
 // Records that the replica reads the prompt. `capacity` is the replica's memory in tokens.
 auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void;
 
+// Records that the replica reads one part.
+auto Keep(KeptParts& kept, const KeptParts::Item& part, std::uint64_t capacity) -> void;
+
+// Returns the parts before the last that the replica is not believed to keep.
+auto UnkeptShared(const KeptParts& kept, const Prompt& prompt) -> std::vector<KeptParts::Item>;
+
 // Returns the tokens of the parts before the last.
 auto SharedTokens(const Prompt& prompt) -> std::uint32_t;
 
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -110,8 +110,8 @@
   core::Duration max_aside = std::chrono::seconds(4);
   // Failures in a row that set a replica aside.
   std::uint32_t failures_to_set_aside = 2;
-  // Part of the replica's memory for kept parts that is assumed to hold what this entry sent; the
-  // rest belongs to running requests and to other entries.
+  // Part of the replica's memory that is assumed to hold parts for later; the rest belongs to
+  // running requests.
   std::uint64_t kept_capacity = 300000;
 };
 
--- a/libs/direct/src/kept.cc
+++ b/libs/direct/src/kept.cc
@@ -31,15 +31,19 @@
   auto key = Root(prompt);
   for (const auto& part : prompt.parts) {
     key = Chain(key, part.id);
-    const auto found = kept.index.find(key);
-    if (found != kept.index.end()) {
-      kept.recent.splice(kept.recent.begin(), kept.recent, found->second);
-      continue;
-    }
-    kept.recent.push_front({key, part.tokens});
-    kept.index[key] = kept.recent.begin();
-    kept.tokens += part.tokens;
+    Keep(kept, KeptParts::Item{key, part.tokens}, capacity);
   }
+}
+
+auto Keep(KeptParts& kept, const KeptParts::Item& part, std::uint64_t capacity) -> void {
+  const auto found = kept.index.find(part.key);
+  if (found != kept.index.end()) {
+    kept.recent.splice(kept.recent.begin(), kept.recent, found->second);
+    return;
+  }
+  kept.recent.push_front(part);
+  kept.index[part.key] = kept.recent.begin();
+  kept.tokens += part.tokens;
   while (kept.tokens > capacity && !kept.recent.empty()) {
     kept.tokens -= kept.recent.back().tokens;
     kept.index.erase(kept.recent.back().key);
@@ -47,6 +51,16 @@
   }
 }
 
+auto UnkeptShared(const KeptParts& kept, const Prompt& prompt) -> std::vector<KeptParts::Item> {
+  std::vector<KeptParts::Item> out;
+  auto key = Root(prompt);
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    key = Chain(key, prompt.parts[i].id);
+    if (!kept.index.contains(key)) out.push_back({key, prompt.parts[i].tokens});
+  }
+  return out;
+}
+
 auto SharedTokens(const Prompt& prompt) -> std::uint32_t {
   std::uint32_t tokens = 0;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) tokens += prompt.parts[i].tokens;
--- a/libs/direct/test/kept_test.cc
+++ b/libs/direct/test/kept_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testPartsCountFromTheStart);
   CPPUNIT_TEST(testLeastRecentlyUsedYields);
   CPPUNIT_TEST(testSharedHash);
+  CPPUNIT_TEST(testSinglePartsAddUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -56,6 +57,21 @@
     CPPUNIT_ASSERT(SharedHash(first) != SharedHash(third));
     CPPUNIT_ASSERT_EQUAL(20u, SharedTokens(first));
   }
+
+  // Guards against parts that another entry tells one by one and that are not recognized, and
+  // against telling a request's own part or one that is kept.
+  auto testSinglePartsAddUp() -> void {
+    const auto prompt = MakePrompt({{1, 10}, {2, 20}, {3, 30}});
+    KeptParts kept;
+    const auto news = UnkeptShared(kept, prompt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, news.size());
+    Keep(kept, news[0], 1000);
+    CPPUNIT_ASSERT_EQUAL(10u, KeptTokens(kept, prompt));
+    CPPUNIT_ASSERT(UnkeptShared(kept, prompt) == std::vector{news[1]});
+    Keep(kept, news[1], 1000);
+    CPPUNIT_ASSERT_EQUAL(30u, KeptTokens(kept, prompt));
+    CPPUNIT_ASSERT(UnkeptShared(kept, prompt).empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(KeptTest);
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -3,6 +3,9 @@
 namespace filbertstair::relay {
 namespace {
 
+// News of shared parts that are kept for entries that link up later.
+constexpr std::size_t kMaxKeptNews = 2048;
+
 auto Cost(const Call& call) -> double {
   if (!call.head.prompt) return 1;
   // A generated token counts twice.
@@ -14,6 +17,11 @@
   static const direct::Prompt no_prompt;
   auto& replica = *direct::Find(table.replicas, pending.service, choice.id);
   const auto& prompt = pending.prompt == nullptr ? no_prompt : *pending.prompt;
+  for (const auto& part : direct::UnkeptShared(replica.kept, prompt)) {
+    table.kept_news.push_back({choice.id, part});
+    ++table.kept_count;
+  }
+  while (table.kept_news.size() > kMaxKeptNews) table.kept_news.pop_front();
   direct::Assigned(replica, relay.policies.replicas, prompt, choice.unread);
   pending.assignment = Assignment{pending.service, choice.id, choice.address, choice.unread};
 }
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -38,6 +38,8 @@
   };
   std::map<std::pair<std::string, std::string>, Account> accounts;
   core::Time accounts_at{};
+  // Number of the news of kept parts.
+  std::uint64_t kept_count = 0;
   core::Time heard{};
 };
 
@@ -53,6 +55,16 @@
   }
 }
 
+auto CollectKept(const DispatchTable& table, Told& told, wire::EntryState& message) -> void {
+  const auto size = table.kept_news.size();
+  const auto news = std::min<std::uint64_t>(table.kept_count - told.kept_count, size);
+  for (auto i = size - news; i < size; ++i) {
+    const auto& item = table.kept_news[i];
+    message.kept.push_back({item.replica, item.part.key, item.part.tokens});
+  }
+  told.kept_count = table.kept_count;
+}
+
 auto CollectAccounts(const Relay& relay, const DispatchTable& table, Told& told,
                      wire::EntryState& message, core::Time now) -> void {
   if (now - told.accounts_at < kAccountInterval) return;
@@ -82,6 +94,7 @@
   message.lease_us = static_cast<std::uint64_t>(FleetLease(relay).count());
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicas(table, told, message);
+    CollectKept(table, told, message);
     CollectAccounts(relay, table, told, message, now);
   });
   if (period_over) {
@@ -104,6 +117,13 @@
     for (const auto& row : message.replicas) {
       freed |= direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
     }
+    for (const auto& row : message.kept) {
+      const auto service = table.replicas.service_of.find(row.replica);
+      if (service == table.replicas.service_of.end()) continue;
+      auto* replica = direct::Find(table.replicas, service->second, row.replica);
+      if (replica == nullptr) continue;
+      direct::Keep(replica->kept, {row.key, row.tokens}, relay.policies.replicas.kept_capacity);
+    }
     for (const auto& row : message.accounts) {
       direct::SetPeerAccount(table.queues[row.service], relay.policies.queue, row.workspace, peer,
                              {{static_cast<double>(row.used), now}, row.waiting});
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -90,6 +90,7 @@
                             {"state", core::Name(replica.listing.state)},
                             {"in_flight", replica.in_flight},
                             {"unread_tokens", replica.unread},
+                            {"kept_tokens", replica.kept.tokens},
                             {"elsewhere", used ? elsewhere->second.in_flight : 0},
                             {"set_aside", replica.aside_until > now}});
       }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -2,6 +2,8 @@
 #define FILBERTSTAIR_RELAY_SRC_STATE_H_
 
 #include <atomic>
+#include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -53,6 +55,12 @@
   bool hopeless = false;
 };
 
+// A shared part that a replica reads for a request of this entry.
+struct KeptNews {
+  std::string replica;
+  direct::KeptParts::Item part;
+};
+
 // Replicas, waiting requests and budgets of this entry.
 struct DispatchTable {
   direct::ReplicaTable replicas;
@@ -60,6 +68,9 @@
   std::map<std::string, direct::Budget, std::less<>> budgets;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
   direct::Ticket last_ticket = 0;
+  // The latest news for other entries, and the number of all there have been.
+  std::deque<KeptNews> kept_news;
+  std::uint64_t kept_count = 0;
   // End of the time in which a replica that is missing from the platform's list may only be
   // missing because the list was away.
   core::Time forgive_until{};
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -32,6 +32,11 @@
     head.attempt = net::FindHeader(request.headers, "Id");
     head.credential = net::FindHeader(request.headers, "Key");
     head.last_event = net::FindHeader(request.headers, "After");
+    const auto shared = net::FindHeader(request.headers, "Shared-Tokens");
+    if (!shared.empty()) {
+      const auto tokens = static_cast<std::uint32_t>(std::stoul(std::string(shared)));
+      head.prompt = direct::Prompt{"m", tokens + 10, 10, {{1, tokens}, {2, 10}}};
+    }
     return head;
   };
   dialect.forward_headers = [](const net::HttpRequest& request, const Forward& forward) {
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -7,16 +7,22 @@
 namespace filbertstair::relay {
 namespace {
 
-// Returns the number of requests that the entry knows other entries to have at the replica.
-auto Elsewhere(Fleet& fleet, const std::string& replica) -> std::int64_t {
+// Returns a figure of the replica from the entry's status.
+auto Figure(Fleet& fleet, const std::string& replica, std::string_view name) -> std::int64_t {
   const auto status = boost::json::parse(fleet.Call(Get("/status"), true).body).as_object();
   for (const auto& item : status.at("replicas").as_array()) {
     const auto& row = item.as_object();
-    if (row.at("id").as_string() == replica) return row.at("elsewhere").as_int64();
+    if (row.at("id").as_string() == replica)
+      return boost::json::value_to<std::int64_t>(row.at(name));
   }
   return -1;
 }
 
+// Returns the number of requests that the entry knows other entries to have at the replica.
+auto Elsewhere(Fleet& fleet, const std::string& replica) -> std::int64_t {
+  return Figure(fleet, replica, "elsewhere");
+}
+
 auto IsReady(Fleet& fleet) -> bool { return fleet.Call(Get("/readyz"), true).status == 200; }
 
 auto WaitFor(const std::function<bool()>& condition) -> bool {
@@ -32,6 +38,7 @@
   CPPUNIT_TEST_SUITE(PeersTest);
   CPPUNIT_TEST(testEntriesLearnOfEachOthersRequests);
   CPPUNIT_TEST(testReadyAsSoonAsNoPeerIsBetterOff);
+  CPPUNIT_TEST(testKeptPartsAreTold);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -65,6 +72,32 @@
     CPPUNIT_ASSERT(WaitFor([&] { return Elsewhere(third, "a") == 0; }));
   }
 
+  // Guards against shared parts that are read again at a third replica because the entry does not
+  // know which ones keep them, also if it linked up after they were read.
+  auto testKeptPartsAreTold() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Respond(200, AnswerHeaders(request), "");
+    });
+    Fleet first;
+    auto settings = MakeSettings("entry-2");
+    settings.seeds = {first.node.settings.peers};
+    Fleet second(settings);
+    for (auto* fleet : {&first, &second}) {
+      fleet->Configure(MakeFleet());
+      fleet->List(replica);
+    }
+    auto request = Get("/once/x");
+    request.headers.emplace_back("Shared-Tokens", "4000");
+    CPPUNIT_ASSERT_EQUAL(200, first.Call(request).status);
+    CPPUNIT_ASSERT(WaitFor([&] { return Figure(second, "a", "kept_tokens") == 4000; }));
+    auto last = MakeSettings("entry-3");
+    last.seeds = {first.node.settings.peers};
+    Fleet third(last);
+    third.Configure(MakeFleet());
+    third.List(replica);
+    CPPUNIT_ASSERT(WaitFor([&] { return Figure(third, "a", "kept_tokens") == 4000; }));
+  }
+
   // Guards against an entry that sends its callers to a peer whose configuration lapsed after the
   // peer's last message. Both lapse within 200 ms, and messages are a second apart.
   auto testReadyAsSoonAsNoPeerIsBetterOff() -> void {
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -122,6 +122,14 @@
   bool waiting = false;
 };
 
+// Part of a prompt that a replica reads.
+struct KeptPart {
+  std::string replica;
+  // Covers the parts before it, too.
+  std::uint64_t key = 0;
+  std::uint32_t tokens = 0;
+};
+
 // State of an entry that admits by itself. Rows are those that changed since the last message.
 struct EntryState {
   // The sender's listener for other processes, and those that it knows of.
@@ -129,6 +137,8 @@
   std::vector<std::string> known;
   std::vector<ReplicaUse> replicas;
   std::vector<AccountUse> accounts;
+  // Parts that replicas read for requests of the sender and did not keep before.
+  std::vector<KeptPart> kept;
   // Microseconds for which the sender's configuration still counts as confirmed.
   std::uint64_t lease_us = 0;
 };
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -112,6 +112,12 @@
   to.set_address(from.address);
   to.set_lease_us(from.lease_us);
   for (const auto& address : from.known) to.add_known(address);
+  for (const auto& row : from.kept) {
+    auto* out = to.add_kept();
+    out->set_replica(row.replica);
+    out->set_key(row.key);
+    out->set_tokens(row.tokens);
+  }
   for (const auto& row : from.replicas) {
     auto* out = to.add_replicas();
     out->set_replica(row.replica);
@@ -176,6 +182,9 @@
   for (const auto& row : from.replicas()) {
     to.replicas.push_back({row.replica(), row.in_flight(), row.unread()});
   }
+  for (const auto& row : from.kept()) {
+    to.kept.push_back({row.replica(), row.key(), row.tokens()});
+  }
   for (const auto& row : from.accounts()) {
     to.accounts.push_back({row.service(), row.workspace(), row.used(), row.waiting()});
   }
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(testAdmission);
   CPPUNIT_TEST(testService);
   CPPUNIT_TEST(testConfiguration);
+  CPPUNIT_TEST(testEntryState);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,25 @@
     const auto object = RoundTrip(Published{1, "n", 2, "c"});
     CPPUNIT_ASSERT(object.kind == 1 && object.version == 2 && object.name + object.content == "nc");
   }
+
+  auto testEntryState() -> void {
+    EntryState state;
+    state.address = "a";
+    state.known = {"b"};
+    state.replicas = {{"r", 1, 2}};
+    state.accounts = {{"s", "w", 3, true}};
+    state.kept = {{"r", 4, 5}};
+    state.lease_us = 6;
+    const auto copy = RoundTrip(state);
+    CPPUNIT_ASSERT(copy.address == "a" && copy.known == state.known && copy.lease_us == 6);
+    const auto& use = copy.replicas.at(0);
+    CPPUNIT_ASSERT(use.replica == "r" && use.in_flight == 1 && use.unread == 2);
+    const auto& account = copy.accounts.at(0);
+    CPPUNIT_ASSERT(account.service == "s" && account.workspace == "w" && account.used == 3);
+    CPPUNIT_ASSERT(account.waiting);
+    const auto& part = copy.kept.at(0);
+    CPPUNIT_ASSERT(part.replica == "r" && part.key == 4 && part.tokens == 5);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlTest);
