Divide the constant of the retry budget by the entries there are

Cause (found by reading): each entry took 5 repeats in 10 s beside its share, a tenth of the smallest constant of a fleet.

Change: 50 divided by the entries that one knows of, by ten at least.

Test: direct.budget_test plays 31 entries; with the old division it fails.

--- a/libs/direct/include/filbertstair/direct/budget.h
+++ b/libs/direct/include/filbertstair/direct/budget.h
@@ -10,14 +10,17 @@
 namespace filbertstair::direct {
 
 // Bounds of repeated requests of one service at one entry. The fleet's bound is a share of the
-// requests and a constant per window; the share divides by itself, and each entry takes a fixed
-// part of the constant, so that the sum holds without messages between entries.
+// requests and a constant per window; the share divides by itself, and each entry takes an equal
+// part of the constant, so that the sum holds without messages about it.
 struct BudgetPolicy {
   core::Duration window = std::chrono::seconds(10);
   // Below the fleet's 0.2, since requests arrive at a replica later than they are counted here.
   double share = 0.15;
-  // A tenth of the smallest constant in use (54), so that ten entries stay below it.
-  double constant = 5;
+  // The fleet's constant; the smallest in use is 54.
+  double constant = 50;
+  // Entries among which the constant is divided at least, since one that has just started knows of
+  // few others.
+  std::size_t min_entries = 10;
 };
 
 namespace detail {
@@ -33,8 +36,10 @@
 
 auto CountRequest(Budget& budget, const BudgetPolicy& policy, core::Time now) -> void;
 
-// Takes one repeat from the budget. Returns false, and takes nothing, if none is left.
-auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, core::Time now) -> bool;
+// Takes one repeat from the budget of one of `entries`. Returns false, and takes nothing, if none
+// is left.
+auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, std::size_t entries, core::Time now)
+    -> bool;
 
 }  // namespace filbertstair::direct
 
--- a/libs/direct/src/budget.cc
+++ b/libs/direct/src/budget.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/direct/budget.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace filbertstair::direct {
@@ -27,12 +28,15 @@
   ++budget.requests[Advance(budget, policy, now)];
 }
 
-auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, core::Time now) -> bool {
+auto TakeRepeat(Budget& budget, const BudgetPolicy& policy, std::size_t entries, core::Time now)
+    -> bool {
   const auto bucket = Advance(budget, policy, now);
   const auto sum = [](const auto& counts) {
     return std::accumulate(counts.begin(), counts.end(), 0.0);
   };
-  const double allowed = policy.share * sum(budget.requests) + policy.constant;
+  const double allowed =
+      policy.share * sum(budget.requests) +
+      policy.constant / static_cast<double>(std::max(entries, policy.min_entries));
   if (sum(budget.repeats) + 1 > allowed) return false;
   ++budget.repeats[bucket];
   return true;
--- a/libs/direct/test/budget_test.cc
+++ b/libs/direct/test/budget_test.cc
@@ -17,9 +17,9 @@
   const BudgetPolicy policy{};
   const core::Time start{seconds(1000)};
 
-  auto TakeAll(Budget& budget, core::Time now) const -> int {
+  auto TakeAll(Budget& budget, core::Time now, std::size_t entries = 1) const -> int {
     int taken = 0;
-    while (TakeRepeat(budget, this->policy, now)) ++taken;
+    while (TakeRepeat(budget, this->policy, entries, now)) ++taken;
     return taken;
   }
 
@@ -44,7 +44,12 @@
   // Guards against entries whose budgets together exceed the fleet's bound of 0.2 of the requests
   // and 54 in any 10 s, when load moves between them and all repeat as much as they may.
   auto testFleetStaysBelowItsBound() -> void {
-    std::vector<Budget> entries(8);
+    for (const std::size_t count : {8u, 31u}) this->CheckFleet(count);
+  }
+
+ private:
+  auto CheckFleet(std::size_t size) const -> void {
+    std::vector<Budget> entries(size);
     std::vector<std::pair<core::Time, int>> requests;
     std::vector<std::pair<core::Time, int>> repeats;
     for (int step = 0; step < 300; ++step) {
@@ -52,7 +57,7 @@
       auto& busy = entries[static_cast<std::size_t>(step / 20) % entries.size()];
       for (int i = 0; i < 20; ++i) CountRequest(busy, this->policy, now);
       int taken = 0;
-      for (auto& entry : entries) taken += this->TakeAll(entry, now);
+      for (auto& entry : entries) taken += this->TakeAll(entry, now, size);
       requests.emplace_back(now, 20);
       repeats.emplace_back(now, taken);
     }
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -270,6 +270,14 @@
   for (const auto& seed : seeds) AddPeer(relay, settings::FormatAddress(seed), true);
 }
 
+auto CountEntries(Relay& relay) -> std::size_t {
+  return relay.peers.With([](const PeerTable& table) {
+    const auto others = std::count_if(table.peers.begin(), table.peers.end(),
+                                      [](const auto& item) { return !item.second.self; });
+    return static_cast<std::size_t>(others) + 1;
+  });
+}
+
 auto WakePeers(Relay& relay) -> void {
   relay.peers.With([](const PeerTable& table) {
     for (const auto& [address, peer] : table.peers) {
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -142,8 +142,10 @@
 }
 
 auto TakeRepeat(Relay& relay, const Call& call) -> bool {
+  const auto entries = CountEntries(relay);
   return relay.dispatch.With([&](DispatchTable& table) {
-    return direct::TakeRepeat(table.budgets[call.service], relay.policies.budget, node::Now());
+    return direct::TakeRepeat(table.budgets[call.service], relay.policies.budget, entries,
+                              node::Now());
   });
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -196,6 +196,9 @@
 // Accepts links from other entries on the calling worker.
 auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
 
+// Returns the number of entries that this one knows of, with itself.
+auto CountEntries(Relay& relay) -> std::size_t;
+
 // Tells the linked entries soon that the load changed. Call without the dispatch table.
 auto WakePeers(Relay& relay) -> void;
 
