--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -12,8 +12,9 @@
   const auto status = boost::json::parse(fleet.Call(Get("/status"), true).body).as_object();
   for (const auto& item : status.at("replicas").as_array()) {
     const auto& row = item.as_object();
-    if (row.at("id").as_string() == replica)
+    if (row.at("id").as_string() == replica) {
       return boost::json::value_to<std::int64_t>(row.at(name));
+    }
   }
   return -1;
 }
