--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -80,7 +80,7 @@
 auto Repeatable(const Route& route) -> bool;
 
 // Returns the time after `now` for which a configuration that was current at `confirmed` may decide
-// on credentials; zero if it may not. Both are times of a clock that runs while the VM is suspended.
+// on credentials, or zero. Both are times of a clock that runs while the VM is suspended.
 auto LeaseLeft(core::Duration confirmed, core::Duration now) -> core::Duration;
 
 // A revoked credential must be refused 5 s after the revocation, wherever the process was
