Compile and lint the tests' main function once

Cause: clang-tidy checks a file once for each of its compile commands, and tests/cppunit_main.cc was part of each of some 75 test programs: more than 5 minutes of the cold linter run.

Change: an object library for it. One check of it takes 5 s.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -10,6 +10,12 @@
 find_package(Protobuf REQUIRED)
 find_package(prometheus-cpp REQUIRED)
 
+# The main function of all test programs, compiled and linted once.
+if(FILBERTSTAIR_TESTS)
+  add_library(filbertstair_cppunit_main OBJECT ${CMAKE_SOURCE_DIR}/tests/cppunit_main.cc)
+  target_link_libraries(filbertstair_cppunit_main PRIVATE PkgConfig::CPPUNIT)
+endif()
+
 # filbertstair_library(NAME SOURCES file... LINK target...): declares libs/NAME as filbertstair::NAME and each
 # test/*_test.cc as a CppUnit program of its own.
 function(filbertstair_library name)
@@ -31,7 +37,7 @@
     file(GLOB tests CONFIGURE_DEPENDS test/*_test.cc)
     foreach(test ${tests})
       get_filename_component(stem ${test} NAME_WE)
-      add_executable(${name}_${stem} ${test} ${CMAKE_SOURCE_DIR}/tests/cppunit_main.cc)
+      add_executable(${name}_${stem} ${test} $<TARGET_OBJECTS:filbertstair_cppunit_main>)
       target_link_libraries(${name}_${stem} PRIVATE filbertstair::${name} PkgConfig::CPPUNIT ${ARG_TEST_LINK})
       add_test(NAME ${name}.${stem} COMMAND ${name}_${stem})
     endforeach()
