--- a/libs/direct/include/filbertstair/direct/kept.h
+++ b/libs/direct/include/filbertstair/direct/kept.h
@@ -40,8 +40,12 @@
   std::uint64_t tokens = 0;
 };
 
-// Returns the tokens at the start of the prompt that the replica is believed to keep.
-auto KeptTokens(const KeptParts& kept, const Prompt& prompt) -> std::uint32_t;
+// Returns the prompt's parts with their keys.
+auto Keyed(const Prompt& prompt) -> std::vector<KeptParts::Item>;
+
+// Returns the tokens at the start of a prompt with these parts that the replica is believed to
+// keep.
+auto KeptTokens(const KeptParts& kept, const std::vector<KeptParts::Item>& parts) -> std::uint32_t;
 
 // Records that the replica reads the prompt. `capacity` is the replica's memory in tokens.
 auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void;
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -61,7 +61,6 @@
   core::Time delisted_until{};
 };
 
-// Replicas by service and id.
 // What other entries have at a replica.
 struct Use {
   std::uint32_t in_flight = 0;
@@ -71,6 +70,7 @@
 };
 
 struct ReplicaTable {
+  // By service and id.
   std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
   // Service by id of each listed replica.
   std::map<std::string, std::string> service_of;
@@ -131,7 +131,10 @@
 // Drops replicas whose delisting has run out and that have no request left.
 auto Sweep(ReplicaTable& table, core::Time now) -> void;
 
+// Return the replica, or null if it is not known. FindListed looks among those that the platform
+// lists.
 auto Find(ReplicaTable& table, std::string_view service, const std::string& id) -> Replica*;
+auto FindListed(ReplicaTable& table, const std::string& id) -> Replica*;
 
 // Request for which a replica is chosen.
 struct Need {
--- a/libs/direct/src/kept.cc
+++ b/libs/direct/src/kept.cc
@@ -16,23 +16,28 @@
 
 }  // namespace
 
-auto KeptTokens(const KeptParts& kept, const Prompt& prompt) -> std::uint32_t {
-  std::uint32_t tokens = 0;
+auto Keyed(const Prompt& prompt) -> std::vector<KeptParts::Item> {
+  std::vector<KeptParts::Item> parts;
+  parts.reserve(prompt.parts.size());
   auto key = Root(prompt);
   for (const auto& part : prompt.parts) {
     key = Chain(key, part.id);
-    if (!kept.index.contains(key)) break;
+    parts.push_back({key, part.tokens});
+  }
+  return parts;
+}
+
+auto KeptTokens(const KeptParts& kept, const std::vector<KeptParts::Item>& parts) -> std::uint32_t {
+  std::uint32_t tokens = 0;
+  for (const auto& part : parts) {
+    if (!kept.index.contains(part.key)) break;
     tokens += part.tokens;
   }
   return tokens;
 }
 
 auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void {
-  auto key = Root(prompt);
-  for (const auto& part : prompt.parts) {
-    key = Chain(key, part.id);
-    Keep(kept, KeptParts::Item{key, part.tokens}, capacity);
-  }
+  for (const auto& part : Keyed(prompt)) Keep(kept, part, capacity);
 }
 
 auto Keep(KeptParts& kept, const KeptParts::Item& part, std::uint64_t capacity) -> void {
@@ -52,13 +57,10 @@
 }
 
 auto UnkeptShared(const KeptParts& kept, const Prompt& prompt) -> std::vector<KeptParts::Item> {
-  std::vector<KeptParts::Item> out;
-  auto key = Root(prompt);
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
-    key = Chain(key, prompt.parts[i].id);
-    if (!kept.index.contains(key)) out.push_back({key, prompt.parts[i].tokens});
-  }
-  return out;
+  auto parts = Keyed(prompt);
+  if (!parts.empty()) parts.pop_back();
+  std::erase_if(parts, [&](const auto& part) { return kept.index.contains(part.key); });
+  return parts;
 }
 
 auto SharedTokens(const Prompt& prompt) -> std::uint32_t {
@@ -68,9 +70,8 @@
 }
 
 auto SharedHash(const Prompt& prompt) -> std::uint64_t {
-  auto key = Root(prompt);
-  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) key = Chain(key, prompt.parts[i].id);
-  return key;
+  const auto parts = Keyed(prompt);
+  return parts.size() < 2 ? Root(prompt) : parts[parts.size() - 2].key;
 }
 
 }  // namespace filbertstair::direct
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -34,10 +34,10 @@
   std::uint64_t unread = 0;
 };
 
-auto Expect(const Replica& replica, const Prompt& prompt, bool owner) -> Reading {
-  const std::uint64_t shared = SharedTokens(prompt);
+auto Expect(const Replica& replica, const Prompt& prompt, const std::vector<KeptParts::Item>& parts,
+            std::uint64_t shared, bool owner) -> Reading {
   const std::uint64_t kept =
-      std::max<std::uint64_t>(KeptTokens(replica.kept, prompt), owner ? shared : 0);
+      std::max<std::uint64_t>(KeptTokens(replica.kept, parts), owner ? shared : 0);
   return {std::min(kept, shared), prompt.tokens_in > kept ? prompt.tokens_in - kept : 0};
 }
 
@@ -142,13 +142,11 @@
 }
 
 auto Delist(ReplicaTable& table, const std::string& id, core::Time until) -> void {
-  const auto service = table.service_of.find(id);
-  if (service == table.service_of.end()) return;
-  auto* replica = Find(table, service->second, id);
+  auto* replica = FindListed(table, id);
   if (replica == nullptr) return;
   if (until == core::Time{}) {
     replica->gone = true;
-    table.service_of.erase(service);
+    table.service_of.erase(id);
   } else if (replica->delisted_until == core::Time{}) {
     replica->delisted_until = until;
   }
@@ -165,6 +163,11 @@
   }
 }
 
+auto FindListed(ReplicaTable& table, const std::string& id) -> Replica* {
+  const auto service = table.service_of.find(id);
+  return service == table.service_of.end() ? nullptr : Find(table, service->second, id);
+}
+
 auto Find(ReplicaTable& table, std::string_view service, const std::string& id) -> Replica* {
   const auto replicas = table.services.find(service);
   if (replicas == table.services.end()) return nullptr;
@@ -179,6 +182,7 @@
   if (replicas == table.services.end()) return {};
   const auto& prompt = need.prompt == nullptr ? no_prompt : *need.prompt;
   const auto shared = SharedTokens(prompt);
+  const auto parts = Keyed(prompt);
   const auto candidates = FindCandidates(replicas->second, need, prompt, now);
   const bool ranked = prompt.parts.size() > 1;
   Choice choice;
@@ -186,7 +190,7 @@
   double best_cost = 0;
   for (std::size_t rank = 0; rank < candidates.items.size(); ++rank) {
     const auto& replica = *candidates.items[rank].replica;
-    const auto reading = Expect(replica, prompt, ranked && rank == 0);
+    const auto reading = Expect(replica, prompt, parts, shared, ranked && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
     if (!HasRoom(replica, policy, reading, shared, use, need.room)) continue;
     double cost = StartCost(replica, policy, origin, reading, shared, use);
@@ -198,7 +202,7 @@
   const auto* aside = candidates.aside;
   if (choice.status != ChoiceStatus::none || aside == nullptr) return choice;
   // With every replica set aside, the one that returns first is as good as any.
-  const auto reading = Expect(*aside, prompt, false);
+  const auto reading = Expect(*aside, prompt, parts, shared, false);
   const auto use = TotalUse(table, *aside, policy, now);
   if (!HasRoom(*aside, policy, reading, shared, use, need.room)) {
     choice.status = ChoiceStatus::full;
--- a/libs/direct/test/kept_test.cc
+++ b/libs/direct/test/kept_test.cc
@@ -26,12 +26,12 @@
   auto testPartsCountFromTheStart() -> void {
     KeptParts kept;
     Keep(kept, MakePrompt({{1, 100}, {2, 50}}), 1000);
-    CPPUNIT_ASSERT_EQUAL(150u, KeptTokens(kept, MakePrompt({{1, 100}, {2, 50}, {3, 10}})));
-    CPPUNIT_ASSERT_EQUAL(100u, KeptTokens(kept, MakePrompt({{1, 100}, {4, 50}})));
-    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, MakePrompt({{2, 50}})));
+    CPPUNIT_ASSERT_EQUAL(150u, KeptTokens(kept, Keyed(MakePrompt({{1, 100}, {2, 50}, {3, 10}}))));
+    CPPUNIT_ASSERT_EQUAL(100u, KeptTokens(kept, Keyed(MakePrompt({{1, 100}, {4, 50}}))));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, Keyed(MakePrompt({{2, 50}}))));
     auto other = MakePrompt({{1, 100}});
     other.model = "n";
-    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, other));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, Keyed(other)));
   }
 
   // Guards against memory that grows without bound, and against dropping what is used most.
@@ -41,8 +41,8 @@
     Keep(kept, MakePrompt({{2, 400}}), 1000);
     Keep(kept, MakePrompt({{1, 400}}), 1000);
     Keep(kept, MakePrompt({{3, 400}}), 1000);
-    CPPUNIT_ASSERT_EQUAL(400u, KeptTokens(kept, MakePrompt({{1, 400}})));
-    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, MakePrompt({{2, 400}})));
+    CPPUNIT_ASSERT_EQUAL(400u, KeptTokens(kept, Keyed(MakePrompt({{1, 400}}))));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, Keyed(MakePrompt({{2, 400}}))));
     CPPUNIT_ASSERT(kept.tokens <= 1000);
     CPPUNIT_ASSERT_EQUAL(kept.recent.size(), kept.index.size());
   }
@@ -66,10 +66,10 @@
     const auto news = UnkeptShared(kept, prompt);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, news.size());
     Keep(kept, news[0], 1000);
-    CPPUNIT_ASSERT_EQUAL(10u, KeptTokens(kept, prompt));
+    CPPUNIT_ASSERT_EQUAL(10u, KeptTokens(kept, Keyed(prompt)));
     CPPUNIT_ASSERT(UnkeptShared(kept, prompt) == std::vector{news[1]});
     Keep(kept, news[1], 1000);
-    CPPUNIT_ASSERT_EQUAL(30u, KeptTokens(kept, prompt));
+    CPPUNIT_ASSERT_EQUAL(30u, KeptTokens(kept, Keyed(prompt)));
     CPPUNIT_ASSERT(UnkeptShared(kept, prompt).empty());
   }
 };
--- a/libs/direct/test/replicas_test.cc
+++ b/libs/direct/test/replicas_test.cc
@@ -177,11 +177,11 @@
     Upsert(table, Make("a", "n1"));
     const auto prompt = MakePrompt(10, 100, 10);
     Assigned(*Find(table, "llm", "a"), this->policy, prompt, 110);
-    CPPUNIT_ASSERT_EQUAL(110u, KeptTokens(Find(table, "llm", "a")->kept, prompt));
+    CPPUNIT_ASSERT_EQUAL(110u, KeptTokens(Find(table, "llm", "a")->kept, Keyed(prompt)));
     auto restarted = Make("a", "n1");
     restarted.started_ms = 5;
     Upsert(table, restarted);
-    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(Find(table, "llm", "a")->kept, prompt));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(Find(table, "llm", "a")->kept, Keyed(prompt)));
   }
 
   // Guards against sending request after request to a replica that fails them, and against leaving
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -2,7 +2,6 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <random>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -86,11 +85,6 @@
 
 }  // namespace
 
-auto RandomShare() -> double {
-  thread_local std::mt19937_64 random{std::random_device{}()};
-  return std::uniform_real_distribution<double>(0, 1)(random);
-}
-
 auto Start(node::Node& node) -> std::shared_ptr<Entry> {
   auto entry = std::make_shared<Entry>(node);
   node.on_configuration = [entry] { entry->links_changed.Notify(); };
--- a/libs/entry/src/platform.cc
+++ b/libs/entry/src/platform.cc
@@ -137,7 +137,7 @@
       members.push_back({id, membership::StateOf(table, id) == membership::MemberState::suspected});
     }
   });
-  static const double jitter = RandomShare();
+  static const double jitter = node::RandomShare();
   return entry.node.config.With([&](const node::ConfigState& state) {
     return config::ShouldWatch(entry.node.settings.id, members, state.watch, {}, jitter,
                                node::Now());
@@ -209,7 +209,7 @@
     seeds.push_back(settings::FormatAddress(seed));
   }
   Perform(entry, context, platform,
-          config::Start(seeds, RandomShare(), context->rules, node::Now(), context->state));
+          config::Start(seeds, node::RandomShare(), context->rules, node::Now(), context->state));
   while (context->state.phase != config::StartPhase::ready) {
     context->changed.WaitUntil(std::chrono::steady_clock::now() + kStartTick);
     Perform(entry, context, platform, config::Tick(context->state, context->rules, node::Now()));
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -296,7 +296,7 @@
     LogRetry(entry, call, *acquired.target, *failure);
     if (queue_only) continue;
     tried.insert(acquired.target->endpoint);
-    runtime::SleepFor(routing::Backoff(attempts, RandomShare()));
+    runtime::SleepFor(routing::Backoff(attempts, node::RandomShare()));
   }
 }
 
--- a/libs/entry/src/state.h
+++ b/libs/entry/src/state.h
@@ -129,9 +129,6 @@
 auto ReturnGrant(const QueueState& state, const std::string& endpoint,
                  const wire::GrantReturn& message) -> void;
 
-// Returns a random number in [0, 1), to spread entries and requests that act at the same time.
-auto RandomShare() -> double;
-
 // Runs as long as the process: evaluates suspicion, and opens and closes links.
 auto LinkLoop(Entry& entry) -> void;
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -9,6 +9,7 @@
 #include "filbertstair/net/address.h"
 #include "filbertstair/runtime/await.h"
 #include "filbertstair/runtime/pool.h"
+#include "peek.h"
 
 namespace filbertstair::net {
 namespace detail {
@@ -117,12 +118,7 @@
 }
 
 auto HttpExchange::Quiet() -> bool {
-  auto& socket = this->connection->stream.socket();
-  boost::system::error_code error;
-  char byte = 0;
-  socket.non_blocking(true, error);
-  socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
-  return error == boost::asio::error::would_block;
+  return detail::Peek(this->connection->stream.socket()) == boost::asio::error::would_block;
 }
 
 auto HttpExchange::Start(const std::string& address, const HttpRequest& request,
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -7,6 +7,7 @@
 
 #include "acceptor.h"
 #include "filbertstair/core/error.h"
+#include "peek.h"
 
 namespace filbertstair::net {
 namespace detail {
@@ -268,11 +269,7 @@
 }
 
 auto Responder::IsCallerGone() -> bool {
-  auto& socket = this->exchange.stream.socket();
-  boost::system::error_code error;
-  socket.non_blocking(true, error);
-  char next = 0;
-  socket.receive(boost::asio::buffer(&next, 1), detail::Tcp::socket::message_peek, error);
+  const auto error = detail::Peek(this->exchange.stream.socket());
   return error && error != boost::asio::error::would_block;
 }
 
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -83,6 +83,9 @@
 // Time on the process's monotonic clock.
 auto Now() -> core::Time;
 
+// Returns a random number in [0, 1), to spread processes and requests that act at the same time.
+auto RandomShare() -> double;
+
 // A draining process keeps its listeners open for this long, so that the balancer, which asks once
 // a second and needs two misses, and the other processes learn of it before connections are
 // refused.
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/node/node.h"
 
+#include <random>
 #include <utility>
 
 #include "filbertstair/core/error.h"
@@ -19,6 +20,11 @@
   return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
 }
 
+auto RandomShare() -> double {
+  thread_local std::mt19937_64 random{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 auto BeginDrain(Node& node) -> bool {
   if (node.draining.exchange(true)) return false;
   telemetry::Log(telemetry::Level::info, telemetry::Event::stopping, {});
--- a/libs/relay/src/connections.cc
+++ b/libs/relay/src/connections.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 auto TakeIdle(Relay& relay, const std::string& address) -> Exchange {
-  auto& worker = relay.workers[runtime::WorkerIndex()];
+  auto& worker = ThisWorker(relay);
   const auto found = worker.idle.find(address);
   if (found == worker.idle.end()) return nullptr;
   auto& connections = found->second;
@@ -29,7 +29,7 @@
 
 auto PutIdle(Relay& relay, const std::string& address, Exchange exchange,
              std::optional<core::Duration> keep_alive, std::size_t max_idle) -> void {
-  auto& worker = relay.workers[runtime::WorkerIndex()];
+  auto& worker = ThisWorker(relay);
   if (!exchange->Reusable() || worker.idle[address].size() >= max_idle) {
     exchange->Cancel();
     return;
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -35,6 +35,21 @@
   pending->changed.Notify();
 }
 
+// Gives back the unread tokens of a request at its replica, and its slot if it has ended, and
+// assigns the room to waiting requests.
+auto GiveBack(Relay& relay, Assignment& assignment, bool ended) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
+    if (replica != nullptr) {
+      direct::Began(*replica, assignment.unread);
+      if (ended) direct::Ended(*replica);
+    }
+    AssignWaiting(relay, table, assignment.service);
+  });
+  assignment.unread = 0;
+  WakePeers(relay);
+}
+
 }  // namespace
 
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
@@ -93,27 +108,9 @@
 }
 
 auto NoteBegun(Relay& relay, Assignment& assignment) -> void {
-  if (assignment.unread == 0) return;
-  relay.dispatch.With([&](DispatchTable& table) {
-    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
-    if (replica != nullptr) direct::Began(*replica, assignment.unread);
-    AssignWaiting(relay, table, assignment.service);
-  });
-  assignment.unread = 0;
-  WakePeers(relay);
+  if (assignment.unread > 0) GiveBack(relay, assignment, false);
 }
 
-auto Release(Relay& relay, Assignment& assignment) -> void {
-  relay.dispatch.With([&](DispatchTable& table) {
-    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
-    if (replica != nullptr) {
-      direct::Began(*replica, assignment.unread);
-      direct::Ended(*replica);
-    }
-    AssignWaiting(relay, table, assignment.service);
-  });
-  assignment.unread = 0;
-  WakePeers(relay);
-}
+auto Release(Relay& relay, Assignment& assignment) -> void { GiveBack(relay, assignment, true); }
 
 }  // namespace filbertstair::relay
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -23,8 +23,8 @@
 constexpr core::Duration kAccountInterval = std::chrono::milliseconds(100);
 // Change of an account's recent service that is worth a message, in tokens or requests.
 constexpr double kAccountChange = 500;
-// Load messages that one entry sends in a second over all its links. With 26 links and one per 20
-// ms on each, they took a third of an entry's processor time.
+// Load messages that one entry sends in a second over all its links. Without this bound, at one per
+// 20 ms and link, a fifth to a third of the processor time of 27 and 31 entries went into them.
 constexpr int kMessagesPerSecond = 250;
 // Entries that one entry is linked to. Beyond them it relies on the replicas' own reports.
 constexpr std::size_t kMaxLinks = 24;
@@ -118,9 +118,7 @@
       freed |= direct::SetPeerUse(table.replicas, peer, row.replica, {row.in_flight, row.unread});
     }
     for (const auto& row : message.kept) {
-      const auto service = table.replicas.service_of.find(row.replica);
-      if (service == table.replicas.service_of.end()) continue;
-      auto* replica = direct::Find(table.replicas, service->second, row.replica);
+      auto* replica = direct::FindListed(table.replicas, row.replica);
       if (replica == nullptr) continue;
       direct::Keep(replica->kept, {row.key, row.tokens}, relay.policies.replicas.kept_capacity);
     }
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -26,8 +26,6 @@
 // Largest body before a configuration states a limit.
 constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
 
-auto ThisWorker(Relay& relay) -> WorkerState& { return relay.workers[runtime::WorkerIndex()]; }
-
 // An entry whose configuration is not confirmed leaves callers to those that are better off, if
 // there are any; without the platform all serve what needs no credential.
 auto IsReady(Relay& relay) -> bool {
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -54,7 +54,7 @@
 
 // Refuses a request if this entry is so far behind with its work that another one is faster.
 auto RefuseBehind(Relay& relay) -> std::optional<Refused> {
-  const auto& pressure = relay.workers[runtime::WorkerIndex()].pressure;
+  const auto& pressure = ThisWorker(relay).pressure;
   if (!direct::MustRefuse(pressure, relay.policies.pressure)) return std::nullopt;
   return Refuse(Reason::overloaded, Step::queue,
                 "timers run late by " + std::to_string(pressure.delay.count()) + " us",
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -171,6 +171,11 @@
   bool sent = true;
 };
 
+// State of the calling worker.
+inline auto ThisWorker(Relay& relay) -> WorkerState& {
+  return relay.workers[runtime::WorkerIndex()];
+}
+
 auto CurrentFleet(Relay& relay) -> std::shared_ptr<const direct::Fleet>;
 
 // Time for which the configuration in force may still decide on credentials without another
