Pass over requests without room, and keep their replica for them

Cause: all callers of that workspace are on one entry. The request at the head of an entry's queue blocked all others until a replica had room for it; of 1,819 refusals with no_room in 6 s, 1,578 had another request at the head, a large one that waited for the replica that keeps its shared parts. The other workspace has callers, and so a head, at each of 31 entries. Change: direct::NextSettled goes through the waiting requests in serving order and passes over those without room, at most 16 in a round. The replica that such a request waits for is left alone for the rest of the round, so that small requests do not fill it up again before a large one finds room. Tests: direct.round_test; testRequestWithoutRoomBlocksNoOther and testCallersOnOneEntry fail with a bound of one request, which is the behaviour before.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,6 +58,16 @@
   // Least share of a replica's room that a workspace may use, however far it leads, so that
   // replicas do not idle while others wait elsewhere.
   double least_room = 0.3;
+  // Requests without room that are passed over in one round of assignments. Each costs a look at
+  // all replicas of the service.
+  std::size_t max_passed = 16;
+};
+
+// Requests that found no room in a round of assignments.
+struct Passed {
+  // Number of the first waiting requests of each workspace.
+  std::map<std::string, std::size_t, std::less<>> by_workspace;
+  std::size_t total = 0;
 };
 
 // Waiting requests of one service by workspace.
@@ -67,13 +78,17 @@
 
 auto Enqueue(FairQueue& queue, const std::string& workspace, const Waiter& waiter) -> void;
 
-// The request that is served next: the first one of the workspace with the least recent service.
+// The request that is served next: the first one, after those passed over, of the workspace with
+// the least recent service.
 struct Next {
   const std::string* workspace = nullptr;
   const Waiter* waiter = nullptr;
 };
-auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now)
-    -> std::optional<Next>;
+auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now,
+              const Passed& passed = {}) -> std::optional<Next>;
+
+// Records that the next request of the workspace found no room.
+auto PassOver(Passed& passed, const std::string& workspace) -> void;
 
 // Returns the share of a replica's room that the workspace may use. Entries compete for the same
 // room; one whose callers all belong to a workspace that leads leaves the rest to those entries
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -144,12 +144,15 @@
   const std::set<std::string>* tried = nullptr;
   // Share of a replica's room that the request may use.
   double room = 1;
+  // Replicas that are left to requests that come first.
+  const std::set<std::string>* reserved = nullptr;
 };
 
 enum class ChoiceStatus { chosen, full, none };
 
 struct Choice {
   ChoiceStatus status = ChoiceStatus::none;
+  // If the status is `full`, the replica that the request should wait for.
   std::string id;
   std::string address;
   // Prompt tokens that the replica is expected to have to read.
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -28,6 +28,10 @@
   return need.tried == nullptr || !need.tried->contains(replica.listing.id);
 }
 
+auto IsReserved(const Replica& replica, const Need& need) -> bool {
+  return need.reserved != nullptr && need.reserved->contains(replica.listing.id);
+}
+
 // Prompt tokens that a replica is expected to keep and to have to read for a request.
 struct Reading {
   std::uint64_t shared_kept = 0;
@@ -186,17 +190,20 @@
   const auto candidates = FindCandidates(replicas->second, need, prompt, now);
   const bool ranked = prompt.parts.size() > 1;
   Choice choice;
-  if (!candidates.items.empty()) choice.status = ChoiceStatus::full;
   double best_cost = 0;
   for (std::size_t rank = 0; rank < candidates.items.size(); ++rank) {
     const auto& replica = *candidates.items[rank].replica;
     const auto reading = Expect(replica, prompt, parts, shared, ranked && rank == 0);
     const auto use = TotalUse(table, replica, policy, now);
-    if (!HasRoom(replica, policy, reading, shared, use, need.room)) continue;
+    const auto status =
+        IsReserved(replica, need) || !HasRoom(replica, policy, reading, shared, use, need.room)
+            ? ChoiceStatus::full
+            : ChoiceStatus::chosen;
+    if (choice.status == ChoiceStatus::chosen && status == ChoiceStatus::full) continue;
     double cost = StartCost(replica, policy, origin, reading, shared, use);
     if (reading.shared_kept < shared) cost += static_cast<double>(rank) * policy.rank_cost_ms;
-    if (choice.status == ChoiceStatus::chosen && cost >= best_cost) continue;
-    choice = {ChoiceStatus::chosen, replica.listing.id, replica.listing.address, reading.unread};
+    if (choice.status == status && cost >= best_cost) continue;
+    choice = {status, replica.listing.id, replica.listing.address, reading.unread};
     best_cost = cost;
   }
   const auto* aside = candidates.aside;
@@ -204,11 +211,10 @@
   // With every replica set aside, the one that returns first is as good as any.
   const auto reading = Expect(*aside, prompt, parts, shared, false);
   const auto use = TotalUse(table, *aside, policy, now);
-  if (!HasRoom(*aside, policy, reading, shared, use, need.room)) {
-    choice.status = ChoiceStatus::full;
-    return choice;
-  }
-  return {ChoiceStatus::chosen, aside->listing.id, aside->listing.address, reading.unread};
+  const bool room =
+      !IsReserved(*aside, need) && HasRoom(*aside, policy, reading, shared, use, need.room);
+  return {room ? ChoiceStatus::chosen : ChoiceStatus::full, aside->listing.id,
+          aside->listing.address, reading.unread};
 }
 
 auto Assigned(Replica& replica, const ReplicaPolicy& policy, const Prompt& prompt,
--- /dev/null
+++ b/libs/direct/test/round_test.cc
@@ -0,0 +1,128 @@
+#include "filbertstair/direct/round.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RoundTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RoundTest);
+  CPPUNIT_TEST(testRequestWithoutRoomBlocksNoOther);
+  CPPUNIT_TEST(testPassedRequestKeepsItsReplica);
+  CPPUNIT_TEST(testRoundIsBounded);
+  CPPUNIT_TEST(testCallersOnOneEntry);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Unread tokens at each replica: a prompt of `kLarge` finds no room, a small one finds room at
+  // the keeper of its shared part.
+  static constexpr std::uint32_t kUnread = 10000;
+  static constexpr std::uint32_t kLarge = 20000;
+
+  const QueuePolicy queue_policy{};
+  const ReplicaPolicy replica_policy{};
+  const Origin origin{"n1", {{"n1", "north"}}};
+  const core::Time now{seconds(1000)};
+  FairQueue queue;
+  ReplicaTable replicas;
+  std::map<Ticket, Prompt> prompts;
+
+ public:
+  auto setUp() -> void override {
+    for (const auto* id : {"a", "b", "c", "d"}) {
+      Upsert(this->replicas,
+             {.id = id, .service = "llm", .address = id, .failure_domain = "n1", .slots = 64});
+      FindListed(this->replicas, id)->unread = kUnread;
+    }
+  }
+
+  auto testRequestWithoutRoomBlocksNoOther() -> void {
+    const auto busy = this->AddWaiter(1, 1, kLarge);
+    // A request for another keeper.
+    Ticket other = 2;
+    while (this->KeeperOf(MakePrompt(other, 200)) == busy) ++other;
+    this->AddWaiter(other, other, 200);
+    Round round;
+    const auto settled = this->Next(round);
+    CPPUNIT_ASSERT(settled);
+    CPPUNIT_ASSERT_EQUAL(other, settled->ticket);
+    CPPUNIT_ASSERT(settled->choice.status == ChoiceStatus::chosen);
+  }
+
+  // Guards against small requests that fill up a replica again before a large one finds room there.
+  auto testPassedRequestKeepsItsReplica() -> void {
+    const auto busy = this->AddWaiter(1, 1, kLarge);
+    this->AddWaiter(2, 1, 100);
+    Round round;
+    CPPUNIT_ASSERT(!this->Next(round));
+    CPPUNIT_ASSERT(round.reserved.contains(busy));
+    Remove(this->queue, "w", 1);
+    Round without_large;
+    CPPUNIT_ASSERT_EQUAL(busy, this->Next(without_large).value().choice.id);
+  }
+
+  auto testRoundIsBounded() -> void {
+    const auto waiters = static_cast<Ticket>(this->queue_policy.max_passed) * 2;
+    for (Ticket ticket = 1; ticket <= waiters; ++ticket) this->AddWaiter(ticket, 1, kLarge);
+    Round round;
+    CPPUNIT_ASSERT(!this->Next(round));
+    CPPUNIT_ASSERT_EQUAL(this->queue_policy.max_passed, round.passed.total);
+  }
+
+  // Guards against a workspace that gets a fifth of another's service because its callers are all
+  // on one entry, where one large request without room held up a hundred others.
+  auto testCallersOnOneEntry() -> void {
+    this->AddWaiter(1, 1, kLarge);
+    for (Ticket ticket = 2; ticket <= 60; ++ticket) this->AddWaiter(ticket, ticket, 300);
+    Round round;
+    int assigned = 0;
+    while (const auto settled = this->Next(round)) {
+      Remove(this->queue, settled->workspace, settled->ticket);
+      Assigned(*FindListed(this->replicas, settled->choice.id), this->replica_policy,
+               this->prompts.at(settled->ticket), settled->choice.unread);
+      ++assigned;
+    }
+    // All but the large request and those that have its keeper, some of which are passed over.
+    CPPUNIT_ASSERT(assigned >= 30);
+    CPPUNIT_ASSERT_EQUAL(Ticket{1}, this->queue.accounts.at("w").waiting.front().ticket);
+  }
+
+ private:
+  static auto MakePrompt(std::uint64_t shared, std::uint32_t own) -> Prompt {
+    Prompt prompt;
+    prompt.model = "m";
+    prompt.parts = {{shared, 400}, {1000 + shared, own}};
+    prompt.tokens_in = 400 + own;
+    return prompt;
+  }
+
+  // The replica with the room that the prompt needs, or the one that it has to wait for.
+  auto KeeperOf(const Prompt& prompt) const -> std::string {
+    return Choose(this->replicas, this->replica_policy, this->origin, {"llm", &prompt}, this->now)
+        .id;
+  }
+
+  // Adds a waiting request with a shared part and returns the part's keeper.
+  auto AddWaiter(Ticket ticket, std::uint64_t shared, std::uint32_t own) -> std::string {
+    this->prompts[ticket] = MakePrompt(shared, own);
+    Enqueue(this->queue, "w", {ticket, 0, 1});
+    return this->KeeperOf(this->prompts.at(ticket));
+  }
+
+  auto Next(Round& round) -> std::optional<Settled> {
+    const auto need = [&](Ticket ticket) {
+      return Need{.service = "llm", .prompt = &this->prompts.at(ticket)};
+    };
+    return NextSettled(
+        round,
+        {this->queue, this->queue_policy, this->replicas, this->replica_policy, this->origin, need},
+        this->now);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoundTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -57,21 +57,22 @@
   if (found == table.queues.end()) return;
   auto& queue = found->second;
   const auto now = node::Now();
-  while (const auto next = direct::PeekNext(queue, relay.policies.queue, now)) {
-    const auto ticket = next->waiter->ticket;
-    const std::string workspace = *next->workspace;
-    auto& pending = *table.pending.at(ticket);
-    const auto room = direct::RoomShare(queue, relay.policies.queue, workspace, now);
-    const auto choice = direct::Choose(table.replicas, relay.policies.replicas, relay.origin,
-                                       {service, pending.prompt, pending.tried, room}, now);
-    if (choice.status == direct::ChoiceStatus::full) return;
-    if (choice.status == direct::ChoiceStatus::chosen) {
-      Assign(relay, table, pending, choice);
-      direct::Charge(queue, relay.policies.queue, workspace, pending.cost, now);
+  const auto need = [&](direct::Ticket ticket) {
+    const auto& pending = *table.pending.at(ticket);
+    return direct::Need{.service = service, .prompt = pending.prompt, .tried = pending.tried};
+  };
+  const direct::RoundInput input{
+      queue, relay.policies.queue, table.replicas, relay.policies.replicas, relay.origin, need};
+  direct::Round round;
+  while (const auto settled = direct::NextSettled(round, input, now)) {
+    auto& pending = *table.pending.at(settled->ticket);
+    if (settled->choice.status == direct::ChoiceStatus::chosen) {
+      Assign(relay, table, pending, settled->choice);
+      direct::Charge(queue, relay.policies.queue, settled->workspace, pending.cost, now);
     } else {
       pending.hopeless = true;
     }
-    Settle(table, queue, workspace, ticket);
+    Settle(table, queue, settled->workspace, settled->ticket);
   }
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -18,6 +18,7 @@
 #include "filbertstair/direct/pressure.h"
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
+#include "filbertstair/direct/round.h"
 #include "filbertstair/net/http_client.h"
 #include "filbertstair/net/http_server.h"
 #include "filbertstair/node/node.h"
