Measure a workspace's lead against the mean of those that wait

Cause: the room that a workspace may use at replicas was set by its lead over the least served workspace that waits anywhere. That is often a small one whose request waits for a moment, so that all large workspaces had the least room of 0.3 alike: the state logged at refusals gives a least of 175,474 beside 1,188,682 and 4,743,767. With equal room the workspace with callers at all 27 entries gets more than the one with callers at three. A request of the median size of reports also found room in 0.3 of a replica only while nothing was unread there. Change: the share is the square of (mean of the waiting workspaces + free lead) / own service, at least 0.15. Tests: direct.queue_test testLargeWorkspacesDiffer, which fails before with 0.18 for a workspace below the mean. testLeaderLeavesRoomToOthersElsewhere named the old formula's 0.4; it now names the new one's value to the same 1e-9, and reaches the least room with four waiting workspaces without service.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -52,12 +52,13 @@
 struct QueuePolicy {
   // Time over which shares are compared. Service taken earlier counts less and less.
   core::Duration window = std::chrono::seconds(4);
-  // Lead over the least served workspace with waiting requests, at any entry, that costs nothing:
+  // Lead over the mean of the workspaces with waiting requests, at any entry, that costs nothing:
   // about two large requests.
   double free_lead = 20000;
   // Least share of a replica's room that a workspace may use, however far it leads, so that
-  // replicas do not idle while others wait elsewhere.
-  double least_room = 0.3;
+  // replicas do not idle while others wait elsewhere. At 0.3, a workspace with callers at all
+  // entries got a third of the capacity whoever else waited.
+  double least_room = 0.15;
   // Requests without room that are passed over in one round of assignments. Each costs a look at
   // all replicas of the service.
   std::size_t max_passed = 16;
@@ -92,7 +93,10 @@
 
 // Returns the share of a replica's room that the workspace may use. Entries compete for the same
 // room; one whose callers all belong to a workspace that leads leaves the rest to those entries
-// where less served workspaces wait.
+// where less served workspaces wait. The share falls with the square of the lead over the mean of
+// the waiting workspaces. Measured against the least served one, which often is a small workspace
+// that waits for a moment, all large workspaces had the same share, however different their
+// service.
 auto RoomShare(const FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
                core::Time now) -> double;
 
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -72,12 +72,17 @@
   const auto account = queue.accounts.find(workspace);
   if (account == queue.accounts.end()) return 1;
   const double used = Used(account->second, policy, now);
-  double least = used;
+  double total = used;
+  double count = 1;
   for (const auto& [name, other] : queue.accounts) {
-    if (IsWaiting(other)) least = std::min(least, Used(other, policy, now));
+    if (name == workspace || !IsWaiting(other)) continue;
+    total += Used(other, policy, now);
+    ++count;
   }
-  if (used <= least + policy.free_lead) return 1;
-  return std::max(policy.least_room, (least + policy.free_lead) / used);
+  const double level = total / count + policy.free_lead;
+  if (used <= level) return 1;
+  const double share = level / used;
+  return std::max(policy.least_room, share * share);
 }
 
 auto Remove(FairQueue& queue, const std::string& workspace, Ticket ticket) -> bool {
