Choose links so that no entry is left out by all others

Cause: an entry links to the first 24 addresses that it learns, and all learn them in the order of the same lists. The last ones in order are left out by nearly everyone: two of the 27 entries heard from 12 to 14 others. They took replicas for emptier than they were (33 requests in flight a replica, 45 to 48 as the others saw it) and let their callers in. Change: up to 48 links, which is a full mesh on these sites; beyond that each entry keeps the links that it prefers by rendezvous hashing of its own. The rate of load messages stays bounded for all links together.

--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/direct/links.h"
 #include "filbertstair/net/h2.h"
 #include "filbertstair/node/control.h"
 #include "state.h"
@@ -26,8 +27,9 @@
 // Load messages that one entry sends in a second over all its links. Without this bound, at one per
 // 20 ms and link, a fifth to a third of the processor time of 27 and 31 entries went into them.
 constexpr int kMessagesPerSecond = 250;
-// Entries that one entry is linked to. Beyond them it relies on the replicas' own reports.
-constexpr std::size_t kMaxLinks = 24;
+// Entries that one entry is linked to. Beyond them it relies on the replicas' own reports. The rate
+// of messages is bounded for all links together, so that more of them cost memory only.
+constexpr std::size_t kMaxLinks = 48;
 
 // What a linked entry was last told, used by the link's own fibers.
 struct Told {
@@ -155,10 +157,13 @@
                                     const std::shared_ptr<node::Outbox>& outbox) {
     if (peer.role != core::Role::entry) return false;
     return relay.peers.With([&](PeerTable& table) {
-      auto& known = table.peers[address];
-      known.self = peer.id == relay.node.settings.id;
-      known.outbox = known.self ? nullptr : outbox;
-      return !known.self;
+      const auto known = table.peers.find(address);
+      // Another link may have taken its place while this one was opened.
+      if (known == table.peers.end()) return false;
+      const bool self = peer.id == relay.node.settings.id;
+      known->second.self = self;
+      known->second.outbox = self ? nullptr : outbox;
+      return !self;
     });
   };
   handlers.message = [told](const wire::Hello&, const wire::ControlMessage&) {
@@ -229,10 +234,27 @@
   }
 }
 
+// Makes room in a full table for a link to the address. Returns whether there is room; the link
+// that gives way is closed. Seeds stay, since every entry starts from them.
+auto MakeRoom(PeerTable& table, const std::string& self, const std::string& address) -> bool {
+  if (table.peers.size() < kMaxLinks) return true;
+  std::vector<std::string> linked;
+  for (const auto& [other, peer] : table.peers) {
+    if (!peer.seed) linked.push_back(other);
+  }
+  const auto last = direct::Displaced(self, linked, address);
+  if (!last) return false;
+  const auto displaced = table.peers.find(*last);
+  if (displaced->second.outbox) displaced->second.outbox->Close();
+  table.peers.erase(displaced);
+  return true;
+}
+
 auto AddPeer(Relay& relay, const std::string& address, bool seed) -> void {
-  if (address == settings::FormatAddress(relay.node.settings.peers)) return;
+  const auto self = settings::FormatAddress(relay.node.settings.peers);
+  if (address == self) return;
   const bool added = relay.peers.With([&](PeerTable& table) {
-    if (table.peers.contains(address) || table.peers.size() >= kMaxLinks) return false;
+    if (table.peers.contains(address) || !MakeRoom(table, self, address)) return false;
     table.peers[address].seed = seed;
     return true;
   });
