Continue a round of assignments with requests that arrive

Change: the state of a round is kept with the queue. An arrival costs one look; a new round starts when a replica may have room that it did not have. Test: direct.round_test testArrivalContinuesTheRound; without the kept state all six requests are looked at.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -4,9 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "filbertstair/core/types.h"
@@ -67,11 +67,7 @@
 };
 
 // Requests that found no room in a round of assignments.
-struct Passed {
-  // Number of the first waiting requests of each workspace.
-  std::map<std::string, std::size_t, std::less<>> by_workspace;
-  std::size_t total = 0;
-};
+using Passed = std::set<Ticket>;
 
 // Waiting requests of one service by workspace.
 struct FairQueue {
@@ -81,8 +77,8 @@
 
 auto Enqueue(FairQueue& queue, const std::string& workspace, const Waiter& waiter) -> void;
 
-// The request that is served next: the first one, after those passed over, of the workspace with
-// the least recent service.
+// The request that is served next: the first one that was not passed over of the workspace with the
+// least recent service. Nothing if `max_passed` requests were passed over.
 struct Next {
   const std::string* workspace = nullptr;
   const Waiter* waiter = nullptr;
@@ -90,9 +86,6 @@
 auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now,
               const Passed& passed = {}) -> std::optional<Next>;
 
-// Records that the next request of the workspace found no room.
-auto PassOver(Passed& passed, const std::string& workspace) -> void;
-
 // Returns the share of a replica's room that the workspace may use. Entries compete for the same
 // room; one whose callers all belong to a workspace that leads leaves the rest to those entries
 // where less served workspaces wait. The share falls with the square of the lead over the mean of
--- a/libs/direct/include/filbertstair/direct/round.h
+++ b/libs/direct/include/filbertstair/direct/round.h
@@ -22,7 +22,9 @@
   std::function<Need(Ticket)> need;
 };
 
-// State of one round of assignments over the waiting requests of a service.
+// State of one round of assignments over the waiting requests of a service. A round goes on with
+// requests that arrive, so that each costs one look at the replicas; a new one starts when replicas
+// may have room that they did not have.
 struct Round {
   Passed passed;
   // Replicas that requests without room wait for. Requests after them leave these replicas alone:
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -48,25 +48,21 @@
 auto PeekNext(const FairQueue& queue, const QueuePolicy& policy, core::Time now,
               const Passed& passed) -> std::optional<Next> {
   std::optional<Next> next;
-  if (passed.total >= policy.max_passed) return next;
+  if (passed.size() >= policy.max_passed) return next;
   double least = 0;
   for (const auto& [workspace, account] : queue.accounts) {
-    const auto found = passed.by_workspace.find(workspace);
-    const auto first = found == passed.by_workspace.end() ? 0 : found->second;
-    if (account.waiting.size() <= first) continue;
+    const auto first =
+        std::find_if(account.waiting.begin(), account.waiting.end(),
+                     [&](const Waiter& waiter) { return !passed.contains(waiter.ticket); });
+    if (first == account.waiting.end()) continue;
     const double used = Used(account, policy, now);
     if (next && used >= least) continue;
-    next = Next{&workspace, &account.waiting[first]};
+    next = Next{&workspace, &*first};
     least = used;
   }
   return next;
 }
 
-auto PassOver(Passed& passed, const std::string& workspace) -> void {
-  ++passed.by_workspace[workspace];
-  ++passed.total;
-}
-
 auto RoomShare(const FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
                core::Time now) -> double {
   const auto account = queue.accounts.find(workspace);
--- a/libs/direct/src/round.cc
+++ b/libs/direct/src/round.cc
@@ -12,7 +12,7 @@
     if (choice.status != ChoiceStatus::full)
       return Settled{workspace, next->waiter->ticket, choice};
     round.reserved.insert(choice.id);
-    PassOver(round.passed, workspace);
+    round.passed.insert(next->waiter->ticket);
   }
   return std::nullopt;
 }
--- a/libs/direct/test/round_test.cc
+++ b/libs/direct/test/round_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(testRequestWithoutRoomBlocksNoOther);
   CPPUNIT_TEST(testPassedRequestKeepsItsReplica);
   CPPUNIT_TEST(testRoundIsBounded);
+  CPPUNIT_TEST(testArrivalContinuesTheRound);
   CPPUNIT_TEST(testCallersOnOneEntry);
   CPPUNIT_TEST_SUITE_END();
 
@@ -28,6 +29,8 @@
   FairQueue queue;
   ReplicaTable replicas;
   std::map<Ticket, Prompt> prompts;
+  // Requests that were looked at.
+  int looks = 0;
 
  public:
   auto setUp() -> void override {
@@ -68,7 +71,23 @@
     for (Ticket ticket = 1; ticket <= waiters; ++ticket) this->AddWaiter(ticket, 1, kLarge);
     Round round;
     CPPUNIT_ASSERT(!this->Next(round));
-    CPPUNIT_ASSERT_EQUAL(this->queue_policy.max_passed, round.passed.total);
+    CPPUNIT_ASSERT_EQUAL(this->queue_policy.max_passed, round.passed.size());
+  }
+
+  // Guards against an entry that spends its processor on its queue: without room, each request that
+  // arrived had all others looked at again.
+  auto testArrivalContinuesTheRound() -> void {
+    for (Ticket ticket = 1; ticket <= 5; ++ticket) this->AddWaiter(ticket, 1, kLarge);
+    Round round;
+    CPPUNIT_ASSERT(!this->Next(round));
+    Ticket other = 6;
+    while (round.reserved.contains(this->KeeperOf(MakePrompt(other, 200)))) ++other;
+    this->AddWaiter(other, other, 200);
+    this->looks = 0;
+    const auto settled = this->Next(round);
+    CPPUNIT_ASSERT(settled);
+    CPPUNIT_ASSERT_EQUAL(other, settled->ticket);
+    CPPUNIT_ASSERT_EQUAL(1, this->looks);
   }
 
   // Guards against a workspace that gets a fifth of another's service because its callers are all
@@ -113,6 +132,7 @@
 
   auto Next(Round& round) -> std::optional<Settled> {
     const auto need = [&](Ticket ticket) {
+      ++this->looks;
       return Need{.service = "llm", .prompt = &this->prompts.at(ticket)};
     };
     return NextSettled(
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -35,24 +35,8 @@
   pending->changed.Notify();
 }
 
-// Gives back the unread tokens of a request at its replica, and its slot if it has ended, and
-// assigns the room to waiting requests.
-auto GiveBack(Relay& relay, Assignment& assignment, bool ended) -> void {
-  relay.dispatch.With([&](DispatchTable& table) {
-    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
-    if (replica != nullptr) {
-      direct::Began(*replica, assignment.unread);
-      if (ended) direct::Ended(*replica);
-    }
-    AssignWaiting(relay, table, assignment.service);
-  });
-  assignment.unread = 0;
-  WakePeers(relay);
-}
-
-}  // namespace
-
-auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
+// Goes on with the round of assignments of the service.
+auto ContinueRound(Relay& relay, DispatchTable& table, const std::string& service) -> void {
   const auto found = table.queues.find(service);
   if (found == table.queues.end()) return;
   auto& queue = found->second;
@@ -63,7 +47,7 @@
   };
   const direct::RoundInput input{
       queue, relay.policies.queue, table.replicas, relay.policies.replicas, relay.origin, need};
-  direct::Round round;
+  auto& round = table.rounds[service];
   while (const auto settled = direct::NextSettled(round, input, now)) {
     auto& pending = *table.pending.at(settled->ticket);
     if (settled->choice.status == direct::ChoiceStatus::chosen) {
@@ -76,6 +60,28 @@
   }
 }
 
+// Gives back the unread tokens of a request at its replica, and its slot if it has ended, and
+// assigns the room to waiting requests.
+auto GiveBack(Relay& relay, Assignment& assignment, bool ended) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
+    if (replica != nullptr) {
+      direct::Began(*replica, assignment.unread);
+      if (ended) direct::Ended(*replica);
+    }
+    AssignWaiting(relay, table, assignment.service);
+  });
+  assignment.unread = 0;
+  WakePeers(relay);
+}
+
+}  // namespace
+
+auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
+  table.rounds[service] = {};
+  ContinueRound(relay, table, service);
+}
+
 auto Acquire(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment> {
   call.pending = std::make_shared<Pending>();
   const auto pending = call.pending;
@@ -89,7 +95,7 @@
     table.pending[id] = pending;
     pending->ahead = queue.waiting;
     direct::Enqueue(queue, call.workspace, {id, call.route->priority, pending->cost});
-    AssignWaiting(relay, table, call.service);
+    ContinueRound(relay, table, call.service);
     return id;
   });
   WakePeers(relay);
@@ -103,6 +109,7 @@
   return relay.dispatch.With([&](DispatchTable& table) {
     if (table.pending.erase(ticket) > 0) {
       direct::Remove(table.queues[call.service], call.workspace, ticket);
+      table.rounds[call.service].passed.erase(ticket);
     }
     return pending->assignment;
   });
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -66,6 +66,8 @@
 struct DispatchTable {
   direct::ReplicaTable replicas;
   std::map<std::string, direct::FairQueue, std::less<>> queues;
+  // The round of assignments of each service that arriving requests continue.
+  std::map<std::string, direct::Round, std::less<>> rounds;
   std::map<std::string, direct::Budget, std::less<>> budgets;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
   direct::Ticket last_ticket = 0;
@@ -196,7 +198,8 @@
 auto NoteBegun(Relay& relay, Assignment& assignment) -> void;
 auto Release(Relay& relay, Assignment& assignment) -> void;
 
-// Assigns replicas to waiting requests of the service. The table is locked.
+// Assigns replicas to waiting requests of the service, in a new round: replicas may have room that
+// they did not have. The table is locked.
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void;
 
 // Accepts links from other entries on the calling worker.
