--- a/libs/direct/src/round.cc
+++ b/libs/direct/src/round.cc
@@ -9,8 +9,9 @@
     need.room = RoomShare(input.queue, input.queue_policy, workspace, now);
     need.reserved = &round.reserved;
     const auto choice = Choose(input.replicas, input.replica_policy, input.origin, need, now);
-    if (choice.status != ChoiceStatus::full)
+    if (choice.status != ChoiceStatus::full) {
       return Settled{workspace, next->waiter->ticket, choice};
+    }
     round.reserved.insert(choice.id);
     round.passed.insert(next->waiter->ticket);
   }
