Say not_run only if no attempt of the request may have run

Cause: its first attempt was cut when the endpoint process was killed, so its outcome was unknown; the retry could not be sent, since the other endpoint was not in the VM list, and the refusal carried the outcome of this last attempt alone. Change: routing::Combine over all attempts, also where the queue refuses a retry. Test: routing.retry_test testNotRunNeedsProofForEveryAttempt; it fails if only the last attempt counts.

--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -269,14 +269,19 @@
   std::set<std::string> tried;
   bool queue_only = false;
   std::uint32_t attempts = 0;
+  auto outcome = Outcome::not_run;
   while (true) {
-    const auto acquired = Acquire(entry, call, tried, queue_only);
+    auto acquired = Acquire(entry, call, tried, queue_only);
     if (call.caller_gone) {
       return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
     }
-    if (acquired.refused) return acquired.refused;
+    if (acquired.refused) {
+      acquired.refused->outcome = routing::Combine(outcome, acquired.refused->outcome);
+      return acquired.refused;
+    }
     const auto failure = Attempt(entry, call, *acquired.target, responder);
     if (!failure) return std::nullopt;
+    outcome = routing::Combine(outcome, failure->failure.outcome);
     // The endpoint process refused before any work; waiting in the queue is not another attempt.
     queue_only = failure->failure.reason == Reason::no_room;
     if (!queue_only) ++attempts;
@@ -287,6 +292,7 @@
     });
     if (verdict != routing::RetryVerdict::retry || call.caller_gone) {
       auto refused = ToRefused(*acquired.target, *failure);
+      refused.outcome = outcome;
       if (verdict == routing::RetryVerdict::budget_exhausted) {
         refused.message += "; the retry budget is exhausted";
         refused.reason = Reason::retry_budget_exhausted;
--- a/libs/routing/include/filbertstair/routing/retry.h
+++ b/libs/routing/include/filbertstair/routing/retry.h
@@ -48,6 +48,11 @@
                  const document::Retries& rules, core::CallClass call_class, std::uint32_t attempts,
                  const Failure& failure) -> RetryVerdict;
 
+// Returns the outcome of a request whose earlier attempts ended with `earlier` and whose last one
+// ended with `last`. `not_run` needs proof for every attempt: a repeated request may have run
+// before its last attempt could not be sent.
+auto Combine(core::Outcome earlier, core::Outcome last) -> core::Outcome;
+
 // Reason under which a retry after `reason` is counted.
 auto ToRetryReason(core::Reason reason) -> core::RetryReason;
 
--- a/libs/routing/src/retry.cc
+++ b/libs/routing/src/retry.cc
@@ -57,6 +57,10 @@
   return RetryVerdict::retry;
 }
 
+auto Combine(core::Outcome earlier, core::Outcome last) -> core::Outcome {
+  return last == core::Outcome::not_run ? earlier : last;
+}
+
 auto ToRetryReason(core::Reason reason) -> core::RetryReason {
   switch (reason) {
     case core::Reason::no_room:
--- a/libs/routing/test/retry_test.cc
+++ b/libs/routing/test/retry_test.cc
@@ -25,10 +25,21 @@
   CPPUNIT_TEST(testFinalRefusalsAreNotRepeated);
   CPPUNIT_TEST(testRetriesStayWithinTheBudget);
   CPPUNIT_TEST(testBudgetsAreSeparate);
+  CPPUNIT_TEST(testNotRunNeedsProofForEveryAttempt);
   CPPUNIT_TEST(testBackoffIsBounded);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a refusal that says `not_run` after an earlier attempt was cut and has run
+  // (fleet_faults, scenario repeat_key, seed 173).
+  auto testNotRunNeedsProofForEveryAttempt() -> void {
+    CPPUNIT_ASSERT(Combine(Outcome::not_run, Outcome::not_run) == Outcome::not_run);
+    CPPUNIT_ASSERT(Combine(Outcome::unknown, Outcome::not_run) == Outcome::unknown);
+    CPPUNIT_ASSERT(Combine(Outcome::ran, Outcome::not_run) == Outcome::ran);
+    CPPUNIT_ASSERT(Combine(Outcome::not_run, Outcome::unknown) == Outcome::unknown);
+    CPPUNIT_ASSERT(Combine(Outcome::unknown, Outcome::ran) == Outcome::ran);
+  }
+
   // Guards against a second run of a call that must run at most once.
   auto testOnceCallsNeedProof() -> void {
     const Failure unknown{Reason::connection_lost, Outcome::unknown, false};
