--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -28,7 +28,8 @@
 // 20 ms and link, a fifth to a third of the processor time of 27 and 31 entries went into them.
 constexpr int kMessagesPerSecond = 250;
 // Entries that one entry is linked to. Beyond them it relies on the replicas' own reports. The rate
-// of messages is bounded for all links together, so that more of them cost memory only.
+// of messages is bounded for all links together, so that more of them cost memory, and each peer
+// hears later.
 constexpr std::size_t kMaxLinks = 48;
 
 // What a linked entry was last told, used by the link's own fibers.
