--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "state.h"
 
 namespace filbertstair::relay {
@@ -6,12 +8,6 @@
 // News of shared parts that are kept for entries that link up later.
 constexpr std::size_t kMaxKeptNews = 2048;
 
-auto Cost(const Call& call) -> double {
-  if (!call.head.prompt) return 1;
-  // A generated token counts twice.
-  return call.head.prompt->tokens_in + 2.0 * call.head.prompt->tokens_out;
-}
-
 auto Assign(Relay& relay, DispatchTable& table, Pending& pending, const direct::Choice& choice)
     -> void {
   static const direct::Prompt no_prompt;
@@ -23,7 +19,13 @@
   }
   while (table.kept_news.size() > kMaxKeptNews) table.kept_news.pop_front();
   direct::Assigned(replica, relay.policies.replicas, prompt, choice.unread);
-  pending.assignment = Assignment{pending.service, choice.id, choice.address, choice.unread};
+  pending.assignment = Assignment{.service = pending.service,
+                                  .replica = choice.id,
+                                  .address = choice.address,
+                                  .unread = choice.unread,
+                                  .workspace = pending.workspace,
+                                  .cost = pending.cost};
+  table.usage[pending.service][pending.workspace].admitted += pending.cost;
 }
 
 // Removes a waiting request and wakes its fiber.
@@ -88,6 +90,7 @@
   pending->service = call.service;
   pending->prompt = call.head.prompt ? &*call.head.prompt : nullptr;
   pending->tried = &call.tried;
+  pending->workspace = call.workspace;
   pending->cost = Cost(call);
   const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
     const auto id = ++table.last_ticket;
@@ -116,6 +119,10 @@
 }
 
 auto NoteBegun(Relay& relay, Assignment& assignment) -> void {
+  if (std::exchange(assignment.begun, true)) return;
+  relay.dispatch.With([&](DispatchTable& table) {
+    table.usage[assignment.service][assignment.workspace].begun += assignment.cost;
+  });
   if (assignment.unread > 0) GiveBack(relay, assignment, false);
 }
 
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -23,6 +23,8 @@
 constexpr core::Duration kAssignInterval = std::chrono::milliseconds(10);
 // Interval at which the delay of timers is looked at.
 constexpr core::Duration kPressureInterval = std::chrono::milliseconds(50);
+// Interval at which usage by workspace is logged; shares are judged second by second.
+constexpr core::Duration kUsageInterval = std::chrono::seconds(1);
 // Largest body before a configuration states a limit.
 constexpr std::uint64_t kMaxBody = std::uint64_t{8} << 20;
 
@@ -150,6 +152,13 @@
   }
 }
 
+auto UsageLoop(Relay& relay) -> void {
+  while (true) {
+    runtime::SleepFor(kUsageInterval);
+    LogUsage(relay);
+  }
+}
+
 auto SweepLoop(Relay& relay) -> void {
   while (true) {
     runtime::SleepFor(kSweepInterval);
@@ -184,6 +193,7 @@
     node.pool.Post(i, [relay] { WatchPressure(*relay); });
   }
   node.pool.Post(0, [relay] { AssignLoop(*relay); });
+  node.pool.Post(0, [relay] { UsageLoop(*relay); });
   node::RunOnWorker(node, 0, [&] { StartAdmin(relay); });
   AddSeeds(*relay, node.settings.seeds);
   return relay;
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -218,8 +218,13 @@
 
 auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
             net::Responder& responder) -> std::optional<Refused> {
-  if (auto refused = RefuseBehind(relay)) return refused;
+  // The workspace is found first, so that the refusals of an overloaded entry can be told apart.
   if (auto refused = Resolve(relay, request, *call)) return refused;
+  CountAsked(relay, *call);
+  if (auto refused = RefuseBehind(relay)) {
+    CountRefused(relay, *call, refused->reason);
+    return refused;
+  }
   relay.dispatch.With([&](DispatchTable& table) {
     direct::CountRequest(table.budgets[call->service], relay.policies.budget, node::Now());
   });
@@ -230,6 +235,7 @@
     responder.Respond(call->held->status, call->held->headers, call->held->body);
     return std::nullopt;
   }
+  if (refused && !responder.HasBegun()) CountRefused(relay, *call, refused->reason);
   return refused;
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -19,6 +19,7 @@
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
 #include "filbertstair/direct/round.h"
+#include "filbertstair/direct/usage.h"
 #include "filbertstair/net/http_client.h"
 #include "filbertstair/net/http_server.h"
 #include "filbertstair/node/node.h"
@@ -39,6 +40,10 @@
   std::string address;
   // Prompt tokens that still count as unread at the replica for this request.
   std::uint64_t unread = 0;
+  std::string workspace;
+  double cost = 1;
+  // Whether the first event of the answer has come.
+  bool begun = false;
 };
 
 // A request in a queue. Its fiber waits on `changed`; the other members are used under the lock of
@@ -48,6 +53,7 @@
   std::string service;
   const direct::Prompt* prompt = nullptr;
   const std::set<std::string>* tried = nullptr;
+  std::string workspace;
   double cost = 1;
   // Requests of the service that waited when this one arrived.
   std::size_t ahead = 0;
@@ -69,6 +75,8 @@
   // The round of assignments of each service that arriving requests continue.
   std::map<std::string, direct::Round, std::less<>> rounds;
   std::map<std::string, direct::Budget, std::less<>> budgets;
+  // Usage since the last log lines, by service.
+  std::map<std::string, direct::UsageTable, std::less<>> usage;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
   direct::Ticket last_ticket = 0;
   // The latest news for other entries, and the number of all there have been.
@@ -191,6 +199,16 @@
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
+// Service that a request is expected to take: tokens for a model, 1 otherwise.
+auto Cost(const Call& call) -> double;
+
+// Counts a request that arrived, and one that was refused.
+auto CountAsked(Relay& relay, const Call& call) -> void;
+auto CountRefused(Relay& relay, const Call& call, core::Reason reason) -> void;
+
+// Writes the log lines of the workspaces of which requests were refused since the last call.
+auto LogUsage(Relay& relay) -> void;
+
 // Waits until the request has a replica, at most until `latest`. Returns nothing if it got none.
 auto Acquire(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment>;
 
--- /dev/null
+++ b/libs/relay/src/usage.cc
@@ -0,0 +1,91 @@
+#include <cmath>
+
+#include "state.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using telemetry::Event;
+using telemetry::Level;
+
+// Lines of one service in a second; each costs an entry about as much as passing an event on.
+constexpr std::size_t kMaxUsageLines = 16;
+
+auto Rounded(double value) -> std::string { return std::to_string(std::llround(value)); }
+
+// Two decimals.
+auto FormatShare(double share) -> std::string {
+  constexpr int hundredths = 100;
+  auto text = std::to_string(hundredths + std::lround(share * hundredths) % hundredths).substr(1);
+  return std::to_string(std::lround(share * hundredths) / hundredths) + "." + text;
+}
+
+// A line's figures, copied so that nothing is written under the lock.
+struct UsageLine {
+  std::string service;
+  std::string workspace;
+  direct::Usage usage;
+  std::size_t waiting = 0;
+  double recent = 0;
+  double room = 1;
+};
+
+}  // namespace
+
+auto Cost(const Call& call) -> double {
+  if (!call.head.prompt) return 1;
+  // A generated token counts twice.
+  return call.head.prompt->tokens_in + 2.0 * call.head.prompt->tokens_out;
+}
+
+auto CountAsked(Relay& relay, const Call& call) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto& usage = table.usage[call.service][call.workspace];
+    ++usage.requests;
+    usage.asked += Cost(call);
+  });
+}
+
+auto CountRefused(Relay& relay, const Call& call, core::Reason reason) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto& usage = table.usage[call.service][call.workspace];
+    ++(reason == core::Reason::no_room ? usage.refused_no_room : usage.refused_other);
+  });
+}
+
+auto LogUsage(Relay& relay) -> void {
+  const auto now = node::Now();
+  std::vector<UsageLine> lines;
+  relay.dispatch.With([&](DispatchTable& table) {
+    for (const auto& [service, usage] : table.usage) {
+      const auto& queue = table.queues[service];
+      for (const auto& workspace : direct::MostRefused(usage, kMaxUsageLines)) {
+        UsageLine line{service, workspace, usage.at(workspace)};
+        const auto account = queue.accounts.find(workspace);
+        if (account != queue.accounts.end()) {
+          line.waiting = account->second.waiting.size();
+          line.recent = direct::Used(account->second, relay.policies.queue, now);
+          line.room = direct::RoomShare(queue, relay.policies.queue, workspace, now);
+        }
+        lines.push_back(std::move(line));
+      }
+    }
+    table.usage.clear();
+  });
+  for (const auto& line : lines) {
+    telemetry::Log(Level::info, Event::workspace_usage,
+                   {{"service", line.service},
+                    {"workspace", line.workspace},
+                    {"requests", std::to_string(line.usage.requests)},
+                    {"asked", Rounded(line.usage.asked)},
+                    {"admitted", Rounded(line.usage.admitted)},
+                    {"begun", Rounded(line.usage.begun)},
+                    {"no_room", std::to_string(line.usage.refused_no_room)},
+                    {"refused", std::to_string(line.usage.refused_other)},
+                    {"waiting", std::to_string(line.waiting)},
+                    {"recent", Rounded(line.recent)},
+                    {"room", FormatShare(line.room)}});
+  }
+}
+
+}  // namespace filbertstair::relay
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -36,6 +36,7 @@
   answer_cut = 403,
   grant_expired = 500,
   limit_changed = 501,
+  workspace_usage = 502,
   internal_error = 900,
 };
 
@@ -43,7 +44,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 29> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 30> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -72,6 +73,7 @@
     {telemetry::Event::answer_cut, "answer_cut"},
     {telemetry::Event::grant_expired, "grant_expired"},
     {telemetry::Event::limit_changed, "limit_changed"},
+    {telemetry::Event::workspace_usage, "workspace_usage"},
     {telemetry::Event::internal_error, "internal_error"},
 }};
 }  // namespace filbertstair::core
