--- a/libs/direct/include/filbertstair/direct/usage.h
+++ b/libs/direct/include/filbertstair/direct/usage.h
@@ -25,9 +25,8 @@
 // Usage of one service by workspace.
 using UsageTable = std::map<std::string, Usage, std::less<>>;
 
-// Returns the workspaces of which requests were refused, those that asked for most first, at most
-// `max`.
-auto MostRefused(const UsageTable& table, std::size_t max) -> std::vector<std::string>;
+// Returns the workspaces that asked for most, or of which most has begun, at most `max`.
+auto MostActive(const UsageTable& table, std::size_t max) -> std::vector<std::string>;
 
 }  // namespace filbertstair::direct
 
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -247,6 +247,7 @@
     RelayEvents(relay, call, assignment, answer.answer, responder);
     return std::nullopt;
   }
+  NoteBegun(relay, assignment);
   return RelayBody(relay, call, answer, responder);
 }
 
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -1,5 +1,3 @@
-#include <utility>
-
 #include "state.h"
 
 namespace filbertstair::relay {
@@ -8,8 +6,12 @@
 // News of shared parts that are kept for entries that link up later.
 constexpr std::size_t kMaxKeptNews = 2048;
 
-auto Assign(Relay& relay, DispatchTable& table, Pending& pending, const direct::Choice& choice)
-    -> void {
+auto ToBooks(Relay& relay, DispatchTable& table, const std::string& service) -> direct::Books {
+  return {table.queues[service], relay.policies.queue, table.replicas, relay.policies.replicas};
+}
+
+auto Assign(Relay& relay, DispatchTable& table, Pending& pending, const direct::Choice& choice,
+            core::Time now) -> void {
   static const direct::Prompt no_prompt;
   auto& replica = *direct::Find(table.replicas, pending.service, choice.id);
   const auto& prompt = pending.prompt == nullptr ? no_prompt : *pending.prompt;
@@ -18,13 +20,8 @@
     ++table.kept_count;
   }
   while (table.kept_news.size() > kMaxKeptNews) table.kept_news.pop_front();
-  direct::Assigned(replica, relay.policies.replicas, prompt, choice.unread);
-  pending.assignment = Assignment{.service = pending.service,
-                                  .replica = choice.id,
-                                  .address = choice.address,
-                                  .unread = choice.unread,
-                                  .workspace = pending.workspace,
-                                  .cost = pending.cost};
+  pending.assignment = direct::Assign(ToBooks(relay, table, pending.service), pending.service,
+                                      pending.workspace, choice, prompt, pending.cost, now);
   table.usage[pending.service][pending.workspace].admitted += pending.cost;
 }
 
@@ -53,8 +50,7 @@
   while (const auto settled = direct::NextSettled(round, input, now)) {
     auto& pending = *table.pending.at(settled->ticket);
     if (settled->choice.status == direct::ChoiceStatus::chosen) {
-      Assign(relay, table, pending, settled->choice);
-      direct::Charge(queue, relay.policies.queue, settled->workspace, pending.cost, now);
+      Assign(relay, table, pending, settled->choice, now);
     } else {
       pending.hopeless = true;
     }
@@ -62,21 +58,6 @@
   }
 }
 
-// Gives back the unread tokens of a request at its replica, and its slot if it has ended, and
-// assigns the room to waiting requests.
-auto GiveBack(Relay& relay, Assignment& assignment, bool ended) -> void {
-  relay.dispatch.With([&](DispatchTable& table) {
-    auto* replica = direct::Find(table.replicas, assignment.service, assignment.replica);
-    if (replica != nullptr) {
-      direct::Began(*replica, assignment.unread);
-      if (ended) direct::Ended(*replica);
-    }
-    AssignWaiting(relay, table, assignment.service);
-  });
-  assignment.unread = 0;
-  WakePeers(relay);
-}
-
 }  // namespace
 
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
@@ -119,13 +100,22 @@
 }
 
 auto NoteBegun(Relay& relay, Assignment& assignment) -> void {
-  if (std::exchange(assignment.begun, true)) return;
+  if (assignment.begun) return;
+  const bool frees = assignment.unread > 0;
   relay.dispatch.With([&](DispatchTable& table) {
     table.usage[assignment.service][assignment.workspace].begun += assignment.cost;
+    direct::Begin(ToBooks(relay, table, assignment.service), assignment);
+    if (frees) AssignWaiting(relay, table, assignment.service);
   });
-  if (assignment.unread > 0) GiveBack(relay, assignment, false);
+  if (frees) WakePeers(relay);
 }
 
-auto Release(Relay& relay, Assignment& assignment) -> void { GiveBack(relay, assignment, true); }
+auto Release(Relay& relay, Assignment& assignment) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    direct::End(ToBooks(relay, table, assignment.service), assignment, node::Now());
+    AssignWaiting(relay, table, assignment.service);
+  });
+  WakePeers(relay);
+}
 
 }  // namespace filbertstair::relay
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "filbertstair/direct/assignment.h"
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
 #include "filbertstair/direct/fleet.h"
@@ -33,18 +34,7 @@
 
 using Exchange = std::shared_ptr<net::HttpExchange>;
 
-// A replica that was chosen for a request. Its slot is taken until Release.
-struct Assignment {
-  std::string service;
-  std::string replica;
-  std::string address;
-  // Prompt tokens that still count as unread at the replica for this request.
-  std::uint64_t unread = 0;
-  std::string workspace;
-  double cost = 1;
-  // Whether the first event of the answer has come.
-  bool begun = false;
-};
+using direct::Assignment;
 
 // A request in a queue. Its fiber waits on `changed`; the other members are used under the lock of
 // the dispatch table.
@@ -206,13 +196,13 @@
 auto CountAsked(Relay& relay, const Call& call) -> void;
 auto CountRefused(Relay& relay, const Call& call, core::Reason reason) -> void;
 
-// Writes the log lines of the workspaces of which requests were refused since the last call.
+// Writes the log lines of the workspaces that asked for most since the last call.
 auto LogUsage(Relay& relay) -> void;
 
 // Waits until the request has a replica, at most until `latest`. Returns nothing if it got none.
 auto Acquire(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment>;
 
-// Notes the first event of the answer, and the end of the request at the replica.
+// Notes the first part of the answer, and the end of the request at the replica.
 auto NoteBegun(Relay& relay, Assignment& assignment) -> void;
 auto Release(Relay& relay, Assignment& assignment) -> void;
 
--- a/libs/relay/src/usage.cc
+++ b/libs/relay/src/usage.cc
@@ -59,7 +59,7 @@
   relay.dispatch.With([&](DispatchTable& table) {
     for (const auto& [service, usage] : table.usage) {
       const auto& queue = table.queues[service];
-      for (const auto& workspace : direct::MostRefused(usage, kMaxUsageLines)) {
+      for (const auto& workspace : direct::MostActive(usage, kMaxUsageLines)) {
         UsageLine line{service, workspace, usage.at(workspace)};
         const auto account = queue.accounts.find(workspace);
         if (account != queue.accounts.end()) {
