Give the charge of a request back that did not begin

Cause: a workspace is charged when a request is assigned to a replica, and nothing took the charge back when the replica refused the connection, refused the request or was lost before its first event. The least served workspace goes first, and replicas that are down look empty, so its requests find them, at each entry anew. Ruled out: overloaded entries (the rule breaks without charges for processor time), a bound that does not discriminate, and the delay of news (recent service was known, but wrong).

--- a/libs/direct/include/filbertstair/direct/assignment.h
+++ b/libs/direct/include/filbertstair/direct/assignment.h
@@ -40,7 +40,8 @@
 // Records the first part of the answer: the prompt has been read.
 auto Begin(const Books& books, Assignment& assignment) -> void;
 
-// Records that the request is no longer at the replica and gives its slot back.
+// Records that the request is no longer at the replica and gives its slot back. A request that had
+// not begun gave its workspace nothing, so what is left of the charge is given back too.
 auto End(const Books& books, Assignment& assignment, core::Time now) -> void;
 
 }  // namespace filbertstair::direct
--- a/libs/direct/src/assignment.cc
+++ b/libs/direct/src/assignment.cc
@@ -25,7 +25,12 @@
   if (replica != nullptr) Began(*replica, unread);
 }
 
-auto End(const Books& books, Assignment& assignment, core::Time /*now*/) -> void {
+auto End(const Books& books, Assignment& assignment, core::Time now) -> void {
+  if (!assignment.begun) {
+    const Recent charged{assignment.cost, assignment.charged_at};
+    Charge(books.queue, books.queue_policy, assignment.workspace,
+           -Used(charged, books.queue_policy, now), now);
+  }
   auto* replica = Find(books.replicas, assignment.service, assignment.replica);
   const auto unread = std::exchange(assignment.unread, 0);
   if (replica == nullptr) return;
