Do not add a replica's error to a stream that has begun

Callers found the head and text of an error in the middle of their stream, or could not read the rest: where a resumable stream broke off and the next replica answered with an error, the relay wrote that answer's body into the answer that had begun.

Cause: RelayBody writes whatever the replica sends; BeginAnswer leaves out the head if an answer has begun. Only an event stream can continue one, so any other answer is now a failed attempt: another replica is tried, or the stream is cut.

relay.bad_answer_test failed before for a 500 with a small body, a 500 with 400 KB and a 404, and passes now.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -29,6 +29,8 @@
 // at the earliest.
 constexpr std::chrono::milliseconds kEventPause{1500};
 
+constexpr int kOk = 200;
+
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
 }
@@ -243,7 +245,13 @@
     throw core::Error(Step::decode, assignment.address, "success that no replica vouches for");
   }
   NoteAnswer(relay, assignment, head);
-  if (call.route->streaming && answer.answer.status == 200) {
+  const bool events = call.route->streaming && answer.answer.status == kOk;
+  if (call.begun && !events) {
+    call.exchange->Cancel();
+    return Fail(Reason::engine_error, Outcome::ran, Step::engine,
+                "status " + std::to_string(answer.answer.status) + " instead of the stream's rest");
+  }
+  if (events) {
     RelayEvents(relay, call, assignment, answer.answer, responder);
     return std::nullopt;
   }
--- /dev/null
+++ b/libs/relay/test/bad_answer_test.cc
@@ -0,0 +1,177 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fixture.h"
+
+namespace filbertstair::relay {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+// Time after the route's timeout within which a caller must have an answer.
+constexpr milliseconds kGrace{500};
+
+auto Head(const std::string& status, const std::string& id) -> std::string {
+  return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\n";
+}
+
+auto Refusal(const std::string& id) -> std::string {
+  return Head("503 Full", id) + "Not-Run: 1\r\n";
+}
+
+auto Success(const std::string& id, const std::string& body) -> std::string {
+  return Head("200 OK", id) + "Receipt: r\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+auto Event(int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+// Writes chunks without end. The pause bounds what a slow caller has to keep.
+auto WriteForever(const RawReplica::Write& write, std::size_t size, milliseconds pause) -> void {
+  const std::string text(size, 'x');
+  char length[16];
+  std::snprintf(length, sizeof(length), "%zx\r\n", size);
+  while (write(length + text + "\r\n")) std::this_thread::sleep_for(pause);
+}
+
+class BadAnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BadAnswerTest);
+  CPPUNIT_TEST(testErrorIsNotAddedToAStream);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against the text of an error in the middle of a stream, and against a stream that looks
+  // complete after it: the replica that was to continue the stream failed.
+  auto testErrorIsNotAddedToAStream() -> void {
+    const std::vector<std::pair<int, std::string>> errors = {
+        {500, "broken"}, {500, std::string(400000, 'e')}, {404, "nothing here"}};
+    for (const auto& [status, body] : errors) {
+      FakeReplica first("a", [](const net::HttpRequest& request, net::Responder& responder) {
+        responder.Begin(200, AnswerHeaders(request));
+        for (int id = 1; id <= 3; ++id) responder.Write(Event(id));
+        runtime::SleepFor(milliseconds(20));
+        responder.Abort();
+      });
+      FakeReplica second("b", [&](const net::HttpRequest& request, net::Responder& responder) {
+        responder.Respond(status, AnswerHeaders(request), body);
+      });
+      Fleet fleet;
+      fleet.Configure(MakeFleet());
+      fleet.List(first);
+      fleet.List(second);
+      const auto answer = fleet.Call(Get("/stream/x"));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.Requests().size());
+      CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), answer.body);
+      CPPUNIT_ASSERT(!answer.whole);
+      CPPUNIT_ASSERT(answer.left.empty());
+    }
+  }
+
+  // Guards against a caller that waits past the timeout of its route while an answer that is not
+  // its own goes on.
+  auto testEndlessAnswerToAnotherRequest() -> void {
+    const auto answer = CallWithin(
+        "/once/x",
+        [](int, const std::string&, const RawReplica::Write& write) {
+          write(Refusal("other") + kChunked);
+          WriteForever(write, 16384, milliseconds(1));
+        },
+        seconds(1));
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+  }
+
+  // Guards against a refusal that reaches the caller only when the replica has stopped writing.
+  auto testEndlessRefusal() -> void {
+    const auto answer = CallWithin(
+        "/once/x",
+        [](int, const std::string& id, const RawReplica::Write& write) {
+          write(Refusal(id) + kChunked);
+          WriteForever(write, 16384, milliseconds(1));
+        },
+        seconds(1));
+    CPPUNIT_ASSERT_EQUAL(503, answer.status);
+  }
+
+  // Guards against an event without end that takes memory without bound.
+  auto testEndlessEvent() -> void {
+    const auto answer = CallWithin(
+        "/stream-once/x",
+        [](int, const std::string& id, const RawReplica::Write& write) {
+          write(Head("200 OK", id) + "Receipt: r\r\n" + kChunked);
+          WriteForever(write, 16384, milliseconds(1));
+        },
+        seconds(1));
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+  }
+
+  // Guards against a body without end that is passed on after the timeout of its route.
+  auto testEndlessBody() -> void {
+    const auto answer = CallWithin(
+        "/once/x",
+        [](int, const std::string& id, const RawReplica::Write& write) {
+          write(Head("200 OK", id) + "Receipt: r\r\n" + kChunked);
+          WriteForever(write, 16384, milliseconds(1));
+        },
+        MakeRoute("").timeout + kGrace);
+    CPPUNIT_ASSERT(!answer.whole);
+  }
+
+  // Guards against a wait that each byte renews: none of these is worth more than the wait for the
+  // whole.
+  auto testSlowEndlessBytes() -> void {
+    const auto slow = [](std::string (*head)(const std::string&)) {
+      return [head](int, const std::string& id, const RawReplica::Write& write) {
+        write(head(id) + kChunked);
+        WriteForever(write, 1, milliseconds(20));
+      };
+    };
+    const auto refusal = slow([](const std::string& id) { return Refusal(id); });
+    const auto other = slow([](const std::string&) { return Refusal("other"); });
+    const auto event =
+        slow([](const std::string& id) { return Head("200 OK", id) + "Receipt: r\r\n"; });
+    CPPUNIT_ASSERT_EQUAL(503, CallWithin("/once/x", refusal, seconds(1)).status);
+    CPPUNIT_ASSERT_EQUAL(502, CallWithin("/once/x", other, seconds(1)).status);
+    const auto timeout = MakeRoute("").timeout + kGrace;
+    CPPUNIT_ASSERT_EQUAL(504, CallWithin("/stream-once/x", event, timeout).status);
+  }
+
+  // Guards against "not run" for a request that runs: the replica writes its refusal of an earlier
+  // request once more, and then answers. The connection must not be used again.
+  auto testRefusalWrittenAgain() -> void {
+    RawReplica replica("a", [](int number, const std::string& id, const RawReplica::Write& write) {
+      const auto refusal = Refusal("1") + "Content-Length: 0\r\n\r\n";
+      if (number == 1) write(refusal);
+      if (number == 2) write(refusal + Success(id, "ran"));
+      if (number == 3) write(Success(id, "ran"));
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    CPPUNIT_ASSERT_EQUAL(503, fleet.Call(Get("/once/x", "1")).status);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x", "2")).status);
+    CPPUNIT_ASSERT_EQUAL(1, replica.Connections());
+    CPPUNIT_ASSERT_EQUAL(200, fleet.Call(Get("/once/x", "3")).status);
+    CPPUNIT_ASSERT_EQUAL(2, replica.Connections());
+  }
+
+ private:
+  // Calls a fleet with one such replica and requires an answer within `limit`.
+  static auto CallWithin(const std::string& target, const RawReplica::Serve& serve,
+                         std::chrono::microseconds limit) -> CallerAnswer {
+    RawReplica replica("a", serve);
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    const auto begin = Clock::now();
+    auto answer = fleet.Call(Get(target));
+    CPPUNIT_ASSERT(Clock::now() - begin < limit);
+    return answer;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BadAnswerTest);
+
+}  // namespace
+}  // namespace filbertstair::relay
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -1,11 +1,18 @@
 #ifndef FILBERTSTAIR_RELAY_TEST_FIXTURE_H_
 #define FILBERTSTAIR_RELAY_TEST_FIXTURE_H_
 
+#include <sys/socket.h>
+
+#include <atomic>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
 #include <future>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -131,6 +138,81 @@
   std::vector<net::HttpRequest> requests;
 };
 
+// A replica that answers with bytes of the test's own. It reads requests without a body.
+struct RawReplica {
+  // Writes bytes; returns false once the entry has closed the connection.
+  using Write = std::function<bool(std::string_view)>;
+  // Gets the number of the request at this replica, from 1, and its id.
+  using Serve = std::function<void(int, const std::string&, const Write&)>;
+
+  RawReplica(std::string id, Serve serve)
+      : id(std::move(id)),
+        acceptor(this->io, {boost::asio::ip::address_v4::loopback(), 0}),
+        address("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port())),
+        serve(std::move(serve)),
+        listener([this] { this->Accept(); }) {}
+
+  ~RawReplica() {
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    this->listener.join();
+    for (auto& socket : this->sockets) ::shutdown(socket.native_handle(), SHUT_RDWR);
+    for (auto& thread : this->threads) thread.join();
+  }
+  RawReplica(const RawReplica&) = delete;
+  auto operator=(const RawReplica&) -> RawReplica& = delete;
+
+  auto Connections() const -> int { return this->connections; }
+
+  const std::string id;
+
+ private:
+  auto Accept() -> void {
+    boost::system::error_code error;
+    while (true) {
+      boost::asio::ip::tcp::socket socket(this->io);
+      this->acceptor.accept(socket, error);
+      if (error) return;
+      ++this->connections;
+      this->sockets.push_back(std::move(socket));
+      this->threads.emplace_back(
+          [this, &socket = this->sockets.back()] { this->ServeConnection(socket); });
+    }
+  }
+
+  auto ServeConnection(boost::asio::ip::tcp::socket& socket) -> void {
+    boost::system::error_code error;
+    const Write write = [&](std::string_view bytes) {
+      boost::asio::write(socket, boost::asio::buffer(bytes), error);
+      return !error;
+    };
+    std::string head;
+    while (!error) {
+      const auto size =
+          boost::asio::read_until(socket, boost::asio::dynamic_buffer(head), "\r\n\r\n", error);
+      if (error) return;
+      constexpr std::string_view field = "\r\nId: ";
+      const auto begin = head.find(field) + field.size();
+      const auto id = head.substr(begin, head.find("\r\n", begin) - begin);
+      head.erase(0, size);
+      this->serve(++this->requests, id, write);
+    }
+  }
+
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor;
+
+ public:
+  const std::string address;
+
+ private:
+  const Serve serve;
+  std::atomic<int> connections = 0;
+  std::atomic<int> requests = 0;
+  std::list<boost::asio::ip::tcp::socket> sockets;
+  std::vector<std::thread> threads;
+  std::thread listener;
+};
+
 // Headers of a replica's answer to the request.
 inline auto AnswerHeaders(const net::HttpRequest& request) -> net::Headers {
   return {{"Id", std::string(net::FindHeader(request.headers, "Id"))}, {"Receipt", "r"}};
@@ -156,7 +238,8 @@
     Confirm(*this->relay, BootTime());
   }
 
-  auto List(const FakeReplica& replica, const std::string& service = "s") -> void {
+  template <typename Replica>
+  auto List(const Replica& replica, const std::string& service = "s") -> void {
     direct::Listing listing;
     listing.id = replica.id;
     listing.service = service;
