Bound what a replica's answer without an end costs

A caller of a route with a timeout of 4 s had no answer after 5 s where an answer to another request went on without end on the connection; an event without end took memory without bound and was searched from its start at each read; a refusal without end was passed on after 4.4 s and 65 MB.

Cause: each read of a body started a new wait, of at least 1 ms, so bytes that keep coming renewed it for ever, and nothing bounded how many were read.

Waits now end at a time that is fixed before the first read. A body that nobody gets is skipped up to 64 KB and 80 ms, after which the connection is closed; the head of a refusal counts without its body. An event may have 256 KB, and only the bytes that arrived are searched for its end.

Of relay.bad_answer_test, the cases of an endless answer to another request, an endless refusal, an endless event and slow endless bytes failed before and pass now; an endless body and an endless head were bounded before and stay so.

--- a/libs/direct/include/filbertstair/direct/events.h
+++ b/libs/direct/include/filbertstair/direct/events.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSTAIR_DIRECT_EVENTS_H_
 #define FILBERTSTAIR_DIRECT_EVENTS_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
   std::string last_id;
 };
 
+// Longest event in bytes. A replica that sends more without a blank line sends no events.
+inline constexpr std::size_t kMaxEvent = std::size_t{256} << 10;
+
 // Adds bytes of the stream and returns the events that they complete, unchanged.
 auto Append(EventCutter& cutter, std::string_view bytes) -> std::string;
 
--- a/libs/direct/src/events.cc
+++ b/libs/direct/src/events.cc
@@ -1,10 +1,15 @@
 #include "filbertstair/direct/events.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace filbertstair::direct {
 namespace {
 
+// Bytes before the last one of a blank line that belong to it: the end of the line before, and a
+// carriage return.
+constexpr std::size_t kMaxLineEnd = 2;
+
 // Returns the position after the last blank line that follows a line, or 0.
 auto EndOfEvents(std::string_view text) -> std::size_t {
   for (auto end = text.rfind('\n'); end != std::string_view::npos && end > 0;
@@ -34,9 +39,12 @@
 }  // namespace
 
 auto Append(EventCutter& cutter, std::string_view bytes) -> std::string {
+  // What was there before holds no end of an event, but may hold the beginning of one.
+  const auto searched = cutter.rest.size() - std::min(cutter.rest.size(), kMaxLineEnd);
   cutter.rest += bytes;
-  const auto end = EndOfEvents(cutter.rest);
+  auto end = EndOfEvents(std::string_view(cutter.rest).substr(searched));
   if (end == 0) return {};
+  end += searched;
   std::string events = std::exchange(cutter.rest, cutter.rest.substr(end));
   events.resize(end);
   if (const auto id = LastId(events)) cutter.last_id = *id;
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -31,27 +31,63 @@
 
 constexpr int kOk = 200;
 
+// Bounds of reading a body that nobody gets. A refusal takes less than a kilobyte, and arrives with
+// its head; a new connection costs two round trips, 80 ms between regions.
+constexpr std::size_t kMaxSkipped = std::size_t{64} << 10;
+constexpr core::Duration kSkipTime = std::chrono::milliseconds(80);
+
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
 }
 
+// Whole milliseconds, at least one.
+auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
+  const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+  return std::max(whole, std::chrono::milliseconds(1));
+}
+
 auto Remaining(const Call& call) -> std::chrono::milliseconds {
-  const auto left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - node::Now());
-  return std::max(left, std::chrono::milliseconds(1));
+  return ToMilliseconds(call.deadline - node::Now());
 }
 
 auto CanTryAnother(const Call& call) -> bool {
   return direct::Repeatable(*call.route) && call.tried.size() + 1 < call.route->attempts;
 }
 
-// Longest wait for the next part of the answer.
-auto Patience(const Call& call, bool first) -> std::chrono::milliseconds {
-  const auto left = Remaining(call);
-  if (!CanTryAnother(call)) return left;
-  const auto objective =
-      std::chrono::duration_cast<std::chrono::milliseconds>(call.route->objective);
-  return std::min(left, first ? objective * kFirstEventPatience : kEventPause);
+// Latest time for the next event of the answer, or for its head.
+auto Latest(const Call& call, bool first) -> core::Time {
+  if (!CanTryAnother(call)) return call.deadline;
+  const core::Duration patience = first ? call.route->objective * kFirstEventPatience : kEventPause;
+  return std::min(call.deadline, node::Now() + patience);
+}
+
+// Reads the next piece of the body. Throws if `latest` has passed: bytes that keep coming must not
+// renew the wait for the whole.
+auto ReadPiece(net::HttpExchange& exchange, const Assignment& assignment, core::Time latest)
+    -> std::string {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(latest - node::Now());
+  if (left <= std::chrono::milliseconds::zero()) {
+    throw core::Error(Step::read, assignment.address, "timed out");
+  }
+  return exchange.Read(left);
+}
+
+// Reads the rest of a body that is not passed on, so that the connection can carry another request.
+// Returns false if it is too long for that.
+auto SkipBody(net::HttpExchange& exchange, const Assignment& assignment, core::Time latest)
+    -> bool {
+  latest = std::min(latest, node::Now() + kSkipTime);
+  std::size_t skipped = 0;
+  try {
+    while (skipped <= kMaxSkipped) {
+      const auto piece = ReadPiece(exchange, assignment, latest);
+      if (piece.empty()) return true;
+      skipped += piece.size();
+    }
+  } catch (const core::Error&) {
+    return false;
+  }
+  return false;
 }
 
 // Applies `use` to the replica if it is still known.
@@ -129,13 +165,13 @@
 // late; the id tells them apart.
 auto ReadAnswer(Relay& relay, Call& call, const Assignment& assignment, bool reused) -> Answer {
   for (int stray = 0; stray < kMaxStrayAnswers; ++stray) {
-    const auto patience = Patience(call, true);
+    const auto latest = Latest(call, true);
     Answer out;
-    out.answer = call.exchange->ReadHead(patience);
+    out.answer = call.exchange->ReadHead(ToMilliseconds(latest - node::Now()));
     out.head = relay.dialect.read_answer(out.answer);
     if (out.head.attempt == call.head.attempt) return out;
     if (out.head.attempt.empty() && out.head.refused && !reused) return out;
-    while (!call.exchange->Read(patience).empty()) continue;
+    if (!SkipBody(*call.exchange, assignment, latest)) break;
   }
   throw core::Error(Step::read, assignment.address, "answers to other requests only");
 }
@@ -163,11 +199,17 @@
                  net::Responder& responder) -> void {
   core::Time last{};
   call.events.rest.clear();
+  auto latest = Latest(call, true);
   while (true) {
-    const auto piece = call.exchange->Read(Patience(call, last == core::Time{}));
+    const auto piece = ReadPiece(*call.exchange, assignment, latest);
     if (piece.empty()) break;
     const auto events = direct::Append(call.events, piece);
+    if (call.events.rest.size() > direct::kMaxEvent) {
+      throw core::Error(Step::read, assignment.address,
+                        "event of more than " + std::to_string(direct::kMaxEvent) + " bytes");
+    }
     if (events.empty()) continue;
+    latest = Latest(call, false);
     NoteBegun(relay, assignment);
     ObservePart(relay, call, last);
     BeginAnswer(relay, call, answer, responder);
@@ -181,11 +223,11 @@
 }
 
 // Passes a plain answer on, or keeps a failed one in case no other replica gives a better one.
-auto RelayBody(Relay& relay, Call& call, const Answer& answer, net::Responder& responder)
-    -> std::optional<Failure> {
+auto RelayBody(Relay& relay, Call& call, const Assignment& assignment, const Answer& answer,
+               net::Responder& responder) -> std::optional<Failure> {
   std::string body;
   while (body.size() <= kMaxHeldBody) {
-    const auto piece = call.exchange->Read(Remaining(call));
+    const auto piece = ReadPiece(*call.exchange, assignment, call.deadline);
     if (piece.empty()) {
       core::Time last{};
       ObservePart(relay, call, last);
@@ -205,7 +247,7 @@
   BeginAnswer(relay, call, answer.answer, responder);
   while (!body.empty()) {
     responder.Write(body);
-    body = call.exchange->Read(Remaining(call));
+    body = ReadPiece(*call.exchange, assignment, call.deadline);
   }
   responder.End();
   return std::nullopt;
@@ -229,7 +271,8 @@
             net::Responder& responder) -> std::optional<Failure> {
   const auto& head = answer.head;
   if (head.refused) {
-    while (!call.exchange->Read(Remaining(call)).empty()) continue;
+    // The head states the refusal; a body without end must not hold it back.
+    if (!SkipBody(*call.exchange, assignment, call.deadline)) call.exchange->Cancel();
     if (head.other_replica) NoteFailed(relay, call, assignment, direct::Fault::unreachable);
     if (head.load) {
       WithReplica(relay, assignment, [&](direct::Replica& replica) {
@@ -256,7 +299,7 @@
     return std::nullopt;
   }
   NoteBegun(relay, assignment);
-  return RelayBody(relay, call, answer, responder);
+  return RelayBody(relay, call, assignment, answer, responder);
 }
 
 }  // namespace
--- a/libs/relay/test/bad_answer_test.cc
+++ b/libs/relay/test/bad_answer_test.cc
@@ -39,6 +39,12 @@
 class BadAnswerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BadAnswerTest);
   CPPUNIT_TEST(testErrorIsNotAddedToAStream);
+  CPPUNIT_TEST(testEndlessAnswerToAnotherRequest);
+  CPPUNIT_TEST(testEndlessRefusal);
+  CPPUNIT_TEST(testEndlessHead);
+  CPPUNIT_TEST(testEndlessEvent);
+  CPPUNIT_TEST(testEndlessBody);
+  CPPUNIT_TEST(testSlowEndlessBytes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,6 +100,18 @@
     CPPUNIT_ASSERT_EQUAL(503, answer.status);
   }
 
+  // Guards against a head without end that takes memory without bound.
+  auto testEndlessHead() -> void {
+    const auto answer = CallWithin(
+        "/once/x",
+        [](int, const std::string& id, const RawReplica::Write& write) {
+          write(Head("200 OK", id) + "Long: ");
+          while (write(std::string(1024, 'x'))) std::this_thread::sleep_for(milliseconds(1));
+        },
+        seconds(1));
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+  }
+
   // Guards against an event without end that takes memory without bound.
   auto testEndlessEvent() -> void {
     const auto answer = CallWithin(
