--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -40,10 +40,10 @@
   return {reason, outcome, step, std::move(message)};
 }
 
-// Whole milliseconds, at least one.
+// Rounded up, so that a wait that ends at a deadline ends no sooner, and at least 1 ms.
 auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
-  const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration);
-  return std::max(whole, std::chrono::milliseconds(1));
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration),
+                  std::chrono::milliseconds(1));
 }
 
 auto Remaining(const Call& call) -> std::chrono::milliseconds {
@@ -65,11 +65,9 @@
 // renew the wait for the whole.
 auto ReadPiece(net::HttpExchange& exchange, const Assignment& assignment, core::Time latest)
     -> std::string {
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(latest - node::Now());
-  if (left <= std::chrono::milliseconds::zero()) {
-    throw core::Error(Step::read, assignment.address, "timed out");
-  }
-  return exchange.Read(left);
+  const auto now = node::Now();
+  if (now >= latest) throw core::Error(Step::read, assignment.address, "timed out");
+  return exchange.Read(ToMilliseconds(latest - now));
 }
 
 // Reads the rest of a body that is not passed on, so that the connection can carry another request.
