Close a connection on which an unasked answer stood

A faulty replica that writes an earlier refusal once more on a kept connection could have callers told that a request has not run which runs: the id tells such answers apart, but the connection was used again, where the next one may carry no id.

The right answer after an unasked one is passed on as before; the connection is closed then. relay.bad_answer_test, testRefusalWrittenAgain, failed before: the third request used the first connection again.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -157,6 +157,8 @@
 struct Answer {
   net::HttpAnswer answer;
   AnswerHead head;
+  // Whether answers that belong to no request of this entry stood before it on the connection.
+  bool after_stray = false;
 };
 
 // Reads the head of the answer to this request. A replica may send an answer to an earlier request
@@ -165,6 +167,7 @@
   for (int stray = 0; stray < kMaxStrayAnswers; ++stray) {
     const auto latest = Latest(call, true);
     Answer out;
+    out.after_stray = stray > 0;
     out.answer = call.exchange->ReadHead(ToMilliseconds(latest - node::Now()));
     out.head = relay.dialect.read_answer(out.answer);
     if (out.head.attempt == call.head.attempt) return out;
@@ -324,6 +327,8 @@
     call.exchange->Send(ToForwarded(relay, call, request, assignment), kSendTimeout);
     const auto answer = ReadAnswer(relay, call, assignment, reused);
     auto failure = PassOn(relay, call, assignment, answer, responder);
+    // A replica that writes answers unasked may do so again, and the next may have no id.
+    if (answer.after_stray) call.exchange->Cancel();
     PutIdle(relay, assignment.address, std::move(call.exchange), answer.head.keep_alive,
             MaxIdle(call));
     return failure;
--- a/libs/relay/test/bad_answer_test.cc
+++ b/libs/relay/test/bad_answer_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(testEndlessEvent);
   CPPUNIT_TEST(testEndlessBody);
   CPPUNIT_TEST(testSlowEndlessBytes);
+  CPPUNIT_TEST(testRefusalWrittenAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
