Deliver what has arrived when a wait for a replica ends

An answer that is ready when an entry wakes from a suspension is delivered, also late. Since waits end at a fixed time, its body would have been cut. Up to 16 pieces of 16 KB are read after the end of a wait, each if it is there at once.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -35,6 +35,8 @@
 // its head; a new connection costs two round trips, 80 ms between regions.
 constexpr std::size_t kMaxSkipped = std::size_t{64} << 10;
 constexpr core::Duration kSkipTime = std::chrono::milliseconds(80);
+// Pieces of up to 16 KB that are still read after a wait has ended.
+constexpr int kMaxLatePieces = 16;
 
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
@@ -61,24 +63,33 @@
   return std::min(call.deadline, node::Now() + patience);
 }
 
-// Reads the next piece of the body. Throws if `latest` has passed: bytes that keep coming must not
-// renew the wait for the whole.
-auto ReadPiece(net::HttpExchange& exchange, const Assignment& assignment, core::Time latest)
+// Wait for a part of an answer.
+struct Wait {
+  core::Time latest{};
+  // Pieces read after that time.
+  int late = 0;
+};
+
+// Reads the next piece of the body. Bytes that keep coming do not renew the wait; what has arrived
+// when it ends is still read, as after this VM was suspended, up to a bound.
+auto ReadPiece(net::HttpExchange& exchange, const Assignment& assignment, Wait& wait)
     -> std::string {
   const auto now = node::Now();
-  if (now >= latest) throw core::Error(Step::read, assignment.address, "timed out");
-  return exchange.Read(ToMilliseconds(latest - now));
+  if (now >= wait.latest && ++wait.late > kMaxLatePieces) {
+    throw core::Error(Step::read, assignment.address, "timed out");
+  }
+  return exchange.Read(ToMilliseconds(wait.latest - now));
 }
 
 // Reads the rest of a body that is not passed on, so that the connection can carry another request.
 // Returns false if it is too long for that.
 auto SkipBody(net::HttpExchange& exchange, const Assignment& assignment, core::Time latest)
     -> bool {
-  latest = std::min(latest, node::Now() + kSkipTime);
+  Wait wait{std::min(latest, node::Now() + kSkipTime)};
   std::size_t skipped = 0;
   try {
     while (skipped <= kMaxSkipped) {
-      const auto piece = ReadPiece(exchange, assignment, latest);
+      const auto piece = ReadPiece(exchange, assignment, wait);
       if (piece.empty()) return true;
       skipped += piece.size();
     }
@@ -200,9 +211,9 @@
                  net::Responder& responder) -> void {
   core::Time last{};
   call.events.rest.clear();
-  auto latest = Latest(call, true);
+  Wait wait{Latest(call, true)};
   while (true) {
-    const auto piece = ReadPiece(*call.exchange, assignment, latest);
+    const auto piece = ReadPiece(*call.exchange, assignment, wait);
     if (piece.empty()) break;
     const auto events = direct::Append(call.events, piece);
     if (call.events.rest.size() > direct::kMaxEvent) {
@@ -210,7 +221,7 @@
                         "event of more than " + std::to_string(direct::kMaxEvent) + " bytes");
     }
     if (events.empty()) continue;
-    latest = Latest(call, false);
+    wait = {Latest(call, false), wait.late};
     NoteBegun(relay, assignment);
     ObservePart(relay, call, last);
     BeginAnswer(relay, call, answer, responder);
@@ -227,8 +238,9 @@
 auto RelayBody(Relay& relay, Call& call, const Assignment& assignment, const Answer& answer,
                net::Responder& responder) -> std::optional<Failure> {
   std::string body;
+  Wait wait{call.deadline};
   while (body.size() <= kMaxHeldBody) {
-    const auto piece = ReadPiece(*call.exchange, assignment, call.deadline);
+    const auto piece = ReadPiece(*call.exchange, assignment, wait);
     if (piece.empty()) {
       core::Time last{};
       ObservePart(relay, call, last);
@@ -248,7 +260,7 @@
   BeginAnswer(relay, call, answer.answer, responder);
   while (!body.empty()) {
     responder.Write(body);
-    body = ReadPiece(*call.exchange, assignment, call.deadline);
+    body = ReadPiece(*call.exchange, assignment, wait);
   }
   responder.End();
   return std::nullopt;
