--- a/tests/fleet/faults.cc
+++ b/tests/fleet/faults.cc
@@ -651,6 +651,26 @@
   CheckRecovery(run);
 }
 
+// Guards against an answer that goes on after the timeout of its service because the replica never
+// ends it.
+auto EndlessAnswer(Run& run) -> void {
+  StartFleet(run);
+  // Timeout of requests in the document, and the time in which a caller must learn of it.
+  constexpr milliseconds timeout{8000};
+  constexpr milliseconds grace{500};
+  auto call =
+      MakeCall(CallKind::once, FindNode(run.fleet, "entry-n1").callers, "endless", "inspectors", 0);
+  call.headers["X-Test-Endless"] = "1";
+  call.timeout = timeout + 4 * grace;
+  Reply reply;
+  const auto begin = std::chrono::steady_clock::now();
+  Invoke(call, "endless", *run.fleet.recorder, &reply);
+  const auto took = std::chrono::steady_clock::now() - begin;
+  if (took > timeout + grace) run.faults.emplace_back("an answer without end was not cut");
+  if (reply.complete) run.faults.emplace_back("an answer without end looks complete");
+  CheckService(run);
+}
+
 struct Scenario {
   std::string name;
   std::function<void(Run&)> function;
@@ -667,6 +687,7 @@
       {"drain", Drain},
       {"config", Config},
       {"flood", Flood},
+      {"endless_answer", EndlessAnswer},
   };
 }
 
--- a/tests/standins/app.cc
+++ b/tests/standins/app.cc
@@ -47,6 +47,17 @@
   return json::serialize(body);
 }
 
+// Sends a body without end until the connection is closed.
+auto SendEndless(beast::tcp_stream& stream) -> asio::awaitable<void> {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+  co_await asio::async_write(stream, asio::buffer(head), asio::use_awaitable);
+  while (true) {
+    co_await asio::async_write(stream, asio::buffer(chunk), asio::use_awaitable);
+    co_await Sleep(std::chrono::milliseconds(1));
+  }
+}
+
 auto Handle(Application& app, beast::tcp_stream& stream, const Request& request)
     -> asio::awaitable<void> {
   const auto target = ParseTarget(request);
@@ -67,6 +78,7 @@
   co_await Sleep(std::chrono::milliseconds(time));
   app.history.Append("end", EventOf(request, serial));
   if (Header(request, "X-Test-Drop") == "1") co_return Reset(stream.socket());
+  if (Header(request, "X-Test-Endless") == "1") co_return co_await SendEndless(stream);
   auto body = AnswerBody(app, request, serial);
   co_await Send(stream, MakeReply(request, http::status::ok, std::move(body)));
 }
