--- a/bench/direct_model.cc
+++ b/bench/direct_model.cc
@@ -616,8 +616,9 @@
         got += seconds[i].begun;
         due += std::min(seconds[i].asked, best[i]);
       }
+      due -= allowance * result.largest_request;
       if (!lacking || due <= 0) continue;
-      const double share = (got + allowance * result.largest_request) / due;
+      const double share = got / due;
       if (share < least.share) least = {share, name, first, got, due};
     }
   }
--- a/bench/direct_model.h
+++ b/bench/direct_model.h
@@ -82,8 +82,8 @@
 };
 
 // Least share of a workspace over all windows of six seconds in each of which it lacked room: what
-// it got, and three of the largest requests, of what it asked or the best served one got, whichever
-// is less, second by second. Below a half the users' rule is broken.
+// it got, of what it asked or the best served one got, whichever is less, second by second, less
+// three of the largest requests. Below a half the users' rule is broken.
 struct DirectShare {
   double share = 1;
   std::string workspace;
