Refuse by max-min share at an overloaded entry

Cause: an entry that is behind refused each new request before the workspace was known, so what a workspace got was in proportion to its part of the requests. With the usage lines: kago862 asked 2.0 million tokens in six seconds at two such entries, was refused 384 times and admitted 0.18 million; dera360 asked 22.5 million there and was admitted 5.2 million.

A workspace is refused from its max-min share of what the entry gave recently, less of it as the delay grows. direct.queue_test and direct.pressure_test guard the decision. Still red: an entry of 0.09 cores that is busy with a flood's refusals admits nobody.

--- a/libs/direct/include/filbertstair/direct/pressure.h
+++ b/libs/direct/include/filbertstair/direct/pressure.h
@@ -11,8 +11,12 @@
   // 250 ms or more. An entry that is in time is late by 1 to 3 ms.
   core::Duration behind = std::chrono::milliseconds(12);
   // Delay from which new requests are refused, so that their callers turn to another entry while
-  // there is time: half of an objective of 500 ms.
+  // there is time: half of an objective of 500 ms. First those of workspaces that have their
+  // max-min share of what the entry gives.
   core::Duration refuse = std::chrono::milliseconds(25);
+  // Part of that share from which a workspace is refused at the longest delay. Less service for
+  // all, in equal parts, lets the entry catch up.
+  double least_share = 0.25;
   // Longest delay that counts. A single one, as after the VM was suspended, is no overload.
   core::Duration max_delay = std::chrono::milliseconds(45);
   // Time for which an entry takes no new callers after it was behind. Callers come back as soon as
@@ -34,9 +38,13 @@
 // Whether the entry should leave new callers to others.
 auto IsBehind(const Pressure& pressure, core::Time now) -> bool;
 
-// Whether a new request should be refused at once.
+// Whether new requests may have to be refused at once.
 auto MustRefuse(const Pressure& pressure, const PressurePolicy& policy) -> bool;
 
+// Returns the part of its max-min share from which a workspace is refused then: 1 at the delay from
+// which requests are refused, down to the least share at the longest one.
+auto RefusedShare(const Pressure& pressure, const PressurePolicy& policy) -> double;
+
 }  // namespace filbertstair::direct
 
 #endif  // FILBERTSTAIR_DIRECT_PRESSURE_H_
--- a/libs/direct/src/pressure.cc
+++ b/libs/direct/src/pressure.cc
@@ -19,4 +19,10 @@
   return pressure.delay >= policy.refuse;
 }
 
+auto RefusedShare(const Pressure& pressure, const PressurePolicy& policy) -> double {
+  const auto over = static_cast<double>((pressure.delay - policy.refuse).count());
+  const auto range = static_cast<double>((policy.max_delay - policy.refuse).count());
+  return 1 - (1 - policy.least_share) * std::clamp(over / range, 0.0, 1.0);
+}
+
 }  // namespace filbertstair::direct
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace filbertstair::direct {
 namespace {
@@ -95,6 +96,33 @@
   Add(queue.accounts[workspace].own, policy, cost, now);
 }
 
+auto Ask(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
+         core::Time now) -> void {
+  Add(queue.accounts[workspace].asked, policy, cost, now);
+}
+
+auto OwnLevel(const FairQueue& queue, const QueuePolicy& policy, core::Time now) -> double {
+  std::vector<double> asked;
+  asked.reserve(queue.accounts.size());
+  double given = 0;
+  double most = 0;
+  for (const auto& [workspace, account] : queue.accounts) {
+    const double own = Used(account.own, policy, now);
+    // What was given may still be remembered where a request was asked before it was given.
+    asked.push_back(std::max(own, Used(account.asked, policy, now)));
+    given += own;
+    most = std::max(most, own);
+  }
+  std::sort(asked.begin(), asked.end());
+  // Those that asked for least get it all; the rest is shared equally by the others.
+  for (std::size_t i = 0; i < asked.size(); ++i) {
+    const double share = given / static_cast<double>(asked.size() - i);
+    if (asked[i] >= share) return std::min(share, most);
+    given -= asked[i];
+  }
+  return most;
+}
+
 auto SetPeerAccount(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
                     const std::string& peer, const PeerAccount& account) -> void {
   auto& ours = queue.accounts[workspace];
@@ -118,7 +146,9 @@
 
 auto Sweep(FairQueue& queue, const QueuePolicy& policy, core::Time now) -> void {
   std::erase_if(queue.accounts, [&](const auto& item) {
-    return !IsWaiting(item.second) && Used(item.second, policy, now) < kNegligible;
+    const auto& account = item.second;
+    return !IsWaiting(account) && Used(account, policy, now) < kNegligible &&
+           Used(account.asked, policy, now) < kNegligible;
   });
 }
 
--- a/libs/direct/test/pressure_test.cc
+++ b/libs/direct/test/pressure_test.cc
@@ -12,12 +12,22 @@
   CPPUNIT_TEST_SUITE(PressureTest);
   CPPUNIT_TEST(testOneLateTimerIsNoOverload);
   CPPUNIT_TEST(testOverloadEndsAfterAPause);
+  CPPUNIT_TEST(testLongerDelayRefusesMore);
   CPPUNIT_TEST_SUITE_END();
 
   const PressurePolicy policy{};
   const core::Time now{seconds(1000)};
 
  public:
+  // Guards against an entry that stays overloaded since each workspace keeps its share.
+  auto testLongerDelayRefusesMore() -> void {
+    Pressure pressure;
+    pressure.delay = this->policy.refuse;
+    CPPUNIT_ASSERT_EQUAL(1.0, RefusedShare(pressure, this->policy));
+    pressure.delay = this->policy.max_delay;
+    CPPUNIT_ASSERT_EQUAL(this->policy.least_share, RefusedShare(pressure, this->policy));
+  }
+
   // Guards against an entry that turns callers away because of one burst, or because it was
   // suspended for a moment.
   auto testOneLateTimerIsNoOverload() -> void {
--- a/libs/direct/test/queue_test.cc
+++ b/libs/direct/test/queue_test.cc
@@ -21,6 +21,8 @@
   CPPUNIT_TEST(testEarlierServiceIsForgiven);
   CPPUNIT_TEST(testLeaderLeavesRoomToOthersElsewhere);
   CPPUNIT_TEST(testLargeWorkspacesDiffer);
+  CPPUNIT_TEST(testOverloadedEntryRefusesTheFlood);
+  CPPUNIT_TEST(testLevelWhereAllAreServed);
   CPPUNIT_TEST(testSweepKeepsTheServed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -194,6 +196,47 @@
     CPPUNIT_ASSERT(first >= this->policy.least_room);
   }
 
+  // Guards against an overloaded entry that refuses without regard to workspaces: one that asks for
+  // a tenth of a flood got a tenth of what the flood got, far below its share.
+  auto testOverloadedEntryRefusesTheFlood() -> void {
+    constexpr double capacity = 500;
+    const std::map<std::string, int> asked = {{"small", 2}, {"flood", 20}};
+    std::map<std::string, double> got;
+    FairQueue queue;
+    auto at = this->now;
+    for (int tick = 0; tick < 2000; ++tick, at += milliseconds(10)) {
+      const double ticks = static_cast<double>(this->policy.window.count()) / 10000;
+      for (const auto& [workspace, requests] : asked) {
+        for (int i = 0; i < requests; ++i) {
+          Ask(queue, this->policy, workspace, 100, at);
+          double given = 0;
+          for (const auto& [name, account] : queue.accounts) {
+            given += Used(account.own, this->policy, at);
+          }
+          const double own = Used(queue.accounts.at(workspace).own, this->policy, at);
+          const bool overloaded = given > capacity * ticks;
+          if (overloaded && own >= OwnLevel(queue, this->policy, at)) continue;
+          Charge(queue, this->policy, workspace, 100, at);
+          got[workspace] += 100;
+        }
+      }
+    }
+    CPPUNIT_ASSERT(got.at("small") > 0.95 * 2000 * 200);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2000 * capacity, got.at("small") + got.at("flood"),
+                                 0.1 * 2000 * capacity);
+  }
+
+  // Guards against an entry that finds nobody to refuse: all get what they ask, and it is too much.
+  auto testLevelWhereAllAreServed() -> void {
+    FairQueue queue;
+    for (const auto& [workspace, cost] : {std::pair("a", 100.0), std::pair("b", 300.0)}) {
+      Ask(queue, this->policy, workspace, cost, this->now);
+      Charge(queue, this->policy, workspace, cost, this->now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(300, OwnLevel(queue, this->policy, this->now), 1e-6);
+    CPPUNIT_ASSERT_EQUAL(0.0, OwnLevel({}, this->policy, this->now));
+  }
+
   auto testSweepKeepsTheServed() -> void {
     FairQueue queue;
     Charge(queue, this->policy, "served", 1000, this->now);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -24,6 +24,8 @@
 // Time after which a caller comes back to an entry that has no configuration, or a stale one.
 constexpr core::Duration kRetryConfigured = std::chrono::milliseconds(500);
 
+// Interval at which the shares of an overloaded entry are computed anew, as that of the delay.
+constexpr core::Duration kLevelInterval = std::chrono::milliseconds(50);
 // Time after which a caller comes back, most likely to another entry, if this one is overloaded.
 constexpr core::Duration kRetryOverloaded = std::chrono::milliseconds(100);
 
@@ -52,10 +54,31 @@
   return std::nullopt;
 }
 
-// Refuses a request if this entry is so far behind with its work that another one is faster.
-auto RefuseBehind(Relay& relay) -> std::optional<Refused> {
+// Returns the recent service from which a workspace has its share of what this entry gives the
+// service. Looking at all workspaces for each request would add to the overload.
+auto LevelInForce(Relay& relay, DispatchTable& table, const std::string& service) -> double {
+  const auto now = node::Now();
+  auto& level = table.levels[service];
+  if (now >= level.until) {
+    level = {direct::OwnLevel(table.queues[service], relay.policies.queue, now),
+             now + kLevelInterval};
+  }
+  return level.service;
+}
+
+// Refuses a request if this entry is so far behind with its work that another one is faster, and
+// its workspace has had its share here.
+auto RefuseBehind(Relay& relay, const Call& call) -> std::optional<Refused> {
   const auto& pressure = ThisWorker(relay).pressure;
-  if (!direct::MustRefuse(pressure, relay.policies.pressure)) return std::nullopt;
+  const auto& policy = relay.policies.pressure;
+  if (!direct::MustRefuse(pressure, policy)) return std::nullopt;
+  const double part = direct::RefusedShare(pressure, policy);
+  const bool served = relay.dispatch.With([&](DispatchTable& table) {
+    const auto& account = table.queues[call.service].accounts[call.workspace];
+    const double own = direct::Used(account.own, relay.policies.queue, node::Now());
+    return own >= part * LevelInForce(relay, table, call.service);
+  });
+  if (!served) return std::nullopt;
   return Refuse(Reason::overloaded, Step::queue,
                 "timers run late by " + std::to_string(pressure.delay.count()) + " us",
                 kRetryOverloaded);
@@ -221,7 +244,7 @@
   // The workspace is found first, so that the refusals of an overloaded entry can be told apart.
   if (auto refused = Resolve(relay, request, *call)) return refused;
   CountAsked(relay, *call);
-  if (auto refused = RefuseBehind(relay)) {
+  if (auto refused = RefuseBehind(relay, *call)) {
     CountRefused(relay, *call, refused->reason);
     return refused;
   }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -58,6 +58,12 @@
   direct::KeptParts::Item part;
 };
 
+// Recent service from which a workspace has its share of an overloaded entry.
+struct ShareLevel {
+  double service = 0;
+  core::Time until{};
+};
+
 // Replicas, waiting requests and budgets of this entry.
 struct DispatchTable {
   direct::ReplicaTable replicas;
@@ -65,6 +71,8 @@
   // The round of assignments of each service that arriving requests continue.
   std::map<std::string, direct::Round, std::less<>> rounds;
   std::map<std::string, direct::Budget, std::less<>> budgets;
+  // By service; used while the entry is overloaded.
+  std::map<std::string, ShareLevel, std::less<>> levels;
   // Usage since the last log lines, by service.
   std::map<std::string, direct::UsageTable, std::less<>> usage;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
--- a/libs/relay/src/usage.cc
+++ b/libs/relay/src/usage.cc
@@ -43,6 +43,8 @@
     auto& usage = table.usage[call.service][call.workspace];
     ++usage.requests;
     usage.asked += Cost(call);
+    direct::Ask(table.queues[call.service], relay.policies.queue, call.workspace, Cost(call),
+                node::Now());
   });
 }
 
