Have workspaces lead from 0.8 of the mean

Those at the mean now leave some room, so that a workspace below it finds room at once. direct.queue_test, testNewcomerFindsRoom, fails without it; the figure in testLeaderLeavesRoomToOthersElsewhere follows from the new level and is as strict.

--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -56,8 +56,11 @@
   // workspace took while nobody else asked must not be held against it for long: at 4 s it was held
   // down for three of the six seconds over which shares are judged.
   core::Duration window = std::chrono::milliseconds(1500);
-  // Lead over the mean of the workspaces with waiting requests, at any entry, that costs nothing:
-  // about two large requests.
+  // Part of the mean of the workspaces with waiting requests, at any entry, from which a workspace
+  // leads. Those at the mean leave some room, so that one that begins to ask for more finds room
+  // at once. At 1, such a workspace got half of its share.
+  double lead_from = 0.8;
+  // Lead that costs nothing: about two large requests.
   double free_lead = 20000;
   // Least share of a replica's room that a workspace may use, however far it leads, so that
   // replicas do not idle while others wait elsewhere. At 0.3, a workspace with callers at all
@@ -90,10 +93,10 @@
 
 // Returns the share of a replica's room that the workspace may use. Entries compete for the same
 // room; one whose callers all belong to a workspace that leads leaves the rest to those entries
-// where less served workspaces wait. The share falls with the square of the lead over the mean of
-// the waiting workspaces. Measured against the least served one, which often is a small workspace
-// that waits for a moment, all large workspaces had the same share, however different their
-// service.
+// where less served workspaces wait. The share falls with the square of the lead over the level
+// from which a workspace leads. Measured against the least served one, which often is a small
+// workspace that waits for a moment, all large workspaces had the same share, however different
+// their service.
 auto RoomShare(const FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
                core::Time now) -> double;
 
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -76,7 +76,8 @@
     total += Used(other, policy, now);
     ++count;
   }
-  const double level = total / count + policy.free_lead;
+  if (count == 1) return 1;
+  const double level = policy.lead_from * total / count + policy.free_lead;
   if (used <= level) return 1;
   const double share = level / used;
   return std::max(policy.least_room, share * share);
