--- a/bench/direct_model.cc
+++ b/bench/direct_model.cc
@@ -284,7 +284,9 @@
     job->objective = spec.objective;
     const auto thing = this->random() % spec.things;
     const auto own = this->Draw(spec.own_tokens, spec.spread, spec.max_own_tokens);
-    const auto shared = static_cast<std::uint32_t>(spec.shared_tokens * (0.5 + (thing % 10) * 0.1));
+    // Sizes of shared parts differ, by half of the mean at most.
+    const double size = 0.5 + static_cast<double>(thing % 10) * 0.1;
+    const auto shared = static_cast<std::uint32_t>(spec.shared_tokens * size);
     constexpr std::uint64_t thing_base = 1000;
     constexpr std::uint64_t own_base = 1000000000;
     auto& prompt = job->prompt;
--- a/libs/direct/src/events.cc
+++ b/libs/direct/src/events.cc
@@ -42,7 +42,8 @@
   // What was there before holds no end of an event, but may hold the beginning of one.
   const auto searched = cutter.rest.size() - std::min(cutter.rest.size(), kMaxLineEnd);
   cutter.rest += bytes;
-  auto end = EndOfEvents(std::string_view(cutter.rest).substr(searched));
+  const std::string_view rest = cutter.rest;
+  auto end = EndOfEvents(rest.substr(searched));
   if (end == 0) return {};
   end += searched;
   std::string events = std::exchange(cutter.rest, cutter.rest.substr(end));
--- a/libs/relay/test/bad_answer_test.cc
+++ b/libs/relay/test/bad_answer_test.cc
@@ -54,7 +54,7 @@
   auto testErrorIsNotAddedToAStream() -> void {
     const std::vector<std::pair<int, std::string>> errors = {
         {500, "broken"}, {500, std::string(400000, 'e')}, {404, "nothing here"}};
-    for (const auto& [status, body] : errors) {
+    for (const auto& error : errors) {
       FakeReplica first("a", [](const net::HttpRequest& request, net::Responder& responder) {
         responder.Begin(200, AnswerHeaders(request));
         for (int id = 1; id <= 3; ++id) responder.Write(Event(id));
@@ -62,7 +62,7 @@
         responder.Abort();
       });
       FakeReplica second("b", [&](const net::HttpRequest& request, net::Responder& responder) {
-        responder.Respond(status, AnswerHeaders(request), body);
+        responder.Respond(error.first, AnswerHeaders(request), error.second);
       });
       Fleet fleet;
       fleet.Configure(MakeFleet());
--- a/tests/standins/app.cc
+++ b/tests/standins/app.cc
@@ -78,7 +78,10 @@
   co_await Sleep(std::chrono::milliseconds(time));
   app.history.Append("end", EventOf(request, serial));
   if (Header(request, "X-Test-Drop") == "1") co_return Reset(stream.socket());
-  if (Header(request, "X-Test-Endless") == "1") co_return co_await SendEndless(stream);
+  if (Header(request, "X-Test-Endless") == "1") {
+    co_await SendEndless(stream);
+    co_return;
+  }
   auto body = AnswerBody(app, request, serial);
   co_await Send(stream, MakeReply(request, http::status::ok, std::move(body)));
 }
