--- a/bench/direct_model.cc
+++ b/bench/direct_model.cc
@@ -129,472 +129,463 @@
   std::vector<Account> accounts;
 };
 
-class Model {
- public:
-  Model(const DirectScenario& scenario, std::uint64_t seed) : scenario(scenario), random(seed) {
-    this->SetUpReplicas();
-    this->SetUpEntries();
-    const auto seconds = static_cast<std::size_t>(scenario.seconds);
-    for (const auto& workspace : scenario.workspaces) {
-      this->result.seconds[workspace.name].resize(seconds + 1);
-    }
-  }
-
-  auto Run() -> DirectResult {
-    for (std::size_t i = 0; i < this->scenario.workspaces.size(); ++i) this->ScheduleArrival(i);
-    for (std::size_t i = 0; i < this->entries.size(); ++i) this->ScheduleNews(i);
-    this->ScheduleCrash();
-    const auto end = this->At(this->scenario.seconds);
-    while (!this->events.empty() && this->events.top().at < end) {
-      const auto run = this->events.top().run;
-      this->now = this->events.top().at;
-      this->events.pop();
-      run();
-    }
-    return std::move(this->result);
-  }
-
- private:
-  auto At(double second) const -> core::Time { return this->start + ToDuration(second * 1000); }
+// The fleet and its callers at one moment, with what is still to happen.
+struct Model {
+  Model(const DirectScenario& scenario, std::uint64_t seed) : scenario(scenario), random(seed) {}
 
-  auto Second(core::Time time) const -> double {
-    return std::chrono::duration<double>(time - this->start).count();
-  }
+  const DirectScenario& scenario;
+  std::mt19937_64 random;
+  const core::Time start{std::chrono::seconds(1000)};
+  core::Time now = start;
+  std::uint64_t serial = 0;
+  Ticket last_ticket = 0;
+  std::priority_queue<Event, std::vector<Event>, Later> events;
+  std::vector<Entry> entries;
+  std::map<std::string, Engine> engines;
+  std::set<std::uint64_t> read_parts;
+  DirectResult result;
+};
 
-  auto Schedule(core::Time at, std::function<void()> run) -> void {
-    this->events.push({at, ++this->serial, std::move(run)});
-  }
+auto Wait(Model& model, const JobPtr& job, core::Time latest) -> void;
+auto Fail(Model& model, Engine& engine, const JobPtr& job, direct::Fault fault) -> void;
+auto Continue(Model& model, Entry& entry) -> void;
 
-  auto Uniform() -> double { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+auto At(const Model& model, double second) -> core::Time {
+  return model.start + ToDuration(second * 1000);
+}
 
-  // Lognormal with the given mean; `spread` is the standard deviation over the mean.
-  auto Draw(double mean, double spread, double max) -> double {
-    const double variance = std::log(1 + spread * spread);
-    std::lognormal_distribution<double> sizes(std::log(mean) - variance / 2, std::sqrt(variance));
-    return std::clamp(sizes(this->random), 1.0, max);
-  }
+auto Second(const Model& model, core::Time time) -> double {
+  return std::chrono::duration<double>(time - model.start).count();
+}
 
-  auto Region(std::size_t domain) const -> std::size_t { return domain % this->scenario.regions; }
+auto Schedule(Model& model, core::Time at, std::function<void()> run) -> void {
+  model.events.push({at, ++model.serial, std::move(run)});
+}
 
-  auto Delay(std::size_t from, std::size_t to) const -> core::Duration {
-    if (from == to) return kDomainDelay;
-    return this->Region(from) == this->Region(to) ? kRegionDelay : kFarDelay;
-  }
+auto Uniform(Model& model) -> double {
+  return std::uniform_real_distribution<double>(0, 1)(model.random);
+}
 
-  static auto DomainName(std::size_t domain) -> std::string { return "d" + std::to_string(domain); }
+// Lognormal with the given mean; `spread` is the standard deviation over the mean.
+auto Draw(Model& model, double mean, double spread, double max) -> double {
+  const double variance = std::log(1 + spread * spread);
+  std::lognormal_distribution<double> sizes(std::log(mean) - variance / 2, std::sqrt(variance));
+  return std::clamp(sizes(model.random), 1.0, max);
+}
 
-  auto SetUpReplicas() -> void {
-    for (std::size_t i = 0; i < this->scenario.replicas; ++i) {
-      auto& engine = this->engines["replica-" + std::to_string(i)];
-      engine.id = "replica-" + std::to_string(i);
-      engine.domain = i % this->scenario.domains;
-      engine.speed = i % 3 == 2 ? 1.3 : 1;
-    }
-  }
+auto Region(const Model& model, std::size_t domain) -> std::size_t {
+  return domain % model.scenario.regions;
+}
 
-  auto SetUpEntries() -> void {
-    direct::Origin origin;
-    for (std::size_t i = 0; i < this->scenario.domains; ++i) {
-      origin.regions[DomainName(i)] = "r" + std::to_string(this->Region(i));
-    }
-    this->entries.resize(this->scenario.entries);
-    for (std::size_t i = 0; i < this->entries.size(); ++i) {
-      auto& entry = this->entries[i];
-      entry.id = "entry-" + std::to_string(i);
-      entry.domain = i % this->scenario.domains;
-      entry.origin = origin;
-      entry.origin.failure_domain = DomainName(entry.domain);
-      for (const auto& [id, engine] : this->engines) {
-        direct::Upsert(entry.replicas, {.id = id,
-                                        .service = kService,
-                                        .address = id,
-                                        .failure_domain = DomainName(engine.domain),
-                                        .slots = kSlots});
-      }
-    }
-  }
+auto Delay(const Model& model, std::size_t from, std::size_t to) -> core::Duration {
+  if (from == to) return kDomainDelay;
+  return Region(model, from) == Region(model, to) ? kRegionDelay : kFarDelay;
+}
 
-  auto ScheduleCrash() -> void {
-    const auto count = static_cast<std::size_t>(this->scenario.crash_share *
-                                                static_cast<double>(this->engines.size()));
-    std::vector<Engine*> crashed;
-    for (auto& [id, engine] : this->engines) crashed.push_back(&engine);
-    std::shuffle(crashed.begin(), crashed.end(), this->random);
-    crashed.resize(count);
-    for (auto* engine : crashed) {
-      this->Schedule(this->At(this->scenario.crash_from), [this, engine] { this->Crash(*engine); });
-      this->Schedule(this->At(this->scenario.crash_until), [engine] { engine->down = false; });
-    }
-  }
+auto DomainName(std::size_t domain) -> std::string { return "d" + std::to_string(domain); }
 
-  auto Crash(Engine& engine) -> void {
-    engine.down = true;
-    engine.stepping = false;
-    ++engine.run;
-    engine.kept = {};
-    for (const auto& job : std::exchange(engine.reading, {})) this->Lose(engine, job);
-    for (const auto& job : std::exchange(engine.running, {})) this->Lose(engine, job);
+auto SetUpReplicas(Model& model) -> void {
+  for (std::size_t i = 0; i < model.scenario.replicas; ++i) {
+    auto& engine = model.engines["replica-" + std::to_string(i)];
+    engine.id = "replica-" + std::to_string(i);
+    engine.domain = i % model.scenario.domains;
+    engine.speed = i % 3 == 2 ? 1.3 : 1;
   }
+}
 
-  // Picks an entry of the domain; callers are bound to entries unevenly.
-  auto PickEntry(std::size_t domain) -> std::size_t {
-    std::vector<std::size_t> members;
-    for (std::size_t i = 0; i < this->entries.size(); ++i) {
-      if (this->entries[i].domain == domain) members.push_back(i);
+auto SetUpEntries(Model& model) -> void {
+  direct::Origin origin;
+  for (std::size_t i = 0; i < model.scenario.domains; ++i) {
+    origin.regions[DomainName(i)] = "r" + std::to_string(Region(model, i));
+  }
+  model.entries.resize(model.scenario.entries);
+  for (std::size_t i = 0; i < model.entries.size(); ++i) {
+    auto& entry = model.entries[i];
+    entry.id = "entry-" + std::to_string(i);
+    entry.domain = i % model.scenario.domains;
+    entry.origin = origin;
+    entry.origin.failure_domain = DomainName(entry.domain);
+    for (const auto& [id, engine] : model.engines) {
+      direct::Upsert(entry.replicas, {.id = id,
+                                      .service = kService,
+                                      .address = id,
+                                      .failure_domain = DomainName(engine.domain),
+                                      .slots = kSlots});
     }
-    return members[this->random() % members.size()];
   }
+}
 
-  auto PickDomain(const DirectWorkspace& workspace) -> std::size_t {
-    const double second = this->Second(this->now);
-    const bool shifted = second >= this->scenario.shift_from && second < this->scenario.shift_until;
-    if (shifted && this->Uniform() < this->scenario.shift_share) return this->scenario.shift_to;
-    return workspace.domains[this->random() % workspace.domains.size()];
-  }
+auto Name(const Model& model, const Job& job) -> const std::string& {
+  return model.scenario.workspaces[job.workspace].name;
+}
 
-  auto ScheduleArrival(std::size_t index) -> void {
-    const auto& workspace = this->scenario.workspaces[index];
-    const double rate_max = workspace.rate * std::max(1.0, workspace.hot_factor);
-    const double gap = std::exponential_distribution<double>(rate_max)(this->random);
-    this->Schedule(this->now + ToDuration(gap * 1000), [this, index, rate_max] {
-      const auto& workspace = this->scenario.workspaces[index];
-      const double second = this->Second(this->now);
-      const bool hot = second >= workspace.hot_from && second < workspace.hot_to;
-      const double rate = workspace.rate * (hot ? workspace.hot_factor : 1);
-      if (this->Uniform() * rate_max < rate) this->Arrive(this->MakeJob(index));
-      this->ScheduleArrival(index);
-    });
+// Picks an entry of the domain; callers are bound to entries unevenly.
+auto PickEntry(Model& model, std::size_t domain) -> std::size_t {
+  std::vector<std::size_t> members;
+  for (std::size_t i = 0; i < model.entries.size(); ++i) {
+    if (model.entries[i].domain == domain) members.push_back(i);
   }
+  return members[model.random() % members.size()];
+}
 
-  auto PickClass() -> std::size_t {
-    double point = this->Uniform();
-    for (std::size_t i = 0; i + 1 < this->scenario.classes.size(); ++i) {
-      point -= this->scenario.classes[i].rate_share;
-      if (point < 0) return i;
-    }
-    return this->scenario.classes.size() - 1;
-  }
+auto SecondOf(Model& model, const Job& job, core::Time time) -> DirectSecond& {
+  const auto& name = model.scenario.workspaces[job.workspace].name;
+  return model.result.seconds[name][static_cast<std::size_t>(Second(model, time))];
+}
 
-  auto MakeJob(std::size_t workspace) -> JobPtr {
-    const auto kind = this->PickClass();
-    const auto& spec = this->scenario.classes[kind];
-    auto job = std::make_shared<Job>();
-    job->workspace = workspace;
-    job->entry = this->PickEntry(this->PickDomain(this->scenario.workspaces[workspace]));
-    job->objective = spec.objective;
-    const auto thing = this->random() % spec.things;
-    const auto own = this->Draw(spec.own_tokens, spec.spread, spec.max_own_tokens);
-    // Sizes of shared parts differ, by half of the mean at most.
-    const double size = 0.5 + static_cast<double>(thing % 10) * 0.1;
-    const auto shared = static_cast<std::uint32_t>(spec.shared_tokens * size);
-    constexpr std::uint64_t thing_base = 1000;
-    constexpr std::uint64_t own_base = 1000000000;
-    auto& prompt = job->prompt;
-    prompt.model = "m";
-    prompt.parts = {{kind + 1, static_cast<std::uint32_t>(shared / 10)},
-                    {(workspace * thing_base + thing) * thing_base + kind + 1, shared},
-                    {own_base + ++this->serial, static_cast<std::uint32_t>(own)}};
-    for (const auto& part : prompt.parts) prompt.tokens_in += part.tokens;
-    const double output = this->Draw(spec.output_tokens, 0.6, spec.output_tokens * 3);
-    job->left = output;
-    // The caller's hint is right at the median but often far off.
-    prompt.tokens_out = static_cast<std::uint32_t>(output * this->Draw(1, 0.5, 4));
-    job->cost = prompt.tokens_in + 2.0 * prompt.tokens_out;
-    job->arrived = this->now;
-    this->SecondOf(*job, this->now).asked += job->cost;
-    this->result.largest_request = std::max(this->result.largest_request, job->cost);
-    return job;
-  }
+auto Arrive(Model& model, const JobPtr& job) -> void {
+  Wait(model, job,
+       model.now + std::chrono::duration_cast<core::Duration>(job->objective * kQueueShare));
+}
 
-  auto SecondOf(const Job& job, core::Time time) -> DirectSecond& {
-    const auto& name = this->scenario.workspaces[job.workspace].name;
-    return this->result.seconds[name][static_cast<std::size_t>(this->Second(time))];
-  }
+auto Refuse(Model& model, const JobPtr& job) -> void {
+  ++model.result.refused;
+  SecondOf(model, *job, model.now).lacking = true;
+  if (std::exchange(job->returned, true)) return;
+  // The caller comes back once, to another entry of the same domain.
+  Schedule(model, model.now + job->objective, [&model, job] {
+    job->connects = 0;
+    job->tried.clear();
+    job->entry = PickEntry(model, model.entries[job->entry].domain);
+    Arrive(model, job);
+  });
+}
 
-  auto Name(const Job& job) const -> const std::string& {
-    return this->scenario.workspaces[job.workspace].name;
-  }
+auto GiveUp(Model& model, const JobPtr& job) -> void {
+  auto& entry = model.entries[job->entry];
+  if (entry.pending.erase(job->ticket) == 0) return;
+  direct::Remove(entry.queue, Name(model, *job), job->ticket);
+  entry.round.passed.erase(job->ticket);
+  Refuse(model, job);
+}
 
-  auto Arrive(const JobPtr& job) -> void {
-    this->Wait(
-        job, this->now + std::chrono::duration_cast<core::Duration>(job->objective * kQueueShare));
-  }
+auto ToBooks(const Model& model, Entry& entry) -> direct::Books {
+  return {entry.queue, model.scenario.queue, entry.replicas, model.scenario.policy};
+}
 
-  // Has the request wait for a replica.
-  auto Wait(const JobPtr& job, core::Time latest) -> void {
-    auto& entry = this->entries[job->entry];
-    job->latest = latest;
-    job->ticket = ++this->last_ticket;
-    entry.pending[job->ticket] = job;
-    direct::Enqueue(entry.queue, this->Name(*job), {job->ticket, 0, job->cost});
-    this->Continue(entry);
-    const auto ticket = job->ticket;
-    this->Schedule(std::max(latest, this->now), [this, job, ticket] {
-      if (job->ticket == ticket) this->GiveUp(job);
-    });
-  }
+auto Begin(Model& model, const Job& job) -> void {
+  auto& second = SecondOf(model, job, model.now);
+  second.begun += job.cost;
+  model.result.begun += job.cost;
+  const bool on_time = model.now - job.arrived <= job.objective;
+  ++(on_time ? model.result.on_time : model.result.late);
+  if (!on_time) second.lacking = true;
+}
 
-  auto GiveUp(const JobPtr& job) -> void {
-    auto& entry = this->entries[job->entry];
-    if (entry.pending.erase(job->ticket) == 0) return;
-    direct::Remove(entry.queue, this->Name(*job), job->ticket);
-    entry.round.passed.erase(job->ticket);
-    this->Refuse(job);
-  }
+auto NewRound(Model& model, Entry& entry) -> void {
+  entry.round = {};
+  Continue(model, entry);
+}
 
-  auto Refuse(const JobPtr& job) -> void {
-    ++this->result.refused;
-    this->SecondOf(*job, this->now).lacking = true;
-    if (std::exchange(job->returned, true)) return;
-    // The caller comes back once, to another entry of the same domain.
-    this->Schedule(this->now + job->objective, [this, job] {
-      job->connects = 0;
-      job->tried.clear();
-      job->entry = this->PickEntry(this->entries[job->entry].domain);
-      this->Arrive(job);
-    });
-  }
+// Tells the entry that its request has begun or ended.
+auto Notify(Model& model, Engine& engine, const JobPtr& job, bool ended) -> void {
+  const auto delay = Delay(model, engine.domain, model.entries[job->entry].domain);
+  Schedule(model, model.now + delay, [&model, job, ended] {
+    auto& entry = model.entries[job->entry];
+    auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
+    if (ended) {
+      direct::End(ToBooks(model, entry), job->assignment, model.now);
+    } else {
+      direct::Begin(ToBooks(model, entry), job->assignment);
+      direct::Succeeded(replica);
+    }
+    NewRound(model, entry);
+  });
+}
 
-  auto Continue(Entry& entry) -> void {
-    const auto need = [&](Ticket ticket) {
-      const auto& job = *entry.pending.at(ticket);
-      return direct::Need{.service = kService, .prompt = &job.prompt, .tried = &job.tried};
-    };
-    const direct::RoundInput input{entry.queue,           this->scenario.queue, entry.replicas,
-                                   this->scenario.policy, entry.origin,         need};
-    while (const auto settled = direct::NextSettled(entry.round, input, this->now)) {
-      const auto job = entry.pending.at(settled->ticket);
-      entry.pending.erase(settled->ticket);
-      direct::Remove(entry.queue, settled->workspace, settled->ticket);
-      if (settled->choice.status == direct::ChoiceStatus::chosen) {
-        this->Send(entry, job, settled->choice);
-      } else {
-        this->Refuse(job);
+// Runs one step of the engine: a chunk of the prompts in order of arrival, and one token of each
+// running request.
+auto Step(Model& model, Engine& engine) -> void {
+  double chunk = kChunk;
+  std::size_t read = 0;
+  while (read < engine.reading.size() && chunk > 0) {
+    auto& job = *engine.reading[read];
+    const double part = std::min(chunk, job.unread);
+    job.unread -= part;
+    chunk -= part;
+    if (job.unread > 0) break;
+    ++read;
+  }
+  const auto running = static_cast<double>(engine.running.size());
+  const double ms =
+      (kStepMs + kStepMsPerRequest * running + (kChunk - chunk) / kReadTokensPerMs) * engine.speed;
+  Schedule(model, model.now + ToDuration(ms), [&model, &engine, read, run = engine.run] {
+    if (engine.run != run) return;
+    for (std::size_t i = 0; i < engine.running.size();) {
+      auto& job = engine.running[i];
+      if (--job->left > 0) {
+        ++i;
+        continue;
       }
+      Notify(model, engine, job, true);
+      job = engine.running.back();
+      engine.running.pop_back();
     }
-  }
+    for (std::size_t i = 0; i < read; ++i) {
+      const auto job = engine.reading.front();
+      engine.reading.pop_front();
+      engine.running.push_back(job);
+      Begin(model, *job);
+      Notify(model, engine, job, false);
+    }
+    engine.stepping = !engine.reading.empty() || !engine.running.empty();
+    if (engine.stepping) Step(model, engine);
+  });
+}
 
-  auto NewRound(Entry& entry) -> void {
-    entry.round = {};
-    this->Continue(entry);
+auto Receive(Model& model, Engine& engine, const JobPtr& job) -> void {
+  if (engine.down) {
+    Fail(model, engine, job, direct::Fault::unreachable);
+    return;
   }
+  const auto kept = direct::KeptTokens(engine.kept, direct::Keyed(job->prompt));
+  job->unread = std::max<double>(1, static_cast<double>(job->prompt.tokens_in) - kept);
+  model.result.read += job->unread;
+  for (const auto& part : direct::UnkeptShared(engine.kept, job->prompt)) {
+    if (!model.read_parts.insert(part.key).second) model.result.read_again += part.tokens;
+  }
+  direct::Keep(engine.kept, job->prompt, kMemory);
+  engine.reading.push_back(job);
+  if (!std::exchange(engine.stepping, true)) Step(model, engine);
+}
 
-  auto ToBooks(Entry& entry) const -> direct::Books {
-    return {entry.queue, this->scenario.queue, entry.replicas, this->scenario.policy};
+auto Send(Model& model, Entry& entry, const JobPtr& job, const direct::Choice& choice) -> void {
+  auto& replica = *direct::Find(entry.replicas, kService, choice.id);
+  for (const auto& part : direct::UnkeptShared(replica.kept, job->prompt)) {
+    entry.kept_news.push_back({choice.id, part});
   }
+  job->assignment = direct::Assign(ToBooks(model, entry), kService, Name(model, *job), choice,
+                                   job->prompt, job->cost, model.now);
+  auto& engine = model.engines.at(choice.id);
+  Schedule(model, model.now + Delay(model, entry.domain, engine.domain),
+           [&model, job, &engine] { Receive(model, engine, job); });
+}
 
-  auto Send(Entry& entry, const JobPtr& job, const direct::Choice& choice) -> void {
-    auto& replica = *direct::Find(entry.replicas, kService, choice.id);
-    for (const auto& part : direct::UnkeptShared(replica.kept, job->prompt)) {
-      entry.kept_news.push_back({choice.id, part});
+auto Continue(Model& model, Entry& entry) -> void {
+  const auto need = [&](Ticket ticket) {
+    const auto& job = *entry.pending.at(ticket);
+    return direct::Need{.service = kService, .prompt = &job.prompt, .tried = &job.tried};
+  };
+  const direct::RoundInput input{entry.queue,           model.scenario.queue, entry.replicas,
+                                 model.scenario.policy, entry.origin,         need};
+  while (const auto settled = direct::NextSettled(entry.round, input, model.now)) {
+    const auto job = entry.pending.at(settled->ticket);
+    entry.pending.erase(settled->ticket);
+    direct::Remove(entry.queue, settled->workspace, settled->ticket);
+    if (settled->choice.status == direct::ChoiceStatus::chosen) {
+      Send(model, entry, job, settled->choice);
+    } else {
+      Refuse(model, job);
     }
-    job->assignment = direct::Assign(this->ToBooks(entry), kService, this->Name(*job), choice,
-                                     job->prompt, job->cost, this->now);
-    auto& engine = this->engines.at(choice.id);
-    this->Schedule(this->now + this->Delay(entry.domain, engine.domain),
-                   [this, job, &engine] { this->Receive(engine, job); });
   }
+}
+
+// Has the request wait for a replica.
+auto Wait(Model& model, const JobPtr& job, core::Time latest) -> void {
+  auto& entry = model.entries[job->entry];
+  job->latest = latest;
+  job->ticket = ++model.last_ticket;
+  entry.pending[job->ticket] = job;
+  direct::Enqueue(entry.queue, Name(model, *job), {job->ticket, 0, job->cost});
+  Continue(model, entry);
+  const auto ticket = job->ticket;
+  Schedule(model, std::max(latest, model.now), [&model, job, ticket] {
+    if (job->ticket == ticket) GiveUp(model, job);
+  });
+}
 
-  auto Receive(Engine& engine, const JobPtr& job) -> void {
-    if (engine.down) {
-      this->Fail(engine, job, direct::Fault::unreachable);
-      return;
+// Tells the entry that an attempt failed; it tries another replica or refuses the request.
+auto Fail(Model& model, Engine& engine, const JobPtr& job, direct::Fault fault) -> void {
+  const auto delay = Delay(model, engine.domain, model.entries[job->entry].domain);
+  Schedule(model, model.now + delay, [&model, job, fault] {
+    auto& entry = model.entries[job->entry];
+    const bool begun = job->assignment.begun;
+    auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
+    direct::Failed(replica, model.scenario.policy, fault, model.now);
+    direct::End(ToBooks(model, entry), job->assignment, model.now);
+    NewRound(model, entry);
+    if (begun) return;
+    if (fault == direct::Fault::unreachable) {
+      ++model.result.unreachable;
+      ++job->connects;
+    } else {
+      job->tried.insert(job->assignment.replica);
     }
-    const auto kept = direct::KeptTokens(engine.kept, direct::Keyed(job->prompt));
-    job->unread = std::max<double>(1, static_cast<double>(job->prompt.tokens_in) - kept);
-    this->result.read += job->unread;
-    for (const auto& part : direct::UnkeptShared(engine.kept, job->prompt)) {
-      if (!this->read_parts.insert(part.key).second) this->result.read_again += part.tokens;
+    if (job->connects < kMaxConnects && job->tried.size() < kMaxAttempts) {
+      Wait(model, job, job->latest);
+    } else {
+      Refuse(model, job);
     }
-    direct::Keep(engine.kept, job->prompt, kMemory);
-    engine.reading.push_back(job);
-    if (!std::exchange(engine.stepping, true)) this->Step(engine);
-  }
+  });
+}
 
-  // The engine went down with the request. One that had begun is lost to its caller.
-  auto Lose(Engine& engine, const JobPtr& job) -> void {
-    this->Fail(engine, job, direct::Fault::bad_answer);
-  }
+// The engine went down with the request. One that had begun is lost to its caller.
+auto Lose(Model& model, Engine& engine, const JobPtr& job) -> void {
+  Fail(model, engine, job, direct::Fault::bad_answer);
+}
 
-  // Tells the entry that an attempt failed; it tries another replica or refuses the request.
-  auto Fail(Engine& engine, const JobPtr& job, direct::Fault fault) -> void {
-    const auto delay = this->Delay(engine.domain, this->entries[job->entry].domain);
-    this->Schedule(this->now + delay, [this, job, fault] {
-      auto& entry = this->entries[job->entry];
-      const bool begun = job->assignment.begun;
-      auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
-      direct::Failed(replica, this->scenario.policy, fault, this->now);
-      direct::End(this->ToBooks(entry), job->assignment, this->now);
-      this->NewRound(entry);
-      if (begun) return;
-      if (fault == direct::Fault::unreachable) {
-        ++this->result.unreachable;
-        ++job->connects;
-      } else {
-        job->tried.insert(job->assignment.replica);
-      }
-      if (job->connects < kMaxConnects && job->tried.size() < kMaxAttempts) {
-        this->Wait(job, job->latest);
-      } else {
-        this->Refuse(job);
-      }
-    });
-  }
+auto Crash(Model& model, Engine& engine) -> void {
+  engine.down = true;
+  engine.stepping = false;
+  ++engine.run;
+  engine.kept = {};
+  for (const auto& job : std::exchange(engine.reading, {})) Lose(model, engine, job);
+  for (const auto& job : std::exchange(engine.running, {})) Lose(model, engine, job);
+}
 
-  // Runs one step of the engine: a chunk of the prompts in order of arrival, and one token of each
-  // running request.
-  auto Step(Engine& engine) -> void {
-    double chunk = kChunk;
-    std::size_t read = 0;
-    while (read < engine.reading.size() && chunk > 0) {
-      auto& job = *engine.reading[read];
-      const double part = std::min(chunk, job.unread);
-      job.unread -= part;
-      chunk -= part;
-      if (job.unread > 0) break;
-      ++read;
-    }
-    const auto running = static_cast<double>(engine.running.size());
-    const double ms =
-        (kStepMs + kStepMsPerRequest * running + (kChunk - chunk) / kReadTokensPerMs) *
-        engine.speed;
-    this->Schedule(this->now + ToDuration(ms), [this, &engine, read, run = engine.run] {
-      if (engine.run != run) return;
-      for (std::size_t i = 0; i < engine.running.size();) {
-        auto& job = engine.running[i];
-        if (--job->left > 0) {
-          ++i;
-          continue;
-        }
-        this->Notify(engine, job, true);
-        job = engine.running.back();
-        engine.running.pop_back();
-      }
-      for (std::size_t i = 0; i < read; ++i) {
-        const auto job = engine.reading.front();
-        engine.reading.pop_front();
-        engine.running.push_back(job);
-        this->Begin(*job);
-        this->Notify(engine, job, false);
-      }
-      engine.stepping = !engine.reading.empty() || !engine.running.empty();
-      if (engine.stepping) this->Step(engine);
-    });
+auto ScheduleCrash(Model& model) -> void {
+  const auto count = static_cast<std::size_t>(model.scenario.crash_share *
+                                              static_cast<double>(model.engines.size()));
+  std::vector<Engine*> crashed;
+  for (auto& [id, engine] : model.engines) crashed.push_back(&engine);
+  std::shuffle(crashed.begin(), crashed.end(), model.random);
+  crashed.resize(count);
+  for (auto* engine : crashed) {
+    Schedule(model, At(model, model.scenario.crash_from),
+             [&model, engine] { Crash(model, *engine); });
+    Schedule(model, At(model, model.scenario.crash_until), [engine] { engine->down = false; });
   }
+}
 
-  auto Begin(const Job& job) -> void {
-    auto& second = this->SecondOf(job, this->now);
-    second.begun += job.cost;
-    this->result.begun += job.cost;
-    const bool on_time = this->now - job.arrived <= job.objective;
-    ++(on_time ? this->result.on_time : this->result.late);
-    if (!on_time) second.lacking = true;
-  }
+auto PickDomain(Model& model, const DirectWorkspace& workspace) -> std::size_t {
+  const double second = Second(model, model.now);
+  const bool shifted = second >= model.scenario.shift_from && second < model.scenario.shift_until;
+  if (shifted && Uniform(model) < model.scenario.shift_share) return model.scenario.shift_to;
+  return workspace.domains[model.random() % workspace.domains.size()];
+}
 
-  // Tells the entry that its request has begun or ended.
-  auto Notify(Engine& engine, const JobPtr& job, bool ended) -> void {
-    const auto delay = this->Delay(engine.domain, this->entries[job->entry].domain);
-    this->Schedule(this->now + delay, [this, job, ended] {
-      auto& entry = this->entries[job->entry];
-      auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
-      if (ended) {
-        direct::End(this->ToBooks(entry), job->assignment, this->now);
-      } else {
-        direct::Begin(this->ToBooks(entry), job->assignment);
-        direct::Succeeded(replica);
-      }
-      this->NewRound(entry);
-    });
+auto PickClass(Model& model) -> std::size_t {
+  double point = Uniform(model);
+  for (std::size_t i = 0; i + 1 < model.scenario.classes.size(); ++i) {
+    point -= model.scenario.classes[i].rate_share;
+    if (point < 0) return i;
   }
+  return model.scenario.classes.size() - 1;
+}
 
-  auto ScheduleNews(std::size_t index) -> void {
-    const core::Duration gap = std::max<core::Duration>(
-        milliseconds((this->entries.size() - 1) * 1000 / kMessagesPerSecond), kMinMessageGap);
-    // Entries do not send in step.
-    const auto first = index == 0 || this->now == this->start
-                           ? ToDuration(this->Uniform() * static_cast<double>(gap.count()) / 1000)
-                           : gap;
-    this->Schedule(this->now + first, [this, index] {
-      this->Tell(this->entries[index]);
-      this->ScheduleNews(index);
-    });
-  }
+auto MakeJob(Model& model, std::size_t workspace) -> JobPtr {
+  const auto kind = PickClass(model);
+  const auto& spec = model.scenario.classes[kind];
+  auto job = std::make_shared<Job>();
+  job->workspace = workspace;
+  job->entry = PickEntry(model, PickDomain(model, model.scenario.workspaces[workspace]));
+  job->objective = spec.objective;
+  const auto thing = model.random() % spec.things;
+  const auto own = Draw(model, spec.own_tokens, spec.spread, spec.max_own_tokens);
+  // Sizes of shared parts differ, by half of the mean at most.
+  const double size = 0.5 + static_cast<double>(thing % 10) * 0.1;
+  const auto shared = static_cast<std::uint32_t>(spec.shared_tokens * size);
+  constexpr std::uint64_t thing_base = 1000;
+  constexpr std::uint64_t own_base = 1000000000;
+  auto& prompt = job->prompt;
+  prompt.model = "m";
+  prompt.parts = {{kind + 1, static_cast<std::uint32_t>(shared / 10)},
+                  {(workspace * thing_base + thing) * thing_base + kind + 1, shared},
+                  {own_base + ++model.serial, static_cast<std::uint32_t>(own)}};
+  for (const auto& part : prompt.parts) prompt.tokens_in += part.tokens;
+  const double output = Draw(model, spec.output_tokens, 0.6, spec.output_tokens * 3);
+  job->left = output;
+  // The caller's hint is right at the median but often far off.
+  prompt.tokens_out = static_cast<std::uint32_t>(output * Draw(model, 1, 0.5, 4));
+  job->cost = prompt.tokens_in + 2.0 * prompt.tokens_out;
+  job->arrived = model.now;
+  SecondOf(model, *job, model.now).asked += job->cost;
+  model.result.largest_request = std::max(model.result.largest_request, job->cost);
+  return job;
+}
 
-  auto CollectNews(Entry& entry) -> News {
-    News news;
-    for (const auto& [id, replica] : entry.replicas.services.begin()->second) {
-      const direct::Use use{replica.in_flight, replica.unread};
-      auto& told = entry.told_uses[id];
-      if (use == told) continue;
-      told = use;
-      news.uses.emplace_back(id, use);
-    }
-    const auto kept = std::min(kMaxKeptNews, entry.kept_news.size());
-    news.kept.assign(entry.kept_news.end() - static_cast<std::ptrdiff_t>(kept),
-                     entry.kept_news.end());
-    entry.kept_news.clear();
-    if (this->now - entry.accounts_at < kAccountGap) return news;
-    entry.accounts_at = this->now;
-    constexpr double least_change = 500;
-    for (const auto& [workspace, account] : entry.queue.accounts) {
-      const double used = direct::Used(account.own, this->scenario.queue, this->now);
-      const bool waiting = !account.waiting.empty();
-      auto& told = entry.told_accounts[workspace];
-      if (std::abs(used - told.first) < least_change && waiting == told.second) continue;
-      told = {used, waiting};
-      news.accounts.push_back({workspace, used, waiting});
-    }
-    return news;
-  }
+auto ScheduleArrival(Model& model, std::size_t index) -> void {
+  const auto& workspace = model.scenario.workspaces[index];
+  const double rate_max = workspace.rate * std::max(1.0, workspace.hot_factor);
+  const double gap = std::exponential_distribution<double>(rate_max)(model.random);
+  Schedule(model, model.now + ToDuration(gap * 1000), [&model, index, rate_max] {
+    const auto& workspace = model.scenario.workspaces[index];
+    const double second = Second(model, model.now);
+    const bool hot = second >= workspace.hot_from && second < workspace.hot_to;
+    const double rate = workspace.rate * (hot ? workspace.hot_factor : 1);
+    if (Uniform(model) * rate_max < rate) Arrive(model, MakeJob(model, index));
+    ScheduleArrival(model, index);
+  });
+}
 
-  auto Tell(Entry& entry) -> void {
-    const auto news = std::make_shared<const News>(this->CollectNews(entry));
-    for (auto& other : this->entries) {
-      if (&other == &entry) continue;
-      this->Schedule(this->now + this->Delay(entry.domain, other.domain),
-                     [this, &entry, &other, news] { this->Hear(other, entry.id, *news); });
-    }
-  }
+auto CollectNews(Model& model, Entry& entry) -> News {
+  News news;
+  for (const auto& [id, replica] : entry.replicas.services.begin()->second) {
+    const direct::Use use{replica.in_flight, replica.unread};
+    auto& told = entry.told_uses[id];
+    if (use == told) continue;
+    told = use;
+    news.uses.emplace_back(id, use);
+  }
+  const auto kept = std::min(kMaxKeptNews, entry.kept_news.size());
+  news.kept.assign(entry.kept_news.end() - static_cast<std::ptrdiff_t>(kept),
+                   entry.kept_news.end());
+  entry.kept_news.clear();
+  if (model.now - entry.accounts_at < kAccountGap) return news;
+  entry.accounts_at = model.now;
+  constexpr double least_change = 500;
+  for (const auto& [workspace, account] : entry.queue.accounts) {
+    const double used = direct::Used(account.own, model.scenario.queue, model.now);
+    const bool waiting = !account.waiting.empty();
+    auto& told = entry.told_accounts[workspace];
+    if (std::abs(used - told.first) < least_change && waiting == told.second) continue;
+    told = {used, waiting};
+    news.accounts.push_back({workspace, used, waiting});
+  }
+  return news;
+}
 
-  auto Hear(Entry& entry, const std::string& peer, const News& news) -> void {
-    bool freed = false;
-    for (const auto& [id, use] : news.uses) {
-      freed |= direct::SetPeerUse(entry.replicas, peer, id, use);
-    }
-    for (const auto& item : news.kept) {
-      auto& replica = *direct::Find(entry.replicas, kService, item.replica);
-      direct::Keep(replica.kept, item.part, this->scenario.policy.kept_capacity);
-    }
-    for (const auto& account : news.accounts) {
-      direct::SetPeerAccount(entry.queue, this->scenario.queue, account.workspace, peer,
-                             {{account.used, this->now}, account.waiting});
-    }
-    if (!freed || std::exchange(entry.freed, true)) return;
-    const auto at = std::max(this->now, entry.assigned_at + kAssignGap);
-    this->Schedule(at, [this, &entry] {
-      entry.freed = false;
-      entry.assigned_at = this->now;
-      this->NewRound(entry);
-    });
+auto Hear(Model& model, Entry& entry, const std::string& peer, const News& news) -> void {
+  bool freed = false;
+  for (const auto& [id, use] : news.uses) {
+    freed |= direct::SetPeerUse(entry.replicas, peer, id, use);
+  }
+  for (const auto& item : news.kept) {
+    auto& replica = *direct::Find(entry.replicas, kService, item.replica);
+    direct::Keep(replica.kept, item.part, model.scenario.policy.kept_capacity);
+  }
+  for (const auto& account : news.accounts) {
+    direct::SetPeerAccount(entry.queue, model.scenario.queue, account.workspace, peer,
+                           {{account.used, model.now}, account.waiting});
+  }
+  if (!freed || std::exchange(entry.freed, true)) return;
+  const auto at = std::max(model.now, entry.assigned_at + kAssignGap);
+  Schedule(model, at, [&model, &entry] {
+    entry.freed = false;
+    entry.assigned_at = model.now;
+    NewRound(model, entry);
+  });
+}
+
+auto Tell(Model& model, Entry& entry) -> void {
+  const auto news = std::make_shared<const News>(CollectNews(model, entry));
+  for (auto& other : model.entries) {
+    if (&other == &entry) continue;
+    Schedule(model, model.now + Delay(model, entry.domain, other.domain),
+             [&model, &entry, &other, news] { Hear(model, other, entry.id, *news); });
   }
+}
 
-  const DirectScenario& scenario;
-  std::mt19937_64 random;
-  const core::Time start{std::chrono::seconds(1000)};
-  core::Time now = start;
-  std::uint64_t serial = 0;
-  Ticket last_ticket = 0;
-  std::priority_queue<Event, std::vector<Event>, Later> events;
-  std::vector<Entry> entries;
-  std::map<std::string, Engine> engines;
-  std::set<std::uint64_t> read_parts;
-  DirectResult result;
-};
+auto ScheduleNews(Model& model, std::size_t index) -> void {
+  const core::Duration gap = std::max<core::Duration>(
+      milliseconds((model.entries.size() - 1) * 1000 / kMessagesPerSecond), kMinMessageGap);
+  // Entries do not send in step.
+  const auto first = index == 0 || model.now == model.start
+                         ? ToDuration(Uniform(model) * static_cast<double>(gap.count()) / 1000)
+                         : gap;
+  Schedule(model, model.now + first, [&model, index] {
+    Tell(model, model.entries[index]);
+    ScheduleNews(model, index);
+  });
+}
 
-auto DrawClasses() -> std::vector<DirectClass> {
-  return {{0.25, 5400, 6600, 1.4, 54000, 380, 312, milliseconds(1000)},
-          {0.39, 200, 630, 1.0, 3300, 290, 738, milliseconds(500)},
-          {0.36, 570, 1800, 1.3, 6900, 23, 1011, milliseconds(500)}};
+auto SetUp(Model& model) -> void {
+  SetUpReplicas(model);
+  SetUpEntries(model);
+  const auto seconds = static_cast<std::size_t>(model.scenario.seconds);
+  for (const auto& workspace : model.scenario.workspaces) {
+    model.result.seconds[workspace.name].resize(seconds + 1);
+  }
 }
 
 }  // namespace
@@ -627,85 +618,20 @@
   return least;
 }
 
-auto DrawScenario(std::uint64_t seed) -> DirectScenario {
-  std::mt19937_64 random(seed);
-  const auto uniform = [&](double from, double to) {
-    return std::uniform_real_distribution<double>(from, to)(random);
-  };
-  DirectScenario scenario;
-  scenario.name = "drawn-" + std::to_string(seed);
-  scenario.entries = 27 + random() % 5;
-  scenario.replicas = 50 + random() % 7;
-  scenario.classes = DrawClasses();
-  constexpr std::size_t workspaces = 30;
-  constexpr double total_rate = 950;
-  double weights = 0;
-  for (std::size_t i = 0; i < workspaces; ++i) {
-    DirectWorkspace workspace;
-    workspace.name = "w" + std::to_string(i);
-    workspace.rate = 1 / std::pow(static_cast<double>(i + 1), uniform(0.6, 1));
-    weights += workspace.rate;
-    // Callers of a workspace are in one domain, in a few, or in all.
-    const auto spread = random() % 3;
-    const std::size_t domains = spread == 0 ? 1 : spread == 1 ? 1 + random() % 3 : 6;
-    std::vector<std::size_t> all = {0, 1, 2, 3, 4, 5};
-    std::shuffle(all.begin(), all.end(), random);
-    workspace.domains.assign(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(domains));
-    scenario.workspaces.push_back(std::move(workspace));
-  }
-  for (auto& workspace : scenario.workspaces) workspace.rate *= total_rate / weights;
-  const std::size_t hot = 3 + random() % 9;
-  const double factor = uniform(4, 11);
-  for (std::size_t i = 0; i < hot; ++i) {
-    auto& workspace = scenario.workspaces[random() % workspaces];
-    workspace.hot_factor = factor;
-    workspace.hot_from = uniform(1, 3);
-    workspace.hot_to = workspace.hot_from + uniform(7, 10);
-  }
-  // A workspace with callers in all domains that asks for most while replicas are down.
-  if (random() % 2 == 0) {
-    scenario.crash_share = uniform(0.1, 0.3);
-    scenario.crash_from = uniform(4, 7);
-    scenario.crash_until = scenario.crash_from + uniform(1.5, 5);
-    auto& workspace = scenario.workspaces[random() % workspaces];
-    workspace.domains = {0, 1, 2, 3, 4, 5};
-    workspace.hot_factor = factor;
-    workspace.hot_from = scenario.crash_from;
-    workspace.hot_to = scenario.seconds;
-  }
-  scenario.shift_share = random() % 2 == 0 ? uniform(0.3, 0.6) : 0;
-  scenario.shift_to = random() % scenario.domains;
-  scenario.shift_from = uniform(2, 5);
-  scenario.shift_until = scenario.shift_from + uniform(4, 7);
-  return scenario;
-}
-
-auto CrashScenario() -> DirectScenario {
-  DirectScenario scenario;
-  scenario.name = "crash";
-  scenario.seconds = 13;
-  scenario.classes = DrawClasses();
-  scenario.crash_share = 0.25;
-  scenario.crash_from = 5;
-  scenario.crash_until = 9;
-  const std::vector<std::size_t> all = {0, 1, 2, 3, 4, 5};
-  for (int i = 0; i < 20; ++i) {
-    scenario.workspaces.push_back(
-        {.name = "small-" + std::to_string(i), .rate = 8, .domains = all});
-  }
-  scenario.workspaces.push_back({.name = "south", .rate = 700, .domains = {2}});
-  scenario.workspaces.push_back({.name = "north", .rate = 220, .domains = {3}});
-  scenario.workspaces.push_back({.name = "everywhere",
-                                 .rate = 40,
-                                 .hot_factor = 14,
-                                 .hot_from = 5,
-                                 .hot_to = 13,
-                                 .domains = all});
-  return scenario;
-}
-
 auto Run(const DirectScenario& scenario, std::uint64_t seed) -> DirectResult {
-  return Model(scenario, seed).Run();
+  Model model(scenario, seed);
+  SetUp(model);
+  for (std::size_t i = 0; i < model.scenario.workspaces.size(); ++i) ScheduleArrival(model, i);
+  for (std::size_t i = 0; i < model.entries.size(); ++i) ScheduleNews(model, i);
+  ScheduleCrash(model);
+  const auto end = At(model, scenario.seconds);
+  while (!model.events.empty() && model.events.top().at < end) {
+    const auto run = model.events.top().run;
+    model.now = model.events.top().at;
+    model.events.pop();
+    run();
+  }
+  return std::move(model.result);
 }
 
 }  // namespace filbertstair::bench
