--- a/bench/direct_model.cc
+++ b/bench/direct_model.cc
@@ -259,7 +259,7 @@
   Refuse(model, job);
 }
 
-auto ToBooks(const Model& model, Entry& entry) -> direct::Books {
+auto ToTables(const Model& model, Entry& entry) -> direct::AssignmentTables {
   return {entry.queue, model.scenario.queue, entry.replicas, model.scenario.policy};
 }
 
@@ -284,9 +284,9 @@
     auto& entry = model.entries[job->entry];
     auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
     if (ended) {
-      direct::End(ToBooks(model, entry), job->assignment, model.now);
+      direct::End(ToTables(model, entry), job->assignment, model.now);
     } else {
-      direct::Begin(ToBooks(model, entry), job->assignment);
+      direct::Begin(ToTables(model, entry), job->assignment);
       direct::Succeeded(replica);
     }
     NewRound(model, entry);
@@ -354,7 +354,7 @@
   for (const auto& part : direct::UnkeptShared(replica.kept, job->prompt)) {
     entry.kept_news.push_back({choice.id, part});
   }
-  job->assignment = direct::Assign(ToBooks(model, entry), kService, Name(model, *job), choice,
+  job->assignment = direct::Assign(ToTables(model, entry), kService, Name(model, *job), choice,
                                    job->prompt, job->cost, model.now);
   auto& engine = model.engines.at(choice.id);
   Schedule(model, model.now + Delay(model, entry.domain, engine.domain),
@@ -402,7 +402,7 @@
     const bool begun = job->assignment.begun;
     auto& replica = *direct::Find(entry.replicas, kService, job->assignment.replica);
     direct::Failed(replica, model.scenario.policy, fault, model.now);
-    direct::End(ToBooks(model, entry), job->assignment, model.now);
+    direct::End(ToTables(model, entry), job->assignment, model.now);
     NewRound(model, entry);
     if (begun) return;
     if (fault == direct::Fault::unreachable) {
--- a/libs/direct/include/filbertstair/direct/assignment.h
+++ b/libs/direct/include/filbertstair/direct/assignment.h
@@ -26,7 +26,7 @@
 };
 
 // Tables and bounds that an assignment changes.
-struct Books {
+struct AssignmentTables {
   FairQueue& queue;
   const QueuePolicy& queue_policy;
   ReplicaTable& replicas;
@@ -34,15 +34,16 @@
 };
 
 // Takes a slot of the chosen replica for the request and charges its workspace.
-auto Assign(const Books& books, const std::string& service, const std::string& workspace,
-            const Choice& choice, const Prompt& prompt, double cost, core::Time now) -> Assignment;
+auto Assign(const AssignmentTables& tables, const std::string& service,
+            const std::string& workspace, const Choice& choice, const Prompt& prompt, double cost,
+            core::Time now) -> Assignment;
 
 // Records the first part of the answer: the prompt has been read.
-auto Begin(const Books& books, Assignment& assignment) -> void;
+auto Begin(const AssignmentTables& tables, Assignment& assignment) -> void;
 
 // Records that the request is no longer at the replica and gives its slot back. A request that had
 // not begun gave its workspace nothing, so what is left of the charge is given back too.
-auto End(const Books& books, Assignment& assignment, core::Time now) -> void;
+auto End(const AssignmentTables& tables, Assignment& assignment, core::Time now) -> void;
 
 }  // namespace filbertstair::direct
 
--- a/libs/direct/src/assignment.cc
+++ b/libs/direct/src/assignment.cc
@@ -4,11 +4,12 @@
 
 namespace filbertstair::direct {
 
-auto Assign(const Books& books, const std::string& service, const std::string& workspace,
-            const Choice& choice, const Prompt& prompt, double cost, core::Time now) -> Assignment {
-  auto& replica = *Find(books.replicas, service, choice.id);
-  Assigned(replica, books.replica_policy, prompt, choice.unread);
-  Charge(books.queue, books.queue_policy, workspace, cost, now);
+auto Assign(const AssignmentTables& tables, const std::string& service,
+            const std::string& workspace, const Choice& choice, const Prompt& prompt, double cost,
+            core::Time now) -> Assignment {
+  auto& replica = *Find(tables.replicas, service, choice.id);
+  Assigned(replica, tables.replica_policy, prompt, choice.unread);
+  Charge(tables.queue, tables.queue_policy, workspace, cost, now);
   return {.service = service,
           .workspace = workspace,
           .replica = choice.id,
@@ -18,20 +19,20 @@
           .unread = choice.unread};
 }
 
-auto Begin(const Books& books, Assignment& assignment) -> void {
+auto Begin(const AssignmentTables& tables, Assignment& assignment) -> void {
   assignment.begun = true;
-  auto* replica = Find(books.replicas, assignment.service, assignment.replica);
+  auto* replica = Find(tables.replicas, assignment.service, assignment.replica);
   const auto unread = std::exchange(assignment.unread, 0);
   if (replica != nullptr) Began(*replica, unread);
 }
 
-auto End(const Books& books, Assignment& assignment, core::Time now) -> void {
+auto End(const AssignmentTables& tables, Assignment& assignment, core::Time now) -> void {
   if (!assignment.begun) {
     const Recent charged{assignment.cost, assignment.charged_at};
-    Charge(books.queue, books.queue_policy, assignment.workspace,
-           -Used(charged, books.queue_policy, now), now);
+    Charge(tables.queue, tables.queue_policy, assignment.workspace,
+           -Used(charged, tables.queue_policy, now), now);
   }
-  auto* replica = Find(books.replicas, assignment.service, assignment.replica);
+  auto* replica = Find(tables.replicas, assignment.service, assignment.replica);
   const auto unread = std::exchange(assignment.unread, 0);
   if (replica == nullptr) return;
   Began(*replica, unread);
--- a/libs/direct/test/assignment_test.cc
+++ b/libs/direct/test/assignment_test.cc
@@ -22,7 +22,7 @@
   const core::Time now{seconds(1000)};
   FairQueue queue;
   ReplicaTable replicas;
-  const Books books{queue, queue_policy, replicas, replica_policy};
+  const AssignmentTables tables{queue, queue_policy, replicas, replica_policy};
 
  public:
   auto setUp() -> void override {
@@ -37,15 +37,15 @@
     auto assignment = this->AssignOne();
     const auto later = this->now + milliseconds(700);
     CPPUNIT_ASSERT(this->UsedAt(later) > kCost / 2);
-    End(this->books, assignment, later);
+    End(this->tables, assignment, later);
     const Recent rest{500, this->now};
     CPPUNIT_ASSERT_DOUBLES_EQUAL(Used(rest, this->queue_policy, later), this->UsedAt(later), 1e-6);
   }
 
   auto testRequestThatBeganIsPaidFor() -> void {
     auto assignment = this->AssignOne();
-    Begin(this->books, assignment);
-    End(this->books, assignment, this->now);
+    Begin(this->tables, assignment);
+    End(this->tables, assignment, this->now);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(kCost, this->UsedAt(this->now), 1e-6);
   }
 
@@ -56,11 +56,11 @@
     auto second = this->AssignOne();
     auto& replica = *FindListed(this->replicas, "a");
     CPPUNIT_ASSERT_EQUAL(2u, replica.in_flight);
-    Begin(this->books, first);
-    End(this->books, first, this->now);
+    Begin(this->tables, first);
+    End(this->tables, first, this->now);
     CPPUNIT_ASSERT_EQUAL(1u, replica.in_flight);
     CPPUNIT_ASSERT_EQUAL(second.unread, replica.unread);
-    End(this->books, second, this->now);
+    End(this->tables, second, this->now);
     CPPUNIT_ASSERT_EQUAL(0u, replica.in_flight);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, replica.unread);
   }
@@ -70,7 +70,7 @@
     Prompt prompt;
     prompt.tokens_in = 12000;
     const Choice choice{ChoiceStatus::chosen, "a", "a", prompt.tokens_in};
-    return Assign(this->books, "llm", "w", choice, prompt, kCost, this->now);
+    return Assign(this->tables, "llm", "w", choice, prompt, kCost, this->now);
   }
 
   auto UsedAt(core::Time time) const -> double {
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -43,13 +43,13 @@
 }
 
 // Rounded up, so that a wait that ends at a deadline ends no sooner, and at least 1 ms.
-auto ToMilliseconds(core::Duration duration) -> std::chrono::milliseconds {
+auto RoundUp(core::Duration duration) -> std::chrono::milliseconds {
   return std::max(std::chrono::ceil<std::chrono::milliseconds>(duration),
                   std::chrono::milliseconds(1));
 }
 
 auto Remaining(const Call& call) -> std::chrono::milliseconds {
-  return ToMilliseconds(call.deadline - node::Now());
+  return RoundUp(call.deadline - node::Now());
 }
 
 auto CanTryAnother(const Call& call) -> bool {
@@ -78,7 +78,7 @@
   if (now >= wait.latest && ++wait.late > kMaxLatePieces) {
     throw core::Error(Step::read, assignment.address, "timed out");
   }
-  return exchange.Read(ToMilliseconds(wait.latest - now));
+  return exchange.Read(RoundUp(wait.latest - now));
 }
 
 // Reads the rest of a body that is not passed on, so that the connection can carry another request.
@@ -179,7 +179,7 @@
     const auto latest = Latest(call, true);
     Answer out;
     out.after_stray = stray > 0;
-    out.answer = call.exchange->ReadHead(ToMilliseconds(latest - node::Now()));
+    out.answer = call.exchange->ReadHead(RoundUp(latest - node::Now()));
     out.head = relay.dialect.read_answer(out.answer);
     if (out.head.attempt == call.head.attempt) return out;
     if (out.head.attempt.empty() && out.head.refused && !reused) return out;
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -6,7 +6,8 @@
 // News of shared parts that are kept for entries that link up later.
 constexpr std::size_t kMaxKeptNews = 2048;
 
-auto ToBooks(Relay& relay, DispatchTable& table, const std::string& service) -> direct::Books {
+auto ToTables(Relay& relay, DispatchTable& table, const std::string& service)
+    -> direct::AssignmentTables {
   return {table.queues[service], relay.policies.queue, table.replicas, relay.policies.replicas};
 }
 
@@ -20,7 +21,7 @@
     ++table.kept_count;
   }
   while (table.kept_news.size() > kMaxKeptNews) table.kept_news.pop_front();
-  pending.assignment = direct::Assign(ToBooks(relay, table, pending.service), pending.service,
+  pending.assignment = direct::Assign(ToTables(relay, table, pending.service), pending.service,
                                       pending.workspace, choice, prompt, pending.cost, now);
   table.usage[pending.service][pending.workspace].admitted += pending.cost;
 }
@@ -104,7 +105,7 @@
   const bool frees = assignment.unread > 0;
   relay.dispatch.With([&](DispatchTable& table) {
     table.usage[assignment.service][assignment.workspace].begun += assignment.cost;
-    direct::Begin(ToBooks(relay, table, assignment.service), assignment);
+    direct::Begin(ToTables(relay, table, assignment.service), assignment);
     if (frees) AssignWaiting(relay, table, assignment.service);
   });
   if (frees) WakePeers(relay);
@@ -112,7 +113,7 @@
 
 auto Release(Relay& relay, Assignment& assignment) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
-    direct::End(ToBooks(relay, table, assignment.service), assignment, node::Now());
+    direct::End(ToTables(relay, table, assignment.service), assignment, node::Now());
     AssignWaiting(relay, table, assignment.service);
   });
   WakePeers(relay);
