--- a/bench/direct_model.cc
+++ b/bench/direct_model.cc
@@ -1,14 +1,13 @@
 #include "direct_model.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <deque>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "filbertstair/direct/assignment.h"
@@ -419,18 +418,15 @@
   });
 }
 
-// The engine went down with the request. One that had begun is lost to its caller.
-auto Lose(Model& model, Engine& engine, const JobPtr& job) -> void {
-  Fail(model, engine, job, direct::Fault::bad_answer);
-}
-
+// Takes the engine down with its requests. Those that had begun are lost to their callers.
 auto Crash(Model& model, Engine& engine) -> void {
   engine.down = true;
   engine.stepping = false;
   ++engine.run;
   engine.kept = {};
-  for (const auto& job : std::exchange(engine.reading, {})) Lose(model, engine, job);
-  for (const auto& job : std::exchange(engine.running, {})) Lose(model, engine, job);
+  constexpr auto lost = direct::Fault::bad_answer;
+  for (const auto& job : std::exchange(engine.reading, {})) Fail(model, engine, job, lost);
+  for (const auto& job : std::exchange(engine.running, {})) Fail(model, engine, job, lost);
 }
 
 auto ScheduleCrash(Model& model) -> void {
--- a/bench/direct_model.h
+++ b/bench/direct_model.h
@@ -39,7 +39,6 @@
 };
 
 struct DirectScenario {
-  std::string name;
   std::size_t domains = 6;
   std::size_t regions = 3;
   std::size_t entries = 27;
--- a/bench/direct_scenarios.cc
+++ b/bench/direct_scenarios.cc
@@ -24,7 +24,6 @@
     return std::uniform_real_distribution<double>(from, to)(random);
   };
   DirectScenario scenario;
-  scenario.name = "drawn-" + std::to_string(seed);
   scenario.entries = 27 + random() % 5;
   scenario.replicas = 50 + random() % 7;
   scenario.classes = DrawClasses();
@@ -73,7 +72,6 @@
 
 auto CrashScenario() -> DirectScenario {
   DirectScenario scenario;
-  scenario.name = "crash";
   scenario.seconds = 13;
   scenario.classes = DrawClasses();
   scenario.crash_share = 0.25;
