Bound what an entry takes in by its processor cores, and screen refusals

Cause: an overloaded entry spends all of its processor time on refusals. It refused by the delay of its timers, and its timers were late because of the refusals: from the second second of a flood on it served nothing. A refusal took five or six turns of the worker, 110 ms each, so that callers left before they were refused.

Change: direct/intake.h bounds the requests that a worker takes in by a rate that follows the delay of timers and has a lower bound by cores (setting `cores`). The rate goes first to workspaces below their max-min share of what the entry takes in. While the rate is used up, a request that has arrived when its connection is accepted is refused by its head, with one read and one write, without a fiber. An entry whose timers are late by 200 ms takes nothing.

The tests of MustRefuse, RefusedShare and OwnLevel are replaced by ones of the functions that take their place, with the same figures; intake_test adds a flood on an entry of 0.09 cores, of which the old decision served nothing.

--- a/libs/direct/include/filbertstair/direct/pressure.h
+++ b/libs/direct/include/filbertstair/direct/pressure.h
@@ -10,15 +10,12 @@
   // turns of its worker up to its first event, so that it then loses 120 ms of an objective of
   // 250 ms or more. An entry that is in time is late by 1 to 3 ms.
   core::Duration behind = std::chrono::milliseconds(12);
-  // Delay from which new requests are refused, so that their callers turn to another entry while
-  // there is time: half of an objective of 500 ms. First those of workspaces that have their
-  // max-min share of what the entry gives.
-  core::Duration refuse = std::chrono::milliseconds(25);
-  // Part of that share from which a workspace is refused at the longest delay. Less service for
-  // all, in equal parts, lets the entry catch up.
-  double least_share = 0.25;
   // Longest delay that counts. A single one, as after the VM was suspended, is no overload.
   core::Duration max_delay = std::chrono::milliseconds(45);
+  // Mean delay from which nothing new is taken in, and the longest that counts for it. Ten turns take
+  // 2 s then, twice the longest objective, so that callers had better turn to another entry.
+  core::Duration stalled = std::chrono::milliseconds(200);
+  core::Duration max_stall = std::chrono::milliseconds(600);
   // Time for which an entry takes no new callers after it was behind. Callers come back as soon as
   // it is ready, so a shorter time would have it behind again at once.
   core::Duration recover = std::chrono::seconds(3);
@@ -28,6 +25,8 @@
 struct Pressure {
   // Mean delay of the timers, in which the last one counts for a quarter.
   core::Duration delay{};
+  // The same with a higher bound on the single delay.
+  core::Duration stall{};
   core::Time behind_until{};
 };
 
@@ -38,12 +37,8 @@
 // Whether the entry should leave new callers to others.
 auto IsBehind(const Pressure& pressure, core::Time now) -> bool;
 
-// Whether new requests may have to be refused at once.
-auto MustRefuse(const Pressure& pressure, const PressurePolicy& policy) -> bool;
-
-// Returns the part of its max-min share from which a workspace is refused then: 1 at the delay from
-// which requests are refused, down to the least share at the longest one.
-auto RefusedShare(const Pressure& pressure, const PressurePolicy& policy) -> double;
+// Whether the entry is so far behind that a new request would not begin in time.
+auto IsStalled(const Pressure& pressure, const PressurePolicy& policy) -> bool;
 
 }  // namespace filbertstair::direct
 
--- a/libs/direct/include/filbertstair/direct/queue.h
+++ b/libs/direct/include/filbertstair/direct/queue.h
@@ -38,8 +38,9 @@
 
 // A workspace's recent service and waiting requests.
 struct Account {
-  // Service asked of this entry, whether or not it was given.
+  // Service asked of this entry, and that of the requests which it took in.
   Recent asked;
+  Recent taken;
   // Service taken through this entry, and through others by their id.
   Recent own;
   std::map<std::string, PeerAccount> peers;
@@ -107,14 +108,16 @@
 auto Charge(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
             core::Time now) -> void;
 
-// Counts service that a workspace asked of this entry.
+// Counts service that a workspace asked of this entry, and that of a request which it took in.
 auto Ask(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace, double cost,
          core::Time now) -> void;
 
-// Returns the recent service through this entry beyond which a workspace has more than its max-min
-// share of what this entry gave in all. If all workspaces got what they asked, that is the service
-// of the one that got most.
-auto OwnLevel(const FairQueue& queue, const QueuePolicy& policy, core::Time now) -> double;
+auto NoteTaken(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+               double cost, core::Time now) -> void;
+
+// Returns the recent service beyond which a workspace has more than its max-min share of what this
+// entry took in. If all workspaces had all taken in, that is the service of the one that has most.
+auto IntakeShare(const FairQueue& queue, const QueuePolicy& policy, core::Time now) -> double;
 
 // Takes another entry's word on a workspace there, and forgets an entry that is gone.
 auto SetPeerAccount(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
--- a/libs/direct/src/queue.cc
+++ b/libs/direct/src/queue.cc
@@ -102,24 +102,29 @@
   Add(queue.accounts[workspace].asked, policy, cost, now);
 }
 
-auto OwnLevel(const FairQueue& queue, const QueuePolicy& policy, core::Time now) -> double {
+auto NoteTaken(FairQueue& queue, const QueuePolicy& policy, const std::string& workspace,
+               double cost, core::Time now) -> void {
+  Add(queue.accounts[workspace].taken, policy, cost, now);
+}
+
+auto IntakeShare(const FairQueue& queue, const QueuePolicy& policy, core::Time now) -> double {
   std::vector<double> asked;
   asked.reserve(queue.accounts.size());
-  double given = 0;
+  double total = 0;
   double most = 0;
   for (const auto& [workspace, account] : queue.accounts) {
-    const double own = Used(account.own, policy, now);
-    // What was given may still be remembered where a request was asked before it was given.
-    asked.push_back(std::max(own, Used(account.asked, policy, now)));
-    given += own;
-    most = std::max(most, own);
+    const double taken = Used(account.taken, policy, now);
+    // Rounding may leave less of what was asked than of what was taken in.
+    asked.push_back(std::max(taken, Used(account.asked, policy, now)));
+    total += taken;
+    most = std::max(most, taken);
   }
   std::sort(asked.begin(), asked.end());
   // Those that asked for least get it all; the rest is shared equally by the others.
   for (std::size_t i = 0; i < asked.size(); ++i) {
-    const double share = given / static_cast<double>(asked.size() - i);
+    const double share = total / static_cast<double>(asked.size() - i);
     if (asked[i] >= share) return std::min(share, most);
-    given -= asked[i];
+    total -= asked[i];
   }
   return most;
 }
--- /dev/null
+++ b/libs/direct/test/intake_test.cc
@@ -0,0 +1,151 @@
+#include "filbertstair/direct/intake.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "filbertstair/direct/queue.h"
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// An entry on a virtual clock whose only resource is processor time: work that is not done in one
+// step of 1 ms waits, and timers run late by as much.
+struct Entry {
+  double cores = 0.09;
+  // Processor time of a refusal, and of a request that is taken in, up to its end.
+  core::Duration refusal{30};
+  core::Duration request{700};
+  core::Duration backlog{};
+  // Mean delay of the timers, as Pressure has it.
+  core::Duration delay{};
+  core::Time now{seconds(1000)};
+  IntakePolicy policy;
+  QueuePolicy queue_policy;
+  Intake intake = MakeIntake(policy, cores, now);
+  FairQueue queue;
+  std::map<std::string, int> served;
+  // Least number of requests taken in within a second.
+  int least_second = 1 << 30;
+};
+
+constexpr double kCost = 5000;
+
+auto Arrive(Entry& entry, const std::string& workspace) -> void {
+  Ask(entry.queue, entry.queue_policy, workspace, kCost, entry.now);
+  const double share = IntakeShare(entry.queue, entry.queue_policy, entry.now);
+  const double taken =
+      Used(entry.queue.accounts.at(workspace).taken, entry.queue_policy, entry.now);
+  const auto standing = ToStanding(entry.policy, taken, share);
+  if (!MayTake(entry.intake, entry.policy, standing, entry.now)) {
+    entry.backlog += entry.refusal;
+    return;
+  }
+  Take(entry.intake, entry.policy, entry.now);
+  NoteTaken(entry.queue, entry.queue_policy, workspace, kCost, entry.now);
+  entry.backlog += entry.request;
+  ++entry.served[workspace];
+}
+
+auto Advance(Entry& entry) -> void {
+  constexpr core::Duration step = milliseconds(1);
+  constexpr core::Duration interval = milliseconds(50);
+  constexpr core::Duration max_delay = milliseconds(45);
+  entry.now += step;
+  const auto done = core::Duration(static_cast<std::int64_t>(1000 * entry.cores));
+  entry.backlog = std::max(core::Duration::zero(), entry.backlog - done);
+  if (entry.now.time_since_epoch() % interval != core::Duration::zero()) return;
+  const auto late = core::Duration(
+      static_cast<std::int64_t>(static_cast<double>(entry.backlog.count()) / entry.cores));
+  entry.delay += (std::min(late, max_delay) - entry.delay) / 4;
+  Adapt(entry.intake, entry.policy, entry.delay, entry.now);
+}
+
+// Runs the entry for `length` with requests a second by workspace.
+auto Play(Entry& entry, const std::map<std::string, int>& rates, seconds length) -> void {
+  std::map<std::string, double> due;
+  int before = 0;
+  for (int ms = 0; ms < length / milliseconds(1); ++ms) {
+    for (const auto& [workspace, rate] : rates) {
+      for (due[workspace] += rate / 1000.0; due[workspace] >= 1; --due[workspace]) {
+        Arrive(entry, workspace);
+      }
+    }
+    Advance(entry);
+    if (ms % 1000 != 999) continue;
+    int total = 0;
+    for (const auto& [workspace, count] : entry.served) total += count;
+    entry.least_second = std::min(entry.least_second, total - before);
+    before = total;
+  }
+}
+
+class IntakeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(IntakeTest);
+  CPPUNIT_TEST(testNotBoundedInTime);
+  CPPUNIT_TEST(testFloodIsServedThroughout);
+  CPPUNIT_TEST(testLeastRateWhateverTheDelay);
+  CPPUNIT_TEST(testSmallWorkspaceBesideAFlood);
+  CPPUNIT_TEST(testTwoFloodsShareEqually);
+  CPPUNIT_TEST(testBoundEndsWithTheFlood);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against refusals at an entry that is in time.
+  auto testNotBoundedInTime() -> void {
+    Entry entry;
+    Play(entry, {{"a", 60}}, seconds(5));
+    CPPUNIT_ASSERT(!IsTight(entry.intake, entry.policy, entry.now));
+    CPPUNIT_ASSERT_EQUAL(300, entry.served.at("a"));
+  }
+
+  // Guards against goodput that falls to nothing under a flood: an entry of 0.09 cores took in 74
+  // requests in the first second of 800, and none in the next ones.
+  auto testFloodIsServedThroughout() -> void {
+    Entry entry;
+    Play(entry, {{"flood", 800}}, seconds(10));
+    CPPUNIT_ASSERT(entry.least_second >= static_cast<int>(0.9 * 400 * entry.cores));
+    // Of 90 ms a second, 24 go to 800 refusals and the rest would serve 94 requests.
+    CPPUNIT_ASSERT(entry.served.at("flood") >= 10 * 94 * 2 / 3);
+  }
+
+  // Guards against an entry that takes nothing in because refusals alone take all of its time.
+  auto testLeastRateWhateverTheDelay() -> void {
+    Entry entry;
+    entry.refusal = core::Duration(200);
+    Play(entry, {{"flood", 2000}}, seconds(5));
+    CPPUNIT_ASSERT(entry.least_second >= static_cast<int>(0.9 * 400 * entry.cores));
+  }
+
+  // Guards against a workspace that asks for little and is refused because of a flood of another.
+  auto testSmallWorkspaceBesideAFlood() -> void {
+    Entry entry;
+    Play(entry, {{"flood", 800}, {"small", 10}}, seconds(10));
+    CPPUNIT_ASSERT(entry.served.at("small") >= 95);
+  }
+
+  // Guards against shares of an entry in proportion to what is asked of it.
+  auto testTwoFloodsShareEqually() -> void {
+    Entry entry;
+    Play(entry, {{"first", 600}, {"second", 150}}, seconds(10));
+    CPPUNIT_ASSERT(entry.served.at("second") * 3 >= entry.served.at("first") * 2);
+  }
+
+  // Guards against an entry that goes on refusing after a flood.
+  auto testBoundEndsWithTheFlood() -> void {
+    Entry entry;
+    Play(entry, {{"flood", 800}}, seconds(5));
+    Play(entry, {{"flood", 20}}, seconds(2));
+    CPPUNIT_ASSERT(!IsTight(entry.intake, entry.policy, entry.now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IntakeTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- a/libs/direct/test/queue_test.cc
+++ b/libs/direct/test/queue_test.cc
@@ -224,14 +224,14 @@
       for (const auto& [workspace, requests] : asked) {
         for (int i = 0; i < requests; ++i) {
           Ask(queue, this->policy, workspace, 100, at);
-          double given = 0;
+          double total = 0;
           for (const auto& [name, account] : queue.accounts) {
-            given += Used(account.own, this->policy, at);
+            total += Used(account.taken, this->policy, at);
           }
-          const double own = Used(queue.accounts.at(workspace).own, this->policy, at);
-          const bool overloaded = given > capacity * ticks;
-          if (overloaded && own >= OwnLevel(queue, this->policy, at)) continue;
-          Charge(queue, this->policy, workspace, 100, at);
+          const double taken = Used(queue.accounts.at(workspace).taken, this->policy, at);
+          const bool overloaded = total > capacity * ticks;
+          if (overloaded && taken >= IntakeShare(queue, this->policy, at)) continue;
+          NoteTaken(queue, this->policy, workspace, 100, at);
           got[workspace] += 100;
         }
       }
@@ -246,10 +246,10 @@
     FairQueue queue;
     for (const auto& [workspace, cost] : {std::pair("a", 100.0), std::pair("b", 300.0)}) {
       Ask(queue, this->policy, workspace, cost, this->now);
-      Charge(queue, this->policy, workspace, cost, this->now);
+      NoteTaken(queue, this->policy, workspace, cost, this->now);
     }
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(300, OwnLevel(queue, this->policy, this->now), 1e-6);
-    CPPUNIT_ASSERT_EQUAL(0.0, OwnLevel({}, this->policy, this->now));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(300, IntakeShare(queue, this->policy, this->now), 1e-6);
+    CPPUNIT_ASSERT_EQUAL(0.0, IntakeShare({}, this->policy, this->now));
   }
 
   auto testSweepKeepsTheServed() -> void {
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,13 @@
   std::string peer;
 };
 
+// A whole answer.
+struct HttpReply {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
 // Why a request could not be read.
 enum class RequestFault { none, malformed, header_too_large, body_too_large };
 
@@ -82,7 +90,12 @@
   // Whether to answer with "Connection: close", as while draining.
   std::function<bool()> closing;
   // The limits in force, asked before each request. Without it the listener's own hold.
-  std::function<HttpLimits()> limits;
+  std::function<HttpLimits()> limits{};
+  // Whether new connections are screened: a request that has arrived whole when its connection is
+  // accepted goes to `screen` without its body. If that returns an answer, the answer is sent and
+  // the connection closed, at a fraction of the cost of a fiber of its own. Neither may suspend.
+  std::function<bool()> screening{};
+  std::function<std::optional<HttpReply>(const HttpRequest&)> screen{};
 };
 
 // Handle on the connections of one worker's listener.
--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -2,8 +2,10 @@
 #define FILBERTSTAIR_NET_SRC_ACCEPTOR_H_
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cerrno>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,11 +20,20 @@
 using Tcp = boost::asio::ip::tcp;
 
 // Connections accepted in one turn of the worker. One a turn lets the backlog grow while the worker
-// has much to do, until all that is accepted has been given up by its caller.
-inline constexpr int kAcceptBatch = 64;
+// has much to do, until all that is accepted has been given up by its caller. Many more would hold
+// up the requests in hand: a screened connection takes some 30 us of processor time.
+inline constexpr int kAcceptBatch = 32;
 // Wait before accepting again after an error such as too many open files.
 inline constexpr std::chrono::milliseconds kAcceptBackoff{100};
 
+struct AcceptHandlers {
+  // Serves a connection on a fiber of its own; `arrived` was read from it already.
+  std::function<void(Tcp::socket, std::string arrived)> serve;
+  // Looks at a new connection before it gets a fiber, and may read what has arrived. Returns
+  // whether it is dealt with, and is then closed. Must not suspend. May be empty.
+  std::function<bool(int socket, std::string& arrived)> screen;
+};
+
 // Opens an acceptor with SO_REUSEPORT, so that every worker can listen on the same address and the
 // kernel spreads connections over them.
 inline auto OpenAcceptor(const std::string& address) -> std::shared_ptr<Tcp::acceptor> {
@@ -39,29 +50,43 @@
   return acceptor;
 }
 
-// Accepts the connections that wait. Returns the error that ended it, if any.
-inline auto AcceptWaiting(Tcp::acceptor& acceptor, const std::function<void(Tcp::socket)>& serve)
-    -> boost::system::error_code {
-  boost::system::error_code error;
+// Hands an accepted connection to a fiber of its own, unless it is dealt with at once.
+inline auto Dispatch(int accepted, const Tcp& protocol, const AcceptHandlers& handlers) -> void {
+  std::string arrived;
+  if (handlers.screen && handlers.screen(accepted, arrived)) {
+    close(accepted);
+    return;
+  }
+  boost::system::error_code ignored;
+  Tcp::socket socket(runtime::Io());
+  socket.assign(protocol, accepted, ignored);
+  socket.set_option(Tcp::no_delay(true), ignored);
+  auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+  runtime::Spawn([serve = handlers.serve, shared, arrived = std::move(arrived)] {
+    serve(std::move(*shared), arrived);
+  });
+}
+
+// Accepts the connections that wait. Returns whether it may go on without a pause.
+inline auto AcceptWaiting(Tcp::acceptor& acceptor, const Tcp& protocol,
+                          const AcceptHandlers& handlers) -> bool {
   for (int i = 0; i < kAcceptBatch; ++i) {
-    Tcp::socket socket(runtime::Io());
-    acceptor.accept(socket, error);
-    if (error == boost::asio::error::would_block) return {};
-    if (error) return error;
-    boost::system::error_code ignored;
-    socket.set_option(Tcp::no_delay(true), ignored);
-    auto shared = std::make_shared<Tcp::socket>(std::move(socket));
-    runtime::Spawn([serve, shared] { serve(std::move(*shared)); });
+    const int accepted =
+        accept4(acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0 && errno == ECONNABORTED) continue;
+    if (accepted < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
+    Dispatch(accepted, protocol, handlers);
   }
-  return error;
+  return true;
 }
 
-// Runs `serve` on a fiber of its own for each accepted connection.
-inline auto AcceptLoop(const std::shared_ptr<Tcp::acceptor>& acceptor,
-                       std::function<void(Tcp::socket)> serve) -> void {
-  runtime::Spawn([acceptor, serve = std::move(serve)] {
+// Accepts connections until the acceptor is closed.
+inline auto AcceptLoop(const std::shared_ptr<Tcp::acceptor>& acceptor, AcceptHandlers handlers)
+    -> void {
+  runtime::Spawn([acceptor, handlers = std::move(handlers)] {
     boost::system::error_code ignored;
     acceptor->non_blocking(true, ignored);
+    const auto protocol = acceptor->local_endpoint(ignored).protocol();
     while (acceptor->is_open()) {
       const auto result = runtime::Await([&](auto handler) {
         acceptor->async_wait(
@@ -69,7 +94,9 @@
             [handler](const boost::system::error_code& error) mutable { handler(error); });
       });
       if (!acceptor->is_open()) break;
-      if (result.error || AcceptWaiting(*acceptor, serve)) runtime::SleepFor(kAcceptBackoff);
+      if (result.error || !AcceptWaiting(*acceptor, protocol, handlers)) {
+        runtime::SleepFor(kAcceptBackoff);
+      }
     }
   });
 }
--- a/libs/net/src/h2.cc
+++ b/libs/net/src/h2.cc
@@ -446,13 +446,15 @@
 
 auto ListenStreams(const std::string& address, StreamHandler handler) -> void {
   const auto acceptor = detail::OpenAcceptor(address);
-  detail::AcceptLoop(acceptor, [handler = std::move(handler)](detail::Tcp::socket socket) {
+  detail::AcceptHandlers handlers;
+  handlers.serve = [handler = std::move(handler)](detail::Tcp::socket socket, const std::string&) {
     const std::string peer = detail::PeerName(socket);
     auto session = std::make_shared<detail::Session>(std::move(socket), peer);
     session->handler = handler;
     detail::InitSession(*session, true);
     detail::StartLoops(session);
-  });
+  };
+  detail::AcceptLoop(acceptor, std::move(handlers));
 }
 
 }  // namespace filbertstair::net
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,8 +6,10 @@
 #include <set>
 
 #include "acceptor.h"
+#include "beast_request.h"
 #include "filbertstair/core/error.h"
 #include "peek.h"
+#include "screen.h"
 
 namespace filbertstair::net {
 namespace detail {
@@ -51,14 +53,8 @@
 }
 
 auto ToRequest(http::request<http::string_body> message, const std::string& peer) -> HttpRequest {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-  }
+  auto request = ToHead(message.base(), peer);
   request.body = std::move(message.body());
-  request.peer = peer;
   return request;
 }
 
@@ -105,10 +101,14 @@
   return result.error;
 }
 
+auto LimitsInForce(const HttpListener::State& listener) -> HttpLimits {
+  return listener.handlers.limits ? listener.handlers.limits() : listener.limits;
+}
+
 auto ReadRequest(HttpListener::State& listener, beast::tcp_stream& stream,
                  beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
     -> boost::system::error_code {
-  const auto limits = listener.handlers.limits ? listener.handlers.limits() : listener.limits;
+  const auto limits = LimitsInForce(listener);
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   if (const auto error = AwaitRequest(listener, limits, stream, buffer)) return error;
@@ -156,13 +156,27 @@
   StopWatching(exchange);
 }
 
-auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket)
-    -> void {
+// Answers a refused request at once if all of it has arrived. Returns whether it did.
+auto Screen(const HttpListener::State& listener, int socket, std::string& arrived) -> bool {
+  if (!listener.handlers.screening()) return false;
+  arrived = TakeArrived(socket);
+  const auto request = ParseWhole(arrived, LimitsInForce(listener));
+  if (!request) return false;
+  const auto reply = listener.handlers.screen(*request);
+  if (!reply) return false;
+  SendAtOnce(socket, *reply);
+  return true;
+}
+
+auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
+                     std::string_view arrived) -> void {
   boost::system::error_code ignored;
   const auto remote = socket.remote_endpoint(ignored);
   const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
+  buffer.commit(boost::asio::buffer_copy(buffer.prepare(arrived.size()),
+                                         boost::asio::buffer(arrived.data(), arrived.size())));
   bool keep = true;
   while (keep && !listener->draining) {
     http::request_parser<http::string_body> parser;
@@ -286,9 +300,16 @@
   state->limits = limits;
   state->handlers = std::move(handlers);
   state->acceptor = detail::OpenAcceptor(address);
-  detail::AcceptLoop(state->acceptor, [state](detail::Tcp::socket socket) {
-    detail::ServeConnection(state, std::move(socket));
-  });
+  detail::AcceptHandlers accept;
+  accept.serve = [state](detail::Tcp::socket socket, const std::string& arrived) {
+    detail::ServeConnection(state, std::move(socket), arrived);
+  };
+  if (state->handlers.screen) {
+    accept.screen = [state](int socket, std::string& arrived) {
+      return detail::Screen(*state, socket, arrived);
+    };
+  }
+  detail::AcceptLoop(state->acceptor, std::move(accept));
   return HttpListener(state);
 }
 
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -2,9 +2,16 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
+#include <thread>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/net/address.h"
 #include "filbertstair/net/http_client.h"
 #include "filbertstair/runtime/pool.h"
 #include "filbertstair/runtime/signal.h"
@@ -16,8 +23,12 @@
 using std::chrono::milliseconds;
 constexpr milliseconds kTimeout{5000};
 
+// Refuses what is asked of "/refused"; set by tests that screen requests.
+using ScreenFunction = std::function<std::optional<HttpReply>(const HttpRequest&)>;
+
 auto RunPair(const std::function<void(const HttpRequest&, Responder&)>& server,
-             const std::function<void(const std::string&)>& client) -> void {
+             const std::function<void(const std::string&)>& client,
+             const ScreenFunction& screen = {}) -> void {
   const std::string address = FreeAddress();
   std::promise<void> listening;
   std::promise<std::string> done;
@@ -31,7 +42,9 @@
                     [](RequestFault fault, Responder& responder) {
                       responder.Respond(fault == RequestFault::body_too_large ? 413 : 400, {}, "");
                     },
-                .closing = [] { return false; }});
+                .closing = [] { return false; },
+                .screening = [] { return true; },
+                .screen = screen ? screen : [](const HttpRequest&) { return std::nullopt; }});
     listening.set_value();
   });
   listening.get_future().get();
@@ -45,6 +58,37 @@
 
 auto Get(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
 
+auto RefuseSome(const HttpRequest& request) -> std::optional<HttpReply> {
+  if (request.target != "/refused") return std::nullopt;
+  return HttpReply{503, {{"Retry-After", "1"}}, "busy"};
+}
+
+auto ToText(const std::string& target, const std::string& body) -> std::string {
+  return "POST " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Sends the bytes in two parts on a new connection, and returns all that comes back. Blocks the
+// worker, so that the server has to run on another one.
+auto SendInTwo(const std::string& address, const std::string& bytes, std::size_t cut)
+    -> std::string {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(ParseAddress(address));
+  boost::asio::write(socket, boost::asio::buffer(bytes.data(), cut));
+  if (cut > 0) std::this_thread::sleep_for(milliseconds(2));
+  boost::asio::write(socket, boost::asio::buffer(bytes.data() + cut, bytes.size() - cut));
+  std::string answer;
+  boost::system::error_code end;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), end);
+  return answer;
+}
+
+auto SendWhole(const std::string& address, const std::string& target, const std::string& body)
+    -> std::string {
+  return SendInTwo(address, ToText(target, body), 0);
+}
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(testWholeAnswer);
@@ -52,6 +96,8 @@
   CPPUNIT_TEST(testCutAnswerIsAnError);
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
+  CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
+  CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -116,6 +162,52 @@
             });
   }
 
+  // Guards against an overloaded entry that spends all of its time on refusals: a request that
+  // arrived before its connection was accepted gets its refusal without a fiber of its own.
+  auto testScreenedRequestIsAnsweredAtOnce() -> void {
+    RunPair(
+        [&](const HttpRequest& request, Responder& responder) {
+          responder.Respond(200, {}, request.target + request.body);
+          // Holds up the worker, so that what the client sends next has arrived when it is
+          // accepted.
+          if (request.target == "/hold") std::this_thread::sleep_for(milliseconds(50));
+        },
+        [&](const std::string& address) {
+          const std::string body(900, 'b');
+          for (int i = 0; i < 5; ++i) {
+            HttpExchange hold;
+            hold.Start(address, Get("/hold"), kTimeout, kTimeout);
+            const auto refused = SendWhole(address, "/refused", body);
+            CPPUNIT_ASSERT(refused.starts_with("HTTP/1.1 503 "));
+            CPPUNIT_ASSERT(refused.find("Connection: close\r\n") != std::string::npos);
+            CPPUNIT_ASSERT(refused.ends_with("\r\n\r\nbusy"));
+            HttpExchange hold_again;
+            hold_again.Start(address, Get("/hold"), kTimeout, kTimeout);
+            const auto taken = SendWhole(address, "/taken", body);
+            CPPUNIT_ASSERT(taken.starts_with("HTTP/1.1 200 "));
+            CPPUNIT_ASSERT(taken.ends_with("/taken" + body));
+          }
+        },
+        RefuseSome);
+  }
+
+  // Guards against a request that is refused before it was read, so that its caller's connection is
+  // reset, and against bytes that are lost between the screen and the connection's fiber.
+  auto testScreenedRequestThatArrivesInPieces() -> void {
+    RunPair([&](const HttpRequest& request,
+                Responder& responder) { responder.Respond(200, {}, request.body); },
+            [&](const std::string& address) {
+              const auto whole = ToText("/refused", std::string(900, 'p'));
+              for (std::size_t cut = 0; cut < whole.size(); cut += 97) {
+                const auto answer = SendInTwo(address, whole, cut);
+                CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 "));
+                const bool screened = answer.starts_with("HTTP/1.1 503 ");
+                CPPUNIT_ASSERT(screened || answer.ends_with(std::string(900, 'p')));
+              }
+            },
+            RefuseSome);
+  }
+
   // Guards against work that goes on for a caller that has left.
   auto testCallerGoneIsNoticed() -> void {
     runtime::Signal gone;
--- a/libs/node/include/filbertstair/node/refusal.h
+++ b/libs/node/include/filbertstair/node/refusal.h
@@ -25,8 +25,12 @@
 // Returns how a request that could not be read is refused.
 auto ToRefused(net::RequestFault fault) -> Refused;
 
-// Answers with the error object, and counts and logs the refusal. `id` and `workspace` are empty if
-// they are not known.
+// Counts and logs the refusal, and returns the answer with the error object. `id` and `workspace`
+// are empty if they are not known.
+auto ToReply(Node& node, const std::string& id, const std::string& workspace,
+             const Refused& refused) -> net::HttpReply;
+
+// Sends that answer.
 auto AnswerRefused(Node& node, const std::string& id, const std::string& workspace,
                    const Refused& refused, net::Responder& responder) -> void;
 
--- a/libs/node/src/refusal.cc
+++ b/libs/node/src/refusal.cc
@@ -45,8 +45,8 @@
   return refused;
 }
 
-auto AnswerRefused(Node& node, const std::string& id, const std::string& workspace,
-                   const Refused& refused, net::Responder& responder) -> void {
+auto ToReply(Node& node, const std::string& id, const std::string& workspace,
+             const Refused& refused) -> net::HttpReply {
   const auto reason = core::Name(refused.reason);
   const auto outcome = core::Name(refused.outcome);
   node.metrics.Count(Metric::refusals, reason);
@@ -73,7 +73,13 @@
   if (status == 429 || status == 503) {
     headers.emplace_back("Retry-After", FormatSeconds(refused.retry_after));
   }
-  responder.Respond(status, headers, boost::json::serialize(body) + "\n");
+  return {status, std::move(headers), boost::json::serialize(body) + "\n"};
+}
+
+auto AnswerRefused(Node& node, const std::string& id, const std::string& workspace,
+                   const Refused& refused, net::Responder& responder) -> void {
+  const auto reply = ToReply(node, id, workspace, refused);
+  responder.Respond(reply.status, reply.headers, reply.body);
 }
 
 auto LogCut(Node& node, const std::string& id, const std::string& workspace, const Refused& refused)
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -73,7 +73,7 @@
   pending->prompt = call.head.prompt ? &*call.head.prompt : nullptr;
   pending->tried = &call.tried;
   pending->workspace = call.workspace;
-  pending->cost = Cost(call);
+  pending->cost = call.cost;
   const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
     const auto id = ++table.last_ticket;
     auto& queue = table.queues[call.service];
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -69,6 +69,12 @@
     return relay->node.draining || direct::IsBehind(ThisWorker(*relay).pressure, node::Now());
   };
   handlers.limits = [relay] { return LimitsInForce(*relay); };
+  handlers.screening = [relay] {
+    const auto& worker = ThisWorker(*relay);
+    return direct::IsStalled(worker.pressure, relay->policies.pressure) ||
+           direct::IsTight(worker.intake, relay->policies.intake, node::Now());
+  };
+  handlers.screen = [relay](const net::HttpRequest& head) { return ScreenRequest(*relay, head); };
   ThisWorker(*relay).callers =
       std::make_shared<net::HttpListener>(net::ListenHttp(address, {}, std::move(handlers)));
   telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
@@ -134,15 +140,20 @@
   }
 }
 
-// Watches how late the worker's timers run.
+// Watches how late the worker's timers run, and adapts what it takes in.
 auto WatchPressure(Relay& relay) -> void {
   auto& pressure = ThisWorker(relay).pressure;
+  auto& intake = ThisWorker(relay).intake;
+  const double cores = relay.node.settings.cores.value_or(0);
+  intake = direct::MakeIntake(relay.policies.intake,
+                              cores / static_cast<double>(relay.workers.size()), node::Now());
   while (true) {
     const auto due = node::Now() + kPressureInterval;
     runtime::SleepFor(kPressureInterval);
     const auto now = node::Now();
     const bool before = pressure.behind_until != core::Time{};
     direct::NoteDelay(pressure, relay.policies.pressure, now - due, now);
+    direct::Adapt(intake, relay.policies.intake, pressure.delay, now);
     const bool behind = direct::IsBehind(pressure, now);
     if (behind == before) continue;
     if (!behind) pressure.behind_until = {};
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -24,8 +24,8 @@
 // Time after which a caller comes back to an entry that has no configuration, or a stale one.
 constexpr core::Duration kRetryConfigured = std::chrono::milliseconds(500);
 
-// Interval at which the shares of an overloaded entry are computed anew, as that of the delay.
-constexpr core::Duration kLevelInterval = std::chrono::milliseconds(50);
+// Interval at which the shares of what the entry takes in are computed anew, as that of the delay.
+constexpr core::Duration kShareInterval = std::chrono::milliseconds(50);
 // Time after which a caller comes back, most likely to another entry, if this one is overloaded.
 constexpr core::Duration kRetryOverloaded = std::chrono::milliseconds(100);
 
@@ -54,36 +54,49 @@
   return std::nullopt;
 }
 
-// Returns the recent service from which a workspace has its share of what this entry gives the
-// service. Looking at all workspaces for each request would add to the overload.
-auto LevelInForce(Relay& relay, DispatchTable& table, const std::string& service) -> double {
-  const auto now = node::Now();
-  auto& level = table.levels[service];
-  if (now >= level.until) {
-    level = {direct::OwnLevel(table.queues[service], relay.policies.queue, now),
-             now + kLevelInterval};
+// Returns the max-min share of what this entry takes in of the service. Looking at all workspaces
+// for each request would add to the overload.
+auto ShareOf(Relay& relay, DispatchTable& table, const std::string& service, core::Time now)
+    -> double {
+  auto& share = table.shares[service];
+  if (now >= share.until) {
+    share = {direct::IntakeShare(table.queues[service], relay.policies.queue, now),
+             now + kShareInterval};
   }
-  return level.service;
+  return share.service;
 }
 
-// Refuses a request if this entry is so far behind with its work that another one is faster, and
-// its workspace has had its share here.
-auto RefuseBehind(Relay& relay, const Call& call) -> std::optional<Refused> {
-  const auto& pressure = ThisWorker(relay).pressure;
-  const auto& policy = relay.policies.pressure;
-  if (!direct::MustRefuse(pressure, policy)) return std::nullopt;
-  const double part = direct::RefusedShare(pressure, policy);
-  const bool served = relay.dispatch.With([&](DispatchTable& table) {
-    const auto& account = table.queues[call.service].accounts[call.workspace];
-    const double own = direct::Used(account.own, relay.policies.queue, node::Now());
-    return own >= part * LevelInForce(relay, table, call.service);
-  });
-  if (!served) return std::nullopt;
+auto RefuseOverloaded(const WorkerState& worker, const std::string& why) -> Refused {
   return Refuse(Reason::overloaded, Step::queue,
-                "timers run late by " + std::to_string(pressure.delay.count()) + " us",
+                "timers run late by " + std::to_string(worker.pressure.delay.count()) + " us" + why,
                 kRetryOverloaded);
 }
 
+// Refuses a request beyond the rate that this entry takes in.
+auto RefuseBeyondIntake(Relay& relay, const Call& call) -> std::optional<Refused> {
+  const auto& worker = ThisWorker(relay);
+  const auto& policy = relay.policies.intake;
+  const auto now = node::Now();
+  if (direct::IsStalled(worker.pressure, relay.policies.pressure)) {
+    return RefuseOverloaded(worker, "");
+  }
+  if (!direct::IsTight(worker.intake, policy, now)) return std::nullopt;
+  const auto standing = relay.dispatch.With([&](DispatchTable& table) {
+    const auto& account = table.queues[call.service].accounts[call.workspace];
+    return direct::ToStanding(policy, direct::Used(account.taken, relay.policies.queue, now),
+                              ShareOf(relay, table, call.service, now));
+  });
+  if (direct::MayTake(worker.intake, policy, standing, now)) return std::nullopt;
+  return RefuseOverloaded(worker,
+                          "; the workspace is " + std::string(core::Name(standing)) + " its share");
+}
+
+auto CostOf(const CallHead& head) -> double {
+  if (!head.prompt) return 1;
+  // A generated token counts twice.
+  return head.prompt->tokens_in + 2.0 * head.prompt->tokens_out;
+}
+
 auto Resolve(Relay& relay, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (call.fleet == nullptr) {
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
@@ -103,11 +116,9 @@
   }
   if (auto refused = Authorize(relay, call, call.workspace)) return refused;
   call.service = direct::PickService(*call.route, std::hash<std::string>()(call.head.attempt));
+  call.cost = CostOf(call.head);
   call.deadline = call.arrived +
                   std::min(call.route->timeout, call.head.remaining.value_or(call.route->timeout));
-  relay.node.traces.With([&](node::TraceTable& table) {
-    node::SetTarget(table, call.id, call.service, call.workspace);
-  });
   return std::nullopt;
 }
 
@@ -241,16 +252,17 @@
 
 auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
             net::Responder& responder) -> std::optional<Refused> {
-  // The workspace is found first, so that the refusals of an overloaded entry can be told apart.
   if (auto refused = Resolve(relay, request, *call)) return refused;
+  relay.node.traces.With([&](node::TraceTable& table) {
+    node::SetTarget(table, call->id, call->service, call->workspace);
+  });
   CountAsked(relay, *call);
-  if (auto refused = RefuseBehind(relay, *call)) {
+  if (auto refused = RefuseBeyondIntake(relay, *call)) {
     CountRefused(relay, *call, refused->reason);
     return refused;
   }
-  relay.dispatch.With([&](DispatchTable& table) {
-    direct::CountRequest(table.budgets[call->service], relay.policies.budget, node::Now());
-  });
+  direct::Take(ThisWorker(relay).intake, relay.policies.intake, node::Now());
+  CountTaken(relay, *call);
   WatchCaller(call, responder);
   auto refused = RunAttempts(relay, *call, request, responder);
   if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
@@ -290,17 +302,32 @@
   }
 }
 
+auto ReadCall(Relay& relay, const net::HttpRequest& request, Call& call) -> void {
+  call.head = relay.dialect.read_call(request);
+  // The caller's own id, so that a complaint leads straight to the lines of the request.
+  call.id = IsPlain(call.head.attempt) ? call.head.attempt : node::NextRequestId(relay.node);
+  call.arrived = node::Now();
+  call.fleet = CurrentFleet(relay);
+}
+
 }  // namespace
 
+auto ScreenRequest(Relay& relay, const net::HttpRequest& head) -> std::optional<net::HttpReply> {
+  Call call;
+  ReadCall(relay, head, call);
+  if (Resolve(relay, head, call)) return std::nullopt;
+  const auto refused = RefuseBeyondIntake(relay, call);
+  if (!refused) return std::nullopt;
+  CountAsked(relay, call);
+  CountRefused(relay, call, refused->reason);
+  return node::ToReply(relay.node, call.id, call.workspace, *refused);
+}
+
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void {
   const node::InFlightGuard in_flight(relay.node.in_flight);
   const auto call = std::make_shared<Call>();
-  call->head = relay.dialect.read_call(request);
-  // The caller's own id, so that a complaint leads straight to the lines of the request.
-  call->id = IsPlain(call->head.attempt) ? call->head.attempt : node::NextRequestId(relay.node);
-  call->arrived = node::Now();
-  call->fleet = CurrentFleet(relay);
+  ReadCall(relay, request, *call);
   node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
   try {
     Finish(relay, *call, Handle(relay, request, call, responder), responder);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -16,6 +16,7 @@
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
 #include "filbertstair/direct/fleet.h"
+#include "filbertstair/direct/intake.h"
 #include "filbertstair/direct/pressure.h"
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
@@ -58,8 +59,8 @@
   direct::KeptParts::Item part;
 };
 
-// Recent service from which a workspace has its share of an overloaded entry.
-struct ShareLevel {
+// Max-min share of what this entry takes in, in recent service, and how long it is in force.
+struct ShareInForce {
   double service = 0;
   core::Time until{};
 };
@@ -71,8 +72,8 @@
   // The round of assignments of each service that arriving requests continue.
   std::map<std::string, direct::Round, std::less<>> rounds;
   std::map<std::string, direct::Budget, std::less<>> budgets;
-  // By service; used while the entry is overloaded.
-  std::map<std::string, ShareLevel, std::less<>> levels;
+  // By service; used while the entry bounds what it takes in.
+  std::map<std::string, ShareInForce, std::less<>> shares;
   // Usage since the last log lines, by service.
   std::map<std::string, direct::UsageTable, std::less<>> usage;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
@@ -96,6 +97,7 @@
   std::map<std::string, std::list<IdleConnection>> idle;
   std::shared_ptr<net::HttpListener> callers;
   direct::Pressure pressure;
+  direct::Intake intake;
 };
 
 // Another entry, by the address of its listener.
@@ -118,6 +120,7 @@
   direct::QueuePolicy queue;
   direct::BudgetPolicy budget;
   direct::PressurePolicy pressure;
+  direct::IntakePolicy intake;
 };
 
 struct Relay {
@@ -157,6 +160,8 @@
   const direct::Route* route = nullptr;
   std::string service;
   std::string workspace;
+  // Service that the request is expected to take: tokens for a model, 1 otherwise.
+  double cost = 1;
   std::shared_ptr<Pending> pending = std::make_shared<Pending>();
   // Connection to the replica while there is one.
   Exchange exchange;
@@ -197,11 +202,13 @@
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
-// Service that a request is expected to take: tokens for a model, 1 otherwise.
-auto Cost(const Call& call) -> double;
+// Returns the answer to a request that this entry does not take in, by its head alone. Nothing if
+// it may be taken in, or is to be answered otherwise. Does not suspend.
+auto ScreenRequest(Relay& relay, const net::HttpRequest& head) -> std::optional<net::HttpReply>;
 
-// Counts a request that arrived, and one that was refused.
+// Counts a request that arrived, one that was taken in, and one that was refused.
 auto CountAsked(Relay& relay, const Call& call) -> void;
+auto CountTaken(Relay& relay, const Call& call) -> void;
 auto CountRefused(Relay& relay, const Call& call, core::Reason reason) -> void;
 
 // Writes the log lines of the workspaces that asked for most since the last call.
--- a/libs/relay/src/usage.cc
+++ b/libs/relay/src/usage.cc
@@ -32,22 +32,25 @@
 
 }  // namespace
 
-auto Cost(const Call& call) -> double {
-  if (!call.head.prompt) return 1;
-  // A generated token counts twice.
-  return call.head.prompt->tokens_in + 2.0 * call.head.prompt->tokens_out;
-}
-
 auto CountAsked(Relay& relay, const Call& call) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
     auto& usage = table.usage[call.service][call.workspace];
     ++usage.requests;
-    usage.asked += Cost(call);
-    direct::Ask(table.queues[call.service], relay.policies.queue, call.workspace, Cost(call),
+    usage.asked += call.cost;
+    direct::Ask(table.queues[call.service], relay.policies.queue, call.workspace, call.cost,
                 node::Now());
   });
 }
 
+auto CountTaken(Relay& relay, const Call& call) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    const auto now = node::Now();
+    direct::NoteTaken(table.queues[call.service], relay.policies.queue, call.workspace, call.cost,
+                      now);
+    direct::CountRequest(table.budgets[call.service], relay.policies.budget, now);
+  });
+}
+
 auto CountRefused(Relay& relay, const Call& call, core::Reason reason) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
     auto& usage = table.usage[call.service][call.workspace];
--- a/libs/settings/include/filbertstair/settings/settings.h
+++ b/libs/settings/include/filbertstair/settings/settings.h
@@ -37,6 +37,8 @@
   std::string region;
   std::string failure_domain;
   std::uint32_t workers = 2;
+  // Processor cores that the process may use, if its VM or container limits them.
+  std::optional<double> cores;
 
   // Entry: who admits requests, and the region of each failure domain, which an entry that admits
   // by itself needs to tell near replicas from far ones.
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -103,6 +103,8 @@
       {"failure_domain", true, identifier(out.failure_domain)},
       {"workers", false,
        [&](const Cursor& field) { schema::ReadInteger(field, 1u, 64u, out.workers); }},
+      {"cores", false,
+       [&](const Cursor& field) { schema::ReadNumber(field, 0.01, 64, out.cores.emplace()); }},
       {"listen", true,
        [&](const Cursor& field) { ReadListen(field, role.value_or(core::Role::entry), out); }},
       {"seeds", false, [&](const Cursor& field) { ReadSeeds(field, out.seeds); }},
