Decide the rotation by failure domain

Cause: each entry that was behind left the rotation by itself, whoever else had left.

Change: entries tell each other their failure domain, cores and rotation state. An entry that is behind leaves only if at least half of its failure domain stays (direct/rotation.h); the weakest leave first, and entries that stop, have no current configuration or are gone count as out. One or two entries may all leave, as before: the balancer then turns to other failure domains. An entry that is behind and stays keeps its connections, since a caller would come back to it on a new one.

peers_test.testEnoughEntriesStayInRotation failed before: all three entries left.

--- a/libs/direct/include/filbertstair/direct/rotation.h
+++ b/libs/direct/include/filbertstair/direct/rotation.h
@@ -4,14 +4,11 @@
 #include <span>
 #include <string>
 
-#include "filbertstair/core/names.h"
 #include "filbertstair/core/types.h"
 
 namespace filbertstair::direct {
 
-// State of an entry towards the balancer: it takes new callers, it is behind with its work and
-// would leave them to others, or it takes none for another reason, as while it stops.
-enum class RotationState { serving, behind, out };
+using core::RotationState;
 
 // An entry of a failure domain.
 struct RotationMember {
@@ -36,12 +33,4 @@
 
 }  // namespace filbertstair::direct
 
-namespace filbertstair::core {
-template <>
-inline constexpr NameTable<direct::RotationState, 3> kNames<direct::RotationState>{
-    {{direct::RotationState::serving, "serving"},
-     {direct::RotationState::behind, "behind"},
-     {direct::RotationState::out, "out"}}};
-}  // namespace filbertstair::core
-
 #endif  // FILBERTSTAIR_DIRECT_ROTATION_H_
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/direct/links.h"
@@ -20,6 +21,9 @@
 constexpr core::Duration kSilence = std::chrono::milliseconds(2500);
 // Time for which an address is tried without success before it is forgotten, unless it is a seed.
 constexpr core::Duration kForgetAfter = std::chrono::seconds(30);
+// Time for which an entry of the failure domain whose link is gone counts as out of rotation. The
+// balancer counts it until its VM is replaced.
+constexpr core::Duration kRememberNeighbor = std::chrono::seconds(60);
 // Least time between two messages about accounts; shares are compared over seconds.
 constexpr core::Duration kAccountInterval = std::chrono::milliseconds(100);
 // Change of an account's recent service that is worth a message, in tokens or requests.
@@ -41,6 +45,7 @@
   };
   std::map<std::pair<std::string, std::string>, Account> accounts;
   core::Time accounts_at{};
+  core::RotationState rotation = core::RotationState::serving;
   // Number of the news of kept parts.
   std::uint64_t kept_count = 0;
   core::Time heard{};
@@ -95,6 +100,12 @@
   const auto now = node::Now();
   wire::EntryState message;
   message.lease_us = static_cast<std::uint64_t>(FleetLease(relay).count());
+  constexpr double millicores = 1000;
+  message.failure_domain = relay.node.settings.failure_domain;
+  message.millicores =
+      static_cast<std::uint32_t>(millicores * relay.node.settings.cores.value_or(1));
+  message.rotation = relay.rotation;
+  const bool turned = std::exchange(told.rotation, message.rotation) != message.rotation;
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicas(table, told, message);
     CollectKept(table, told, message);
@@ -106,7 +117,7 @@
       for (const auto& [address, peer] : table.peers) message.known.push_back(address);
     });
   }
-  if (period_over || !message.replicas.empty() || !message.accounts.empty()) {
+  if (period_over || turned || !message.replicas.empty() || !message.accounts.empty()) {
     outbox.Push(std::move(message));
   }
 }
@@ -134,6 +145,9 @@
   relay.peers.With([&](PeerTable& table) {
     const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
     table.current_until[peer] = now + core::Duration(lease);
+    if (message.failure_domain != relay.node.settings.failure_domain) return;
+    constexpr double cores = 0.001;
+    table.neighbors[peer] = {{peer, message.millicores * cores, message.rotation}, now};
   });
   if (!message.address.empty()) Learn(relay, message.address);
   for (const auto& address : message.known) Learn(relay, address);
@@ -146,7 +160,13 @@
       direct::DropPeer(queue, relay.policies.queue, peer, node::Now());
     }
   });
-  relay.peers.With([&](PeerTable& table) { table.current_until.erase(peer); });
+  relay.peers.With([&](PeerTable& table) {
+    table.current_until.erase(peer);
+    const auto neighbor = table.neighbors.find(peer);
+    if (neighbor == table.neighbors.end()) return;
+    neighbor->second.member.state = core::RotationState::out;
+    neighbor->second.heard = node::Now();
+  });
 }
 
 // Each entry tells its state on the links that it opened and hears the others' on those that it
@@ -291,6 +311,16 @@
   for (const auto& seed : seeds) AddPeer(relay, settings::FormatAddress(seed), true);
 }
 
+auto Neighbors(Relay& relay) -> std::vector<direct::RotationMember> {
+  return relay.peers.With([now = node::Now()](PeerTable& table) {
+    std::erase_if(table.neighbors,
+                  [now](const auto& item) { return now - item.second.heard > kRememberNeighbor; });
+    std::vector<direct::RotationMember> members;
+    for (const auto& [id, neighbor] : table.neighbors) members.push_back(neighbor.member);
+    return members;
+  });
+}
+
 auto CountEntries(Relay& relay) -> std::size_t {
   return relay.peers.With([](const PeerTable& table) {
     const auto others = std::count_if(table.peers.begin(), table.peers.end(),
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -32,7 +32,7 @@
 // there are any; without the platform all serve what needs no credential.
 auto IsReady(Relay& relay) -> bool {
   if (relay.node.draining || CurrentFleet(relay) == nullptr) return false;
-  if (direct::IsBehind(ThisWorker(relay).pressure, node::Now())) return false;
+  if (relay.left_rotation) return false;
   if (HasCurrentFleet(relay)) return true;
   return relay.peers.With([now = node::Now()](const PeerTable& table) {
     return std::none_of(table.current_until.begin(), table.current_until.end(),
@@ -65,9 +65,8 @@
   handlers.fault = [relay](net::RequestFault fault, net::Responder& responder) {
     node::AnswerRefused(relay->node, "", "", node::ToRefused(fault), responder);
   };
-  handlers.closing = [relay] {
-    return relay->node.draining || direct::IsBehind(ThisWorker(*relay).pressure, node::Now());
-  };
+  // Callers of an entry that stays in rotation would come back to it on new connections.
+  handlers.closing = [relay] { return relay->node.draining || relay->left_rotation; };
   handlers.limits = [relay] { return LimitsInForce(*relay); };
   handlers.screening = [relay] {
     const auto& worker = ThisWorker(*relay);
@@ -84,6 +83,14 @@
   const auto now = node::Now();
   const auto fleet = CurrentFleet(relay);
   status["fleet_version"] = fleet == nullptr ? 0 : fleet->version;
+  status["rotation"] = core::Name(relay.rotation.load());
+  status["left_rotation"] = relay.left_rotation.load();
+  boost::json::array neighbors;
+  for (const auto& neighbor : Neighbors(relay)) {
+    neighbors.push_back(
+        {{"id", neighbor.id}, {"cores", neighbor.cores}, {"rotation", core::Name(neighbor.state)}});
+  }
+  status["neighbors"] = std::move(neighbors);
   status["confirmed_age_us"] = (BootTime() - core::Duration(relay.confirmed.load())).count();
   relay.dispatch.With([&](const DispatchTable& table) {
     boost::json::array replicas;
@@ -140,6 +147,23 @@
   }
 }
 
+// Decides anew whether this entry leaves new callers to others of its failure domain, and tells the
+// others of its state.
+auto UpdateRotation(Relay& relay, bool behind) -> void {
+  using core::RotationState;
+  const bool out = relay.node.draining || !HasCurrentFleet(relay);
+  const auto state = out      ? RotationState::out
+                     : behind ? RotationState::behind
+                              : RotationState::serving;
+  const direct::RotationMember self{relay.node.settings.id, relay.node.settings.cores.value_or(1),
+                                    state};
+  const bool left = behind && direct::MayLeave(relay.policies.rotation, self, Neighbors(relay));
+  if (relay.rotation.exchange(state) != state) WakePeers(relay);
+  if (relay.left_rotation.exchange(left) == left) return;
+  telemetry::Log(Level::info, Event::rotation_changed,
+                 {{"state", core::Name(state)}, {"left", left ? "true" : "false"}});
+}
+
 // Watches how late the worker's timers run, and adapts what it takes in.
 auto WatchPressure(Relay& relay) -> void {
   auto& pressure = ThisWorker(relay).pressure;
@@ -155,6 +179,7 @@
     direct::NoteDelay(pressure, relay.policies.pressure, now - due, now);
     direct::Adapt(intake, relay.policies.intake, pressure.delay, now);
     const bool behind = direct::IsBehind(pressure, now);
+    if (runtime::WorkerIndex() == 0) UpdateRotation(relay, behind);
     if (behind == before) continue;
     if (!behind) pressure.behind_until = {};
     telemetry::Log(behind ? Level::warning : Level::info,
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -20,6 +20,7 @@
 #include "filbertstair/direct/pressure.h"
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
+#include "filbertstair/direct/rotation.h"
 #include "filbertstair/direct/round.h"
 #include "filbertstair/direct/usage.h"
 #include "filbertstair/net/http_client.h"
@@ -108,8 +109,15 @@
   // Present while the link that this entry opened is up.
   std::shared_ptr<node::Outbox> outbox;
 };
+// What another entry of the failure domain last said of itself, or that its link is gone.
+struct NeighborEntry {
+  direct::RotationMember member;
+  core::Time heard{};
+};
 struct PeerTable {
   std::map<std::string, PeerLink> peers;
+  // Other entries of this entry's failure domain, by id.
+  std::map<std::string, NeighborEntry> neighbors;
   // Times until which the configurations of the entries with a link to this one count as
   // confirmed, by id.
   std::map<std::string, core::Time> current_until;
@@ -121,6 +129,7 @@
   direct::BudgetPolicy budget;
   direct::PressurePolicy pressure;
   direct::IntakePolicy intake;
+  direct::RotationPolicy rotation;
 };
 
 struct Relay {
@@ -138,6 +147,10 @@
   runtime::Signal freed;
   // Time of the last confirmation in microseconds of BootTime; 0 before the first.
   std::atomic<std::int64_t> confirmed = 0;
+  // This entry's state towards the balancer, and whether it leaves new callers to the other entries
+  // of its failure domain. Set by the first worker.
+  std::atomic<core::RotationState> rotation = core::RotationState::serving;
+  std::atomic<bool> left_rotation = false;
   // Indexed by worker; each element is used by its own worker only.
   std::vector<WorkerState> workers;
 };
@@ -228,6 +241,9 @@
 // Accepts links from other entries on the calling worker.
 auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
 
+// Returns the other entries of the failure domain, with those that were lost lately.
+auto Neighbors(Relay& relay) -> std::vector<direct::RotationMember>;
+
 // Returns the number of entries that this one knows of, with itself.
 auto CountEntries(Relay& relay) -> std::size_t;
 
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <boost/json.hpp>
+#include <memory>
 
 #include "fixture.h"
 
@@ -40,6 +42,7 @@
   CPPUNIT_TEST(testEntriesLearnOfEachOthersRequests);
   CPPUNIT_TEST(testReadyAsSoonAsNoPeerIsBetterOff);
   CPPUNIT_TEST(testKeptPartsAreTold);
+  CPPUNIT_TEST(testEnoughEntriesStayInRotation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -73,6 +76,46 @@
     CPPUNIT_ASSERT(WaitFor([&] { return Elsewhere(third, "a") == 0; }));
   }
 
+  // Guards against a failure domain in which so many entries leave the rotation because of a flood
+  // that the balancer uses all of them: of three entries that are behind only the weakest leaves.
+  auto testEnoughEntriesStayInRotation() -> void {
+    std::vector<std::unique_ptr<Fleet>> fleets;
+    std::vector<settings::Address> seeds;
+    for (const auto& [id, cores] : {std::pair("strong", 0.5), {"weak", 0.2}, {"weakest", 0.1}}) {
+      auto settings = MakeSettings(id);
+      settings.cores = cores;
+      settings.seeds = seeds;
+      seeds.push_back(settings.peers);
+      fleets.push_back(std::make_unique<Fleet>(settings));
+      fleets.back()->Configure(MakeFleet());
+    }
+    const auto ready = [&](std::size_t i) {
+      Confirm(*fleets[i]->relay, BootTime());
+      return IsReady(*fleets[i]);
+    };
+    const auto linked = [&](std::size_t i) {
+      const auto status = boost::json::parse(fleets[i]->Call(Get("/status"), true).body);
+      return status.as_object().at("neighbors").as_array().size() == 2;
+    };
+    CPPUNIT_ASSERT(WaitFor([&] { return linked(0) && linked(1) && linked(2); }));
+    std::atomic<bool> busy = true;
+    for (auto& fleet : fleets) {
+      fleet->node.pool.Post(0, [&busy] {
+        while (busy) {
+          std::this_thread::sleep_for(milliseconds(60));
+          runtime::SleepFor(milliseconds(1));
+        }
+      });
+    }
+    const bool one_left = WaitFor([&] { return ready(0) && ready(1) && !ready(2); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    const bool stays = ready(0) && ready(1) && !ready(2);
+    busy = false;
+    CPPUNIT_ASSERT(one_left);
+    CPPUNIT_ASSERT(stays);
+    CPPUNIT_ASSERT(WaitFor([&] { return ready(0) && ready(1) && ready(2); }));
+  }
+
   // Guards against shared parts that are read again at a third replica because the entry does not
   // know which ones keep them, also if it linked up after they were read.
   auto testKeptPartsAreTold() -> void {
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -18,6 +18,7 @@
   settings_rejected = 107,
   overloaded = 108,
   overload_ended = 109,
+  rotation_changed = 110,
   object_accepted = 200,
   object_rejected = 201,
   object_conflict = 202,
@@ -44,7 +45,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 30> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 31> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -55,6 +56,7 @@
     {telemetry::Event::settings_rejected, "settings_rejected"},
     {telemetry::Event::overloaded, "overloaded"},
     {telemetry::Event::overload_ended, "overload_ended"},
+    {telemetry::Event::rotation_changed, "rotation_changed"},
     {telemetry::Event::object_accepted, "object_accepted"},
     {telemetry::Event::object_rejected, "object_rejected"},
     {telemetry::Event::object_conflict, "object_conflict"},
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -141,6 +141,11 @@
   std::vector<KeptPart> kept;
   // Microseconds for which the sender's configuration still counts as confirmed.
   std::uint64_t lease_us = 0;
+  // Where the sender stands, what its VM allows it in thousandths of a processor core, and whether
+  // it takes new callers.
+  std::string failure_domain;
+  std::uint32_t millicores = 0;
+  core::RotationState rotation = core::RotationState::serving;
 };
 
 using ControlMessage = std::variant<Hello, Demand, GrantReturn, Grant, Load, Service, Digest,
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -111,6 +111,9 @@
   auto& to = *envelope.mutable_entry_state();
   to.set_address(from.address);
   to.set_lease_us(from.lease_us);
+  to.set_failure_domain(from.failure_domain);
+  to.set_millicores(from.millicores);
+  to.set_rotation(FromEnum(from.rotation));
   for (const auto& address : from.known) to.add_known(address);
   for (const auto& row : from.kept) {
     auto* out = to.add_kept();
@@ -174,10 +177,13 @@
           from.draining()};
 }
 
-auto ToStruct(const pb::EntryState& from) -> EntryState {
+auto ToStruct(const pb::EntryState& from, const std::string& peer) -> EntryState {
   EntryState to;
   to.address = from.address();
   to.lease_us = from.lease_us();
+  to.failure_domain = from.failure_domain();
+  to.millicores = from.millicores();
+  to.rotation = ToEnum<core::RotationState>(from.rotation(), peer);
   to.known.assign(from.known().begin(), from.known().end());
   for (const auto& row : from.replicas()) {
     to.replicas.push_back({row.replica(), row.in_flight(), row.unread()});
@@ -229,7 +235,7 @@
       return Published{envelope.published().kind(), envelope.published().name(),
                        envelope.published().version(), envelope.published().content()};
     case pb::ControlMessage::kEntryState:
-      return ToStruct(envelope.entry_state());
+      return ToStruct(envelope.entry_state(), peer);
     case pb::ControlMessage::KIND_NOT_SET:
       break;
   }
