--- a/bench/load.cc
+++ b/bench/load.cc
@@ -27,19 +27,36 @@
   std::string address;
   std::string workspace;
 
-  auto Call(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-            const http::request<http::empty_body>& request) const -> asio::awaitable<void> {
+  auto MakeRequest() const -> http::request<http::string_body> {
+    const auto& spec = this->load->spec;
+    http::request<http::string_body> request;
+    request.method_string(spec.method);
+    request.target(spec.target);
+    request.version(11);
+    request.set(http::field::host, spec.host);
+    for (const auto& [name, value] : spec.headers(this->workspace, ++this->load->serial)) {
+      request.set(name, value);
+    }
+    request.body() = spec.body;
+    request.prepare_payload();
+    return request;
+  }
+
+  // Sends one request. Returns whether the connection can carry another.
+  auto Call(beast::tcp_stream& stream, beast::flat_buffer& buffer) const -> asio::awaitable<bool> {
+    const auto request = this->MakeRequest();
     const auto start = std::chrono::steady_clock::now();
     co_await http::async_write(stream, request, asio::use_awaitable);
     http::response<http::string_body> reply;
     co_await http::async_read(stream, buffer, reply, asio::use_awaitable);
     if (reply.result() != http::status::ok) {
-      ++this->load->result.refused;
-      co_return;
+      ++this->load->refused;
+      co_return reply.keep_alive();
     }
     ++this->load->answered;
     this->load->result.latencies.push_back(std::chrono::duration_cast<std::chrono::microseconds>(
         std::chrono::steady_clock::now() - start));
+    co_return reply.keep_alive();
   }
 
   // Sends requests on one connection. Returns how many.
@@ -47,14 +64,12 @@
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     co_await stream.async_connect(ParseAddress(this->address), asio::use_awaitable);
     stream.socket().set_option(tcp::no_delay(true));
-    http::request<http::empty_body> request(http::verb::get, "/lookup/7", 11);
-    request.set(http::field::host, "lookup.example");
-    request.set("X-Workspace", this->workspace);
-    request.set("X-Test-Service-Ms", std::to_string(this->load->spec.service.count()));
     beast::flat_buffer buffer;
-    while (!this->Done(sent)) {
+    bool keep = true;
+    while (keep && !this->Done(sent)) {
       ++sent;
-      co_await this->Call(stream, buffer, request);
+      const bool kept = co_await this->Call(stream, buffer);
+      keep = kept && !this->load->spec.reconnect;
     }
   }
 
@@ -100,6 +115,7 @@
 
 auto Load::Wait() -> LoadResult {
   if (this->thread.joinable()) this->thread.join();
+  this->result.refused = this->refused;
   return std::exchange(this->result, {});
 }
 
--- a/bench/processes.cc
+++ b/bench/processes.cc
@@ -121,6 +121,19 @@
   std::filesystem::remove_all(fleet.directory);
 }
 
+// Calls of the application stand-in that take it `service` each.
+auto LookupSpec(milliseconds service) -> LoadSpec {
+  LoadSpec spec;
+  spec.target = "/lookup/7";
+  spec.host = "lookup.example";
+  spec.headers = [time = std::to_string(service.count())](const std::string& workspace,
+                                                          std::uint64_t /*serial*/) {
+    return std::vector<std::pair<std::string, std::string>>{{"X-Workspace", workspace},
+                                                            {"X-Test-Service-Ms", time}};
+  };
+  return spec;
+}
+
 auto EntryAddresses(const fleet::Fleet& fleet) -> std::vector<std::string> {
   std::vector<std::string> addresses;
   for (const auto& node : fleet.nodes) {
@@ -172,7 +185,7 @@
   fleet::Fleet fleet;
   StartFleet(fleet, {1, 1}, Document(1, Workspaces(1), kLatencySlots), false);
   for (const std::size_t callers : {1, 8}) {
-    LoadSpec spec;
+    auto spec = LookupSpec(milliseconds(0));
     spec.workspaces = Workspaces(1);
     spec.callers = callers;
     spec.calls = kCallsPerRound / callers;
@@ -311,11 +324,10 @@
   fleet::Fleet fleet;
   StartFleet(fleet, kLoadSize, Document(1, Workspaces(load_case.workspaces), kLoadSlots), false);
   const auto idle = TakeSample(fleet, Bound::begin);
-  LoadSpec spec;
+  auto spec = LookupSpec(milliseconds(20));
   spec.addresses = EntryAddresses(fleet);
   spec.workspaces = Workspaces(load_case.workspaces);
   spec.callers = load_case.callers;
-  spec.service = milliseconds(20);
   Load load(spec);
   std::this_thread::sleep_for(kSettle);
   const auto begin = TakeSample(fleet, Bound::begin);
