Let no signal end a planned stop at once

The log starts a thread of its own before the signals were blocked. While the main thread waits for a signal it takes it; during a planned stop it does not wait, so a second SIGTERM or a SIGHUP went to the log's thread and ended the process with all requests in flight. platform.daemon_test testFurtherSignalsInAStop failed before.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -127,8 +127,8 @@
   }
 }
 
-auto Run(const settings::Settings& settings, const std::string& path) -> int {
-  const auto signals = BlockSignals();
+auto Run(const settings::Settings& settings, const std::string& path, const sigset_t& signals)
+    -> int {
   node::Node node(settings, Now());
   telemetry::Log(Level::info, Event::started,
                  {{"role", core::Name(settings.role)},
@@ -170,9 +170,12 @@
       std::cerr << "filbertstaird: " << schema::Describe(problem) << '\n';
     }
     if (!result.settings) return kExitRefused;
+    // Before the log starts its thread: a signal that any thread takes ends the process at once
+    // while the main thread does not wait for it, as during a planned stop.
+    const auto signals = BlockSignals();
     telemetry::SetUpLog(ToLevel(result.settings->log_level), ToFormat(result.settings->log_format),
                         result.settings->id);
-    return Run(*result.settings, path);
+    return Run(*result.settings, path, signals);
   } catch (const core::Error& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
     return kExitRefused;
