Answer every request before a stopping entry ends

During the notice of a planned stop an entry took requests with their full deadline, and cut at the end of the grace what was left, calls that may run once at most among them. A request is now taken only if it can be expected to finish: from recent durations of its route, its objective and its size (core/drain.h). Shortly before the end, requests that wait are refused as not run, and those at a replica fail with an unknown outcome. Answers that have begun go on to the end and are cut visibly. Replicas get no more time than the entry has left.

Before, platform.daemon_test testStopRefusesWhatCannotFinish and testStopAnswersWhatItTook got a closed connection instead of a status.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -48,6 +48,7 @@
 // What the signals of the platform do to a role that has started.
 struct RoleActions {
   std::function<void()> drain;
+  std::function<void(node::StopScope)> stop = [](node::StopScope) {};
   std::function<void(const settings::Settings&)> reload = [](const settings::Settings&) {};
 };
 
@@ -55,6 +56,7 @@
   if (node.settings.admission == settings::Admission::entry) {
     const auto relay = StartRelay(node);
     return {[relay] { relay::Drain(*relay); },
+            [relay](node::StopScope scope) { relay::Stop(*relay, scope); },
             [relay](const settings::Settings& s) { relay::AddSeeds(*relay, s.seeds); }};
   }
   if (node.settings.role == core::Role::entry) {
@@ -88,12 +90,30 @@
   return signals;
 }
 
-// Gives the others notice, then waits for the requests in flight, at most drain_grace in all.
-// Returns the number of requests that are left.
-auto FinishRequests(node::Node& node) -> std::size_t {
-  const auto deadline = node::Now() + node.settings.drain_grace;
-  std::this_thread::sleep_until(std::min(deadline, node::Now() + node::kDrainNotice));
-  const auto left = node.in_flight.WaitForNone(deadline);
+// Waits until no request is in flight, and no answer in a socket buffer. Returns the number of
+// requests that are left at the deadline.
+auto AwaitRequests(node::Node& node, core::Time deadline) -> std::size_t {
+  while (true) {
+    const auto left = node.in_flight.WaitForNone(deadline);
+    if (left > 0) return left;
+    std::this_thread::sleep_for(kFlushTime);
+    // A connection that was open before the listeners closed may have sent a request meanwhile.
+    if (node.in_flight.Count() == 0) return 0;
+  }
+}
+
+// Stops the role: gives the others notice, waits for the requests in flight, and ends those that
+// are left shortly before drain_grace is over. Returns their number.
+auto FinishRequests(node::Node& node, const RoleActions& actions) -> std::size_t {
+  const auto end = node::Now() + node.settings.drain_grace;
+  node.end = end;
+  actions.drain();
+  std::this_thread::sleep_until(std::min(node::AnswerBy(node), node::Now() + node::kDrainNotice));
+  const auto left = AwaitRequests(node, node::AnswerBy(node));
+  if (left == 0) return 0;
+  actions.stop(node::StopScope::unanswered);
+  if (AwaitRequests(node, end) == 0) return left;
+  actions.stop(node::StopScope::all);
   std::this_thread::sleep_for(kFlushTime);
   return left;
 }
@@ -138,8 +158,7 @@
   try {
     const auto actions = StartRole(node);
     AwaitEnd(signals, path, actions);
-    actions.drain();
-    const auto cut = FinishRequests(node);
+    const auto cut = FinishRequests(node, actions);
     telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
   } catch (const core::Error& error) {
     node::LogError(Level::error, Event::start_failed, error);
--- a/libs/node/include/filbertstair/node/in_flight.h
+++ b/libs/node/include/filbertstair/node/in_flight.h
@@ -4,7 +4,10 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstddef>
+#include <memory>
 #include <mutex>
+#include <set>
+#include <utility>
 
 namespace filbertstair::node {
 
@@ -35,6 +38,23 @@
   InFlight& count;
 };
 
+// Lists a request among those of its worker while it exists.
+template <typename Request>
+struct ListedGuard {
+  using List = std::set<std::shared_ptr<Request>>;
+
+  ListedGuard(List& list, std::shared_ptr<Request> request)
+      : list(list), request(std::move(request)) {
+    this->list.insert(this->request);
+  }
+  ~ListedGuard() { this->list.erase(this->request); }
+  ListedGuard(const ListedGuard&) = delete;
+  auto operator=(const ListedGuard&) -> ListedGuard& = delete;
+
+  List& list;
+  const std::shared_ptr<Request> request;
+};
+
 }  // namespace filbertstair::node
 
 #endif  // FILBERTSTAIR_NODE_IN_FLIGHT_H_
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -59,6 +59,10 @@
   std::map<std::string, LinkedPeer> peers;
 };
 
+// Which requests a process ends that is about to end itself: those whose answers have not begun, or
+// the others too.
+enum class StopScope { unanswered, all };
+
 struct Node {
   Node(settings::Settings settings, core::Incarnation incarnation);
 
@@ -66,6 +70,9 @@
   const core::Incarnation incarnation;
   telemetry::Metrics metrics;
   std::atomic<bool> draining = false;
+  // Time at which the process ends and cuts what is left. The latest time there is until the
+  // process is told to stop.
+  std::atomic<core::Time> end = core::Time::max();
   InFlight in_flight;
   // `history` and `traces` have one rank: no thread locks both.
   runtime::Guarded<History, runtime::Rank::traces> history;
@@ -91,6 +98,14 @@
 // refused.
 inline constexpr core::Duration kDrainNotice = std::chrono::milliseconds(2500);
 
+// Time before the end of the process at which requests without an answer get a final one. An answer
+// takes a few turns of its worker, which are late by up to 45 ms each at an overloaded entry, and a
+// question to an endpoint process.
+inline constexpr core::Duration kFinalAnswerTime = std::chrono::milliseconds(500);
+
+// Returns the time until which a request must have begun its answer.
+auto AnswerBy(const Node& node) -> core::Time;
+
 // Marks the process as draining, logs and records it. Returns false if it was draining already.
 auto BeginDrain(Node& node) -> bool;
 
@@ -117,4 +132,10 @@
 
 }  // namespace filbertstair::node
 
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<node::StopScope, 2> kNames<node::StopScope>{
+    {{node::StopScope::unanswered, "unanswered"}, {node::StopScope::all, "all"}}};
+}  // namespace filbertstair::core
+
 #endif  // FILBERTSTAIR_NODE_NODE_H_
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -25,6 +25,8 @@
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+auto AnswerBy(const Node& node) -> core::Time { return node.end.load() - kFinalAnswerTime; }
+
 auto BeginDrain(Node& node) -> bool {
   if (node.draining.exchange(true)) return false;
   telemetry::Log(telemetry::Level::info, telemetry::Event::stopping, {});
--- a/libs/relay/include/filbertstair/relay/relay.h
+++ b/libs/relay/include/filbertstair/relay/relay.h
@@ -24,6 +24,11 @@
 // kept connections are closed after their current request.
 auto Drain(Relay& relay) -> void;
 
+// Ends requests in flight, as the process is about to end. None is left without an answer: one that
+// was not passed on is refused, one whose answer has not begun fails with an unknown outcome. An
+// answer that has begun is cut, which its caller sees, and only if `scope` is `all`.
+auto Stop(Relay& relay, node::StopScope scope) -> void;
+
 // Links to further entries, as new settings may name them.
 auto AddSeeds(Relay& relay, const std::vector<settings::Address>& seeds) -> void;
 
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -30,6 +30,7 @@
 constexpr std::chrono::milliseconds kEventPause{1500};
 
 constexpr int kOk = 200;
+constexpr auto* kStopped = "this entry was stopped before the answer came";
 
 // Bounds of reading a body that nobody gets. A refusal takes less than a kilobyte, and arrives with
 // its head; a new connection costs two round trips, 80 ms between regions.
@@ -153,7 +154,9 @@
 auto ToForwarded(Relay& relay, const Call& call, const net::HttpRequest& request,
                  const Assignment& assignment) -> net::HttpRequest {
   Forward forward;
-  forward.remaining = Remaining(call);
+  // A replica that works on after this process has ended works in vain.
+  const auto end = call.route->streaming ? relay.node.end.load() : node::AnswerBy(relay.node);
+  forward.remaining = RoundUp(std::min(call.deadline, end) - node::Now());
   forward.replica = assignment.replica;
   forward.workspace = call.workspace;
   forward.last_event = call.events.last_id.empty() ? call.head.last_event : call.events.last_id;
@@ -323,7 +326,10 @@
                     {.kind = node::TraceKind::attempted, .peer = assignment.replica});
   bool reused = false;
   if (auto failure = Connect(relay, call, assignment, reused)) {
-    if (failure->reason != Reason::overloaded) {
+    if (call.stopped) {
+      failure->reason = Reason::draining;
+      failure->message = kStopped;
+    } else if (failure->reason != Reason::overloaded) {
       NoteFailed(relay, call, assignment, direct::Fault::unreachable);
     }
     return failure;
@@ -347,6 +353,7 @@
   } catch (const core::Error& error) {
     call.exchange->Cancel();
     if (error.GetStep() == Step::respond) throw;
+    if (call.stopped) return Fail(Reason::draining, Outcome::unknown, error.GetStep(), kStopped);
     if (!call.caller_gone && node::Now() < call.deadline) {
       NoteFailed(relay, call, assignment, direct::Fault::bad_answer);
     }
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -88,7 +88,7 @@
     return relay.dispatch.With(
         [&](const DispatchTable&) { return pending->assignment || pending->hopeless; });
   };
-  while (!settled() && !call.caller_gone && node::Now() < latest) {
+  while (!settled() && !call.caller_gone && !call.stopped && node::Now() < latest) {
     pending->changed.WaitUntil(latest);
   }
   return relay.dispatch.With([&](DispatchTable& table) {
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -209,4 +209,10 @@
   }
 }
 
+auto Stop(Relay& relay, node::StopScope scope) -> void {
+  for (std::size_t i = 0; i < relay.workers.size(); ++i) {
+    relay.node.pool.Post(i, [&relay, i, scope] { StopCalls(relay.workers[i], scope); });
+  }
+}
+
 }  // namespace filbertstair::relay
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -28,6 +28,9 @@
 constexpr core::Duration kLevelInterval = std::chrono::milliseconds(50);
 // Time after which a caller comes back, most likely to another entry, if this one is overloaded.
 constexpr core::Duration kRetryOverloaded = std::chrono::milliseconds(100);
+// Time after which a caller comes back to another entry if this one is being stopped. The balancer
+// knows by the time at which most of these refusals are given.
+constexpr core::Duration kRetryStopping = std::chrono::milliseconds(100);
 
 auto Refuse(Reason reason, Step step, std::string message,
             core::Duration retry_after = std::chrono::seconds(1)) -> Refused {
@@ -84,6 +87,26 @@
                 kRetryOverloaded);
 }
 
+// Refuses a request that the end of this process would cut.
+auto RefuseStopping(Relay& relay, const Call& call) -> std::optional<Refused> {
+  if (!relay.node.draining && !call.stopped) return std::nullopt;
+  const auto now = node::Now();
+  core::Prospect prospect;
+  // The objective of a stream says nothing about its end.
+  if (!call.route->streaming) prospect.objective = call.route->objective;
+  prospect.remaining = call.deadline - now;
+  if (call.head.prompt) prospect.size = call.head.prompt->tokens_out;
+  if (direct::Repeatable(*call.route)) prospect.call_class = core::CallClass::repeatable;
+  const auto end = node::AnswerBy(relay.node);
+  const auto durations =
+      relay.dispatch.With([&](DispatchTable& table) { return table.durations[call.route->name]; });
+  if (!call.stopped && core::MayBegin(relay.policies.drain, durations, prospect, now, end)) {
+    return std::nullopt;
+  }
+  return Refuse(Reason::draining, Step::queue,
+                "this entry is being stopped and would cut the request", kRetryStopping);
+}
+
 auto Resolve(Relay& relay, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (call.fleet == nullptr) {
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
@@ -151,12 +174,13 @@
   const bool promises = core::Status(refused.reason) == 503;
   if (promises && progress.may_have_run) refused.reason = Reason::connection_lost;
   if (!promises && !progress.may_have_run) refused.reason = Reason::no_room;
+  if (refused.reason == Reason::draining) refused.retry_after = kRetryStopping;
   return refused;
 }
 
 // Whether the request may be sent to another replica after the failure.
 auto MayContinue(const Call& call, const Progress& progress, const Failure& failure) -> bool {
-  if (call.caller_gone || node::Now() >= call.deadline) return false;
+  if (call.caller_gone || call.stopped || node::Now() >= call.deadline) return false;
   if (progress.connects >= kMaxConnects || failure.reason == Reason::overloaded) return false;
   if (!failure.sent) return true;
   if (call.tried.size() >= call.route->attempts) return false;
@@ -200,6 +224,10 @@
       if (assignment) Release(relay, *assignment);
       return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
     }
+    if (auto refused = RefuseStopping(relay, call)) {
+      if (assignment) Release(relay, *assignment);
+      return progress.last ? ToRefused(progress, call) : refused;
+    }
     if (!assignment) return ToRefused(progress, call);
     if (!call.tried.empty() && !TakeRepeat(relay, call)) {
       Release(relay, *assignment);
@@ -239,11 +267,24 @@
   });
 }
 
+// Records how long a request took that was answered, or that reached its deadline.
+auto NoteDuration(Relay& relay, const Call& call, const std::optional<Refused>& refused) -> void {
+  if (refused && (call.stopped || refused->reason != Reason::deadline_exceeded)) return;
+  const double size = call.head.prompt ? call.head.prompt->tokens_out : 0;
+  relay.dispatch.With([&](DispatchTable& table) {
+    core::NoteDuration(table.durations[call.route->name], node::Now() - call.arrived, size);
+  });
+}
+
 auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
             net::Responder& responder) -> std::optional<Refused> {
   // The workspace is found first, so that the refusals of an overloaded entry can be told apart.
   if (auto refused = Resolve(relay, request, *call)) return refused;
   CountAsked(relay, *call);
+  if (auto refused = RefuseStopping(relay, *call)) {
+    CountRefused(relay, *call, refused->reason);
+    return refused;
+  }
   if (auto refused = RefuseBehind(relay, *call)) {
     CountRefused(relay, *call, refused->reason);
     return refused;
@@ -253,6 +294,7 @@
   });
   WatchCaller(call, responder);
   auto refused = RunAttempts(relay, *call, request, responder);
+  NoteDuration(relay, *call, refused);
   if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
     call->begun = true;
     responder.Respond(call->held->status, call->held->headers, call->held->body);
@@ -292,10 +334,20 @@
 
 }  // namespace
 
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
+  for (const auto& call : worker.calls) {
+    if (call->begun && scope == node::StopScope::unanswered) continue;
+    call->stopped = true;
+    call->pending->changed.Notify();
+    if (call->exchange) call->exchange->Cancel();
+  }
+}
+
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void {
   const node::InFlightGuard in_flight(relay.node.in_flight);
   const auto call = std::make_shared<Call>();
+  const node::ListedGuard listed(ThisWorker(relay).calls, call);
   call->head = relay.dialect.read_call(request);
   // The caller's own id, so that a complaint leads straight to the lines of the request.
   call->id = IsPlain(call->head.attempt) ? call->head.attempt : node::NextRequestId(relay.node);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "filbertstair/core/drain.h"
 #include "filbertstair/direct/assignment.h"
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
@@ -73,6 +74,8 @@
   std::map<std::string, direct::Budget, std::less<>> budgets;
   // By service; used while the entry is overloaded.
   std::map<std::string, ShareLevel, std::less<>> levels;
+  // Recent durations of requests, by route.
+  std::map<std::string, core::Durations, std::less<>> durations;
   // Usage since the last log lines, by service.
   std::map<std::string, direct::UsageTable, std::less<>> usage;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
@@ -90,12 +93,16 @@
   Exchange exchange;
   core::Time until{};
 };
+struct Call;
+
 // State that is used by one worker only.
 struct WorkerState {
   // By address, the last used one at the end.
   std::map<std::string, std::list<IdleConnection>> idle;
   std::shared_ptr<net::HttpListener> callers;
   direct::Pressure pressure;
+  // Requests in flight.
+  std::set<std::shared_ptr<Call>> calls;
 };
 
 // Another entry, by the address of its listener.
@@ -118,6 +125,7 @@
   direct::QueuePolicy queue;
   direct::BudgetPolicy budget;
   direct::PressurePolicy pressure;
+  core::DrainPolicy drain;
 };
 
 struct Relay {
@@ -161,6 +169,8 @@
   // Connection to the replica while there is one.
   Exchange exchange;
   bool caller_gone = false;
+  // Set when the request is ended because the process ends.
+  bool stopped = false;
   // The replica of the last attempt, and all that the request was sent to.
   std::string replica;
   std::set<std::string> tried;
@@ -197,6 +207,10 @@
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
+// Ends requests of the calling worker: those that wait for a replica are refused, those at a
+// replica fail, and answers that have begun are cut.
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void;
+
 // Service that a request is expected to take: tokens for a model, 1 otherwise.
 auto Cost(const Call& call) -> double;
 
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -50,7 +50,8 @@
     net::Headers headers = {{"Host", std::string(net::FindHeader(request.headers, "Host"))},
                             {"Id", std::string(net::FindHeader(request.headers, "Id"))},
                             {"Replica", std::string(forward.replica)},
-                            {"Workspace", std::string(forward.workspace)}};
+                            {"Workspace", std::string(forward.workspace)},
+                            {"Remaining", std::to_string(forward.remaining.count() / 1000)}};
     if (!forward.last_event.empty()) headers.emplace_back("After", forward.last_event);
     return headers;
   };
