Answer every request before a stopping entry ends, with endpoint processes

As in the relay: an entry that submits to endpoint processes cut at the end of its grace what was waiting or running. It now refuses what can't be expected to finish, from recent durations of the service and the caller's cost hint, and answers the rest shortly before the end, with what the endpoint process says of it.

Before, fleet.drain_test testEntryRefusesWhatCannotFinish and testEntryAnswersWhatItTook got a connection that closed without an answer.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -60,7 +60,9 @@
             [relay](const settings::Settings& s) { relay::AddSeeds(*relay, s.seeds); }};
   }
   if (node.settings.role == core::Role::entry) {
-    return {.drain = [entry = entry::Start(node)] { entry::Drain(*entry); }};
+    const auto entry = entry::Start(node);
+    return {.drain = [entry] { entry::Drain(*entry); },
+            .stop = [entry](node::StopScope scope) { entry::Stop(*entry, scope); }};
   }
   return {.drain = [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); }};
 }
--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kConnectTimeout{1000};
 // Longest wait for the endpoint process's word on an attempt whose stream broke.
 constexpr std::chrono::milliseconds kWithdrawTimeout{2000};
+constexpr auto* kStopped = "this entry was stopped before the answer came";
 // Headers that concern one connection, and those that this process sets itself.
 constexpr std::array<std::string_view, 10> kDroppedHeaders = {
     "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te",
@@ -30,7 +31,8 @@
 }
 
 // Returns this worker's connection for requests to the endpoint process.
-auto ConnectionTo(Entry& entry, const Call& call, const std::string& endpoint)
+auto ConnectionTo(Entry& entry, const Call& call, const std::string& endpoint,
+                  std::chrono::milliseconds timeout = kConnectTimeout)
     -> std::shared_ptr<net::Connection> {
   const auto address = AddressOf(*call.snapshot, endpoint);
   auto& connections = entry.workers[runtime::WorkerIndex()].connections;
@@ -39,7 +41,7 @@
     return found != connections.end() && found->second->IsOpen() ? found->second : nullptr;
   };
   if (auto connection = usable()) return connection;
-  auto connection = net::Connect(address, kConnectTimeout);
+  auto connection = net::Connect(address, timeout);
   // Another fiber may have connected meanwhile, and its connection may carry requests.
   if (auto other = usable()) return other;
   connections[address] = connection;
@@ -55,12 +57,18 @@
 // Asks the endpoint process what became of an attempt whose stream broke before its verdict.
 // Without an answer nothing is known.
 auto AskOutcome(Entry& entry, Call& call, const Target& target) -> Outcome {
+  // A process that ends must still answer its caller.
+  const auto latest = std::min(node::Now() + core::Duration(kWithdrawTimeout),
+                               entry.node.end.load() - node::kFinalAnswerTime / 2);
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(latest - node::Now());
+  if (left <= std::chrono::milliseconds(0)) return Outcome::unknown;
   try {
-    const auto stream =
-        ConnectionTo(entry, call, target.endpoint)->Open(std::string(node::kRequestPath));
+    const auto connection =
+        ConnectionTo(entry, call, target.endpoint, std::min(kConnectTimeout, left));
+    const auto stream = connection->Open(std::string(node::kRequestPath));
     stream->Send(wire::Encode(wire::Withdraw{call.submit.attempt, call.submit.endpoint}));
     stream->Finish();
-    const auto bytes = stream->ReceiveUntil(Clock::now() + kWithdrawTimeout);
+    const auto bytes = stream->ReceiveUntil(latest);
     if (!bytes) return Outcome::unknown;
     const auto message = wire::DecodeRequest(*bytes, stream->Peer());
     if (const auto* withdrawn = std::get_if<wire::Withdrawn>(&message)) return withdrawn->status;
@@ -75,6 +83,16 @@
   return {{reason, outcome, begun}, step, std::move(message)};
 }
 
+// Failure of an attempt whose stream broke.
+auto FailLost(const Call& call, Outcome outcome, const core::Error& error) -> AttemptFailure {
+  if (!call.stopped) {
+    return Fail(Reason::connection_lost, outcome, error.GetStep(), error.what(), call.begun);
+  }
+  // The status of `draining` promises that the request did not run.
+  const auto reason = outcome == Outcome::not_run ? Reason::draining : Reason::connection_lost;
+  return Fail(reason, outcome, error.GetStep(), kStopped, call.begun);
+}
+
 auto AnswerHeaders(const Call& call, const Target& target, const wire::Head& head) -> net::Headers {
   net::Headers headers;
   for (const auto& [name, value] : head.headers) {
@@ -100,10 +118,12 @@
   } catch (const core::Error& error) {
     return Fail(Reason::endpoint_unreachable, Outcome::not_run, error.GetStep(), error.what());
   }
+  if (call.stopped) return Fail(Reason::draining, Outcome::not_run, Step::connect, kStopped);
   call.submit.attempt = {entry.node.settings.id, entry.node.incarnation, ++entry.last_serial};
   call.submit.grant = target.grant;
   call.submit.endpoint = target.granter;
-  call.submit.remaining = call.deadline - node::Now();
+  // A replica that works on after this process has ended works in vain.
+  call.submit.remaining = std::min(call.deadline, node::AnswerBy(entry.node)) - node::Now();
   return std::nullopt;
 }
 
@@ -121,8 +141,7 @@
                 "refused: " + std::string(core::Name(verdict->reason)));
   } catch (const core::Error& error) {
     call.stream->Reset();
-    return Fail(Reason::connection_lost, AskOutcome(entry, call, target), error.GetStep(),
-                error.what());
+    return FailLost(call, AskOutcome(entry, call, target), error);
   }
 }
 
@@ -161,11 +180,10 @@
       if (!message) throw core::Error(Step::read, target.endpoint, "answer without an end");
     } catch (const core::Error& error) {
       call.stream->Reset();
-      const auto outcome = responder.HasBegun() ? Outcome::ran : Outcome::unknown;
-      return Fail(Reason::connection_lost, outcome, error.GetStep(), error.what(),
-                  responder.HasBegun());
+      return FailLost(call, call.begun ? Outcome::ran : Outcome::unknown, error);
     }
     if (const auto* head = std::get_if<wire::Head>(&*message)) {
+      call.begun = true;
       responder.Begin(head->status, AnswerHeaders(call, target, *head));
     } else if (const auto* chunk = std::get_if<wire::Chunk>(&*message)) {
       ObservePart(entry, call, times);
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -113,4 +113,10 @@
   }
 }
 
+auto Stop(Entry& entry, node::StopScope scope) -> void {
+  for (std::size_t i = 0; i < entry.workers.size(); ++i) {
+    entry.node.pool.Post(i, [&entry, i, scope] { StopCalls(entry.workers[i], scope); });
+  }
+}
+
 }  // namespace filbertstair::entry
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -22,6 +22,10 @@
 // Body that is searched for a `model` field: larger ones name their service otherwise.
 constexpr std::size_t kMaxModelBody = std::size_t{1} << 20;
 
+// Time after which a caller comes back to another entry if this one is being stopped. The balancer
+// knows by the time at which most of these refusals are given.
+constexpr core::Duration kRetryStopping = std::chrono::milliseconds(100);
+
 auto ModelField(const net::HttpRequest& request) -> std::string {
   if (request.body.empty() || request.body.size() > kMaxModelBody) return {};
   if (net::FindHeader(request.headers, "Content-Type").find("json") == std::string_view::npos) {
@@ -60,6 +64,30 @@
   return {reason, Outcome::not_run, step, "", std::move(message)};
 }
 
+// Refuses a request that the end of this process would cut. `outcome` is that of earlier attempts.
+auto RefuseStopping(Entry& entry, const Call& call, Outcome outcome) -> std::optional<Refused> {
+  if (!entry.node.draining && !call.stopped) return std::nullopt;
+  const auto now = node::Now();
+  core::Prospect prospect;
+  prospect.objective = core::Duration(call.submit.cost_hint);
+  prospect.remaining = call.deadline - now;
+  prospect.size = static_cast<double>(call.submit.cost_hint);
+  prospect.call_class = call.call_class;
+  const auto durations =
+      entry.queue.With([&](QueueState& state) { return state.durations[call.service->name]; });
+  if (!call.stopped &&
+      core::MayBegin(entry.drain, durations, prospect, now, node::AnswerBy(entry.node))) {
+    return std::nullopt;
+  }
+  auto refused = Refuse(Reason::draining, Step::queue,
+                        "this entry is being stopped and would cut the request");
+  refused.retry_after = kRetryStopping;
+  refused.outcome = outcome;
+  // The status of `draining` promises that the request did not run.
+  if (outcome != Outcome::not_run) refused.reason = Reason::connection_lost;
+  return refused;
+}
+
 // Finds service, workspace and class of the request. Returns a refusal if one of them is missing.
 auto Resolve(Entry& entry, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (!call.snapshot->configured) {
@@ -212,7 +240,7 @@
   AnnounceDemand(entry);
   const auto target_of = [&](QueueState&) { return waiting->target; };
   std::optional<Refused> owner_refused;
-  while (!call.caller_gone && !entry.queue.With(target_of) && !owner_refused &&
+  while (!call.caller_gone && !call.stopped && !entry.queue.With(target_of) && !owner_refused &&
          waiting->changed.WaitUntil(deadline)) {
     owner_refused = CheckOwner(entry, call);
   }
@@ -222,7 +250,7 @@
     return waiting->target;
   });
   AnnounceDemand(entry);
-  if (target && call.caller_gone) {
+  if (target && (call.caller_gone || call.stopped)) {
     const wire::GrantReturn unused{target->grant, target->granter, key.service, key.workspace};
     entry.queue.With([&](QueueState& state) { ReturnGrant(state, target->endpoint, unused); });
   }
@@ -271,10 +299,12 @@
   std::uint32_t attempts = 0;
   auto outcome = Outcome::not_run;
   while (true) {
+    if (auto refused = RefuseStopping(entry, call, outcome)) return refused;
     auto acquired = Acquire(entry, call, tried, queue_only);
     if (call.caller_gone) {
       return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
     }
+    if (call.stopped) return RefuseStopping(entry, call, outcome);
     if (acquired.refused) {
       acquired.refused->outcome = routing::Combine(outcome, acquired.refused->outcome);
       return acquired.refused;
@@ -290,7 +320,7 @@
                                   call.service->retries, call.call_class, attempts,
                                   failure->failure);
     });
-    if (verdict != routing::RetryVerdict::retry || call.caller_gone) {
+    if (verdict != routing::RetryVerdict::retry || call.caller_gone || call.stopped) {
       auto refused = ToRefused(*acquired.target, *failure);
       refused.outcome = outcome;
       if (verdict == routing::RetryVerdict::budget_exhausted) {
@@ -306,6 +336,15 @@
   }
 }
 
+// Records how long a request took that was answered, or that reached its deadline.
+auto NoteDuration(Entry& entry, const Call& call, const std::optional<Refused>& refused) -> void {
+  if (refused && (call.stopped || refused->reason != Reason::deadline_exceeded)) return;
+  entry.queue.With([&](QueueState& state) {
+    core::NoteDuration(state.durations[call.service->name], node::Now() - call.arrived,
+                       static_cast<double>(call.submit.cost_hint));
+  });
+}
+
 auto WatchCaller(const std::shared_ptr<Call>& call, net::Responder& responder) -> void {
   responder.OnCallerGone([call] {
     call->caller_gone = true;
@@ -325,15 +364,27 @@
                                 call.service->retries);
   });
   WatchCaller(shared, responder);
-  return RunAttempts(entry, call, responder);
+  auto refused = RunAttempts(entry, call, responder);
+  NoteDuration(entry, call, refused);
+  return refused;
 }
 
 }  // namespace
 
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
+  for (const auto& call : worker.calls) {
+    if (call->begun && scope == node::StopScope::unanswered) continue;
+    call->stopped = true;
+    call->waiting->changed.Notify();
+    if (call->stream) call->stream->Reset();
+  }
+}
+
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void {
   const node::InFlightGuard in_flight(entry.node.in_flight);
   const auto shared = std::make_shared<Call>();
+  const node::ListedGuard listed(entry.workers[runtime::WorkerIndex()].calls, shared);
   auto& call = *shared;
   call.id = node::NextRequestId(entry.node);
   call.arrived = node::Now();
--- a/libs/entry/src/state.h
+++ b/libs/entry/src/state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "filbertstair/admission/keys.h"
+#include "filbertstair/core/drain.h"
 #include "filbertstair/core/error.h"
 #include "filbertstair/entry/entry.h"
 #include "filbertstair/net/h2.h"
@@ -54,6 +55,8 @@
   std::map<routing::WaiterId, std::shared_ptr<Waiting>> waiting;
   routing::RetryTable retries;
   std::map<std::string, EndpointLink> endpoints;
+  // Recent durations of requests, by service.
+  std::map<std::string, core::Durations, std::less<>> durations;
 };
 
 // A link that the entry keeps open to another process while it is wanted.
@@ -66,16 +69,22 @@
   std::atomic<std::shared_ptr<node::Outbox>> outbox;
 };
 
-// Connections for requests; used by one worker only.
+struct Call;
+
+// State that is used by one worker only.
 struct WorkerState {
+  // Connections for requests.
   std::map<std::string, std::shared_ptr<net::Connection>> connections;
   std::shared_ptr<net::HttpListener> callers;
+  // Requests in flight.
+  std::set<std::shared_ptr<Call>> calls;
 };
 
 struct Entry {
   explicit Entry(node::Node& node) : node(node), workers(node.pool.Size()) {}
 
   node::Node& node;
+  const core::DrainPolicy drain;
   runtime::Guarded<QueueState, runtime::Rank::queue> queue;
   runtime::Guarded<shares::ShareTable, runtime::Rank::shares> shares;
   // Indexed by worker; each element is used by its own worker only.
@@ -102,6 +111,10 @@
   std::shared_ptr<Waiting> waiting = std::make_shared<Waiting>();
   std::shared_ptr<net::Stream> stream;
   bool caller_gone = false;
+  // Whether the answer has begun.
+  bool begun = false;
+  // Set when the request is ended because the process ends.
+  bool stopped = false;
 };
 
 using node::Refused;
@@ -119,6 +132,10 @@
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
+// Ends requests of the calling worker: those that wait are refused, those at an endpoint process
+// fail, and answers that have begun are cut.
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void;
+
 // Tells the linked endpoints that the queues changed.
 auto AnnounceDemand(Entry& entry) -> void;
 
