Tell entries what became of requests when an endpoint process stops

At the end of its grace an endpoint process closed its streams with requests on them. Read in the code, not run: the outcome of a staged request was unknown then although it had never run, so its caller could not send it again. Staged requests are now refused as not run shortly before the end, and running ones end with what is known of them. Submissions count as in flight before they are decided on.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -48,7 +48,7 @@
 // What the signals of the platform do to a role that has started.
 struct RoleActions {
   std::function<void()> drain;
-  std::function<void(node::StopScope)> stop = [](node::StopScope) {};
+  std::function<void(node::StopScope)> stop;
   std::function<void(const settings::Settings&)> reload = [](const settings::Settings&) {};
 };
 
@@ -64,7 +64,9 @@
     return {.drain = [entry] { entry::Drain(*entry); },
             .stop = [entry](node::StopScope scope) { entry::Stop(*entry, scope); }};
   }
-  return {.drain = [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); }};
+  const auto endpoint = endpoint::Start(node);
+  return {.drain = [endpoint] { endpoint::Drain(*endpoint); },
+          .stop = [endpoint](node::StopScope scope) { endpoint::Stop(*endpoint, scope); }};
 }
 
 auto ToLevel(settings::LogLevel level) -> Level { return static_cast<Level>(level); }
--- a/libs/endpoint/include/filbertstair/endpoint/endpoint.h
+++ b/libs/endpoint/include/filbertstair/endpoint/endpoint.h
@@ -16,6 +16,11 @@
 // Begins a graceful shutdown: new work is refused with draining, admitted requests go on.
 auto Drain(Endpoint& endpoint) -> void;
 
+// Ends requests in flight, as the process is about to end: entries learn that one which waits for a
+// slot never ran, and that one whose answer has not begun may have. An answer that has begun is cut
+// only if `scope` is `all`.
+auto Stop(Endpoint& endpoint, node::StopScope scope) -> void;
+
 }  // namespace filbertstair::endpoint
 
 #endif  // FILBERTSTAIR_ENDPOINT_ENDPOINT_H_
--- a/libs/endpoint/src/endpoint.cc
+++ b/libs/endpoint/src/endpoint.cc
@@ -293,4 +293,10 @@
   ReportLoad(endpoint);
 }
 
+auto Stop(Endpoint& endpoint, node::StopScope scope) -> void {
+  for (std::size_t i = 0; i < endpoint.workers.size(); ++i) {
+    endpoint.node.pool.Post(i, [&endpoint, i, scope] { StopCalls(endpoint.workers[i], scope); });
+  }
+}
+
 }  // namespace filbertstair::endpoint
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "filbertstair/core/error.h"
-#include "filbertstair/net/http_client.h"
 #include "state.h"
 
 namespace filbertstair::endpoint {
@@ -149,9 +148,11 @@
 // Waits until the staged request gets a slot. Returns false if it was dropped.
 auto AwaitSlot(Endpoint& endpoint, Call& call) -> bool {
   auto& pending = *call.pending;
-  while (!pending.started && !pending.expired && !pending.cancelled) pending.changed.Wait();
+  while (!pending.started && !pending.expired && !pending.cancelled && !pending.stopped) {
+    pending.changed.Wait();
+  }
   if (pending.started) return true;
-  if (pending.cancelled) {
+  if (pending.cancelled || pending.stopped) {
     endpoint.admission.With([&](AdmissionTable& table) {
       admission::Withdraw(table.admission, table.policy, call.submit.attempt, call.submit.endpoint,
                           ReadClocks());
@@ -178,12 +179,16 @@
 
 // Sends the request to the replica and passes the answer on as it arrives.
 auto Relay(Endpoint& endpoint, Call& call, net::HttpExchange& exchange) -> void {
+  if (call.pending->stopped) {
+    throw core::Error(core::Step::connect, call.stream->Peer(), "stopped before it was sent");
+  }
   const auto remaining =
       std::chrono::duration_cast<std::chrono::milliseconds>(call.submit.remaining);
   const auto idle = IdleTimeout(endpoint, call.submit.service);
   const auto answer =
       exchange.Start(settings::FormatAddress(endpoint.node.settings.replica), ToHttp(call.submit),
                      std::min(kConnectTimeout, remaining), remaining);
+  call.pending->begun = true;
   Send(*call.stream, wire::Head{answer.status, answer.headers});
   for (auto piece = exchange.Read(idle); !piece.empty(); piece = exchange.Read(idle)) {
     Send(*call.stream, wire::Chunk{std::move(piece)});
@@ -202,16 +207,23 @@
   return core::Outcome::ran;
 }
 
+// Why a request that was stopped at the replica failed. The status of `draining` promises that it
+// did not run.
+auto StopReason(core::Outcome outcome) -> core::Reason {
+  if (outcome == core::Outcome::not_run) return core::Reason::draining;
+  return outcome == core::Outcome::ran ? core::Reason::answer_cut : core::Reason::connection_lost;
+}
+
 // Runs an admitted request. Whatever fails, the attempt ends and its slot is freed.
 auto Run(Endpoint& endpoint, Call& call) -> void {
   net::HttpExchange exchange;
   wire::End end{true, core::Reason::internal_error, core::Outcome::ran, 0, ""};
+  call.pending->exchange = &exchange;
   // Cancels the exchange when the entry resets the stream, as after its caller left.
-  auto running = std::make_shared<net::HttpExchange*>(&exchange);
-  runtime::Spawn([stream = call.stream, running, pending = call.pending] {
+  runtime::Spawn([stream = call.stream, pending = call.pending] {
     stream->WaitClosed();
     pending->cancelled = true;
-    if (*running != nullptr) (*running)->Cancel();
+    if (pending->exchange != nullptr) pending->exchange->Cancel();
   });
   call.started = node::Now();
   Record(endpoint, call, {.kind = node::TraceKind::started});
@@ -226,11 +238,14 @@
                      ? core::Reason::answer_cut
                      : core::Reason::engine_unreachable;
     end.message = error.what();
-    if (!call.pending->cancelled) {
+    if (call.pending->stopped) {
+      end.reason = StopReason(end.outcome);
+      end.message = "the endpoint process was stopped before the end of the answer";
+    } else if (!call.pending->cancelled) {
       node::LogError(Level::warning, Event::answer_cut, error, call.submit.request_id);
     }
   }
-  *running = nullptr;
+  call.pending->exchange = nullptr;
   end.cost = Finish(endpoint, call, end.outcome);
   Record(endpoint, call,
          {.kind = node::TraceKind::finished,
@@ -244,6 +259,8 @@
 }
 
 auto HandleSubmit(Endpoint& endpoint, Call& call) -> void {
+  // Counted before the decision, or a planned stop could end the process between the two.
+  const node::InFlightGuard in_flight(endpoint.node.in_flight);
   const auto decision = Admit(endpoint, call);
   if (decision.verdict == admission::Verdict::refused) {
     Refuse(endpoint, call, decision.refusal->reason,
@@ -251,7 +268,7 @@
     if (call.submit.grant != 0) Dispatch(endpoint);
     return;
   }
-  const node::InFlightGuard in_flight(endpoint.node.in_flight);
+  const node::ListedGuard listed(endpoint.workers[runtime::WorkerIndex()].calls, call.pending);
   RecordVerdict(endpoint, call, {.kind = node::TraceKind::admitted});
   endpoint.work_began.Notify();
   if (call.submit.grant != 0) endpoint.node.metrics.Count(Metric::grants, "redeemed");
@@ -264,7 +281,9 @@
     });
     if (!AwaitSlot(endpoint, call)) {
       Finish(endpoint, call, core::Outcome::not_run);
-      Refuse(endpoint, call, core::Reason::deadline_exceeded, core::Outcome::not_run);
+      Refuse(endpoint, call,
+             call.pending->stopped ? core::Reason::draining : core::Reason::deadline_exceeded,
+             core::Outcome::not_run);
       return;
     }
   }
@@ -289,6 +308,15 @@
 
 }  // namespace
 
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
+  for (const auto& pending : worker.calls) {
+    if (pending->begun && scope == node::StopScope::unanswered) continue;
+    pending->stopped = true;
+    pending->changed.Notify();
+    if (pending->exchange != nullptr) pending->exchange->Cancel();
+  }
+}
+
 auto ServeRequest(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void {
   const auto bytes = stream->Receive();
   if (!bytes) return;
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -4,13 +4,16 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "filbertstair/admission/admission.h"
 #include "filbertstair/admission/limit.h"
 #include "filbertstair/endpoint/endpoint.h"
 #include "filbertstair/net/h2.h"
+#include "filbertstair/net/http_client.h"
 #include "filbertstair/node/node.h"
 #include "filbertstair/node/outbox.h"
 #include "filbertstair/runtime/ranked_mutex.h"
@@ -20,12 +23,20 @@
 
 namespace filbertstair::endpoint {
 
-// A request that waits for a slot, or was dropped before it got one. Its fiber waits on `changed`.
+// An admitted request. While it waits for a slot, its fiber waits on `changed`.
 struct Pending {
   runtime::Signal changed;
   std::atomic<bool> started = false;
+  // Set if the request was dropped before it got a slot.
   std::atomic<bool> expired = false;
   std::atomic<bool> cancelled = false;
+  // The members below are used by the request's own worker only.
+  // Set when the request is ended because the process ends.
+  bool stopped = false;
+  // Whether the answer has begun.
+  bool begun = false;
+  // The exchange with the replica while there is one.
+  net::HttpExchange* exchange = nullptr;
 };
 
 // An entry with an open control stream.
@@ -63,10 +74,18 @@
   Weights weights;
 };
 
+// State that is used by one worker only.
+struct WorkerState {
+  // Admitted requests that have not ended.
+  std::set<std::shared_ptr<Pending>> calls;
+};
+
 struct Endpoint {
-  explicit Endpoint(node::Node& node) : node(node) {}
+  explicit Endpoint(node::Node& node) : node(node), workers(node.pool.Size()) {}
 
   node::Node& node;
+  // Indexed by worker; each element is used by its own worker only.
+  std::vector<WorkerState> workers;
   runtime::Guarded<AdmissionTable, runtime::Rank::admission> admission;
   runtime::Guarded<shares::ShareTable, runtime::Rank::shares> shares;
   // Wake the fibers that expire grants and that adapt the limit.
@@ -107,6 +126,10 @@
 // Wakes the control streams, to report a change of load.
 auto ReportLoad(Endpoint& endpoint) -> void;
 
+// Ends requests of the calling worker: those that wait for a slot are refused, those at the replica
+// fail, and answers that have begun are cut.
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void;
+
 auto ServeControl(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void;
 auto ServeRequest(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void;
 
--- a/tests/fleet/drain_test.cc
+++ b/tests/fleet/drain_test.cc
@@ -36,11 +36,12 @@
 
 auto Outcome(const Reply& reply) -> std::string { return reply.Header("x-outcome"); }
 
-// Planned stops of an entry with 4 s of grace.
+// Planned stops of an entry and of an endpoint process, each with 4 s of grace.
 class DrainTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DrainTest);
   CPPUNIT_TEST(testEntryRefusesWhatCannotFinish);
   CPPUNIT_TEST(testEntryAnswersWhatItTook);
+  CPPUNIT_TEST(testEndpointAnswersWhatItTook);
   CPPUNIT_TEST_SUITE_END();
 
   Fleet fleet;
@@ -137,6 +138,20 @@
     CPPUNIT_ASSERT_EQUAL(0, this->Runs("waiting"));
     CPPUNIT_ASSERT(this->entry->daemon->Wait(kStop) == 0);
   }
+
+  // Guards against a call whose endpoint process ends without a word on it, and against a status
+  // that promises that it did not run.
+  auto testEndpointAnswersWhatItTook() -> void {
+    auto running = this->Start("running", seconds(8));
+    CPPUNIT_ASSERT(WaitFor(seconds(2), [&] { return this->Runs("running") == 1; }));
+    this->endpoint->daemon->Signal(SIGTERM);
+    const auto unknown = running.get();
+    CPPUNIT_ASSERT(unknown.complete);
+    CPPUNIT_ASSERT_EQUAL(502, unknown.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("unknown"), Outcome(unknown));
+    CPPUNIT_ASSERT(unknown.body.find("was stopped") != std::string::npos);
+    CPPUNIT_ASSERT(this->endpoint->daemon->Wait(kStop) == 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DrainTest);
