--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -48,6 +48,7 @@
 // What the signals of the platform do to a role that has started.
 struct RoleActions {
   std::function<void()> drain;
+  std::function<void(node::StopScope)> stop;
   std::function<void(const settings::Settings&)> reload = [](const settings::Settings&) {};
 };
 
@@ -55,12 +56,17 @@
   if (node.settings.admission == settings::Admission::entry) {
     const auto relay = StartRelay(node);
     return {[relay] { relay::Drain(*relay); },
+            [relay](node::StopScope scope) { relay::Stop(*relay, scope); },
             [relay](const settings::Settings& s) { relay::AddSeeds(*relay, s.seeds); }};
   }
   if (node.settings.role == core::Role::entry) {
-    return {.drain = [entry = entry::Start(node)] { entry::Drain(*entry); }};
+    const auto entry = entry::Start(node);
+    return {.drain = [entry] { entry::Drain(*entry); },
+            .stop = [entry](node::StopScope scope) { entry::Stop(*entry, scope); }};
   }
-  return {.drain = [endpoint = endpoint::Start(node)] { endpoint::Drain(*endpoint); }};
+  const auto endpoint = endpoint::Start(node);
+  return {.drain = [endpoint] { endpoint::Drain(*endpoint); },
+          .stop = [endpoint](node::StopScope scope) { endpoint::Stop(*endpoint, scope); }};
 }
 
 auto ToLevel(settings::LogLevel level) -> Level { return static_cast<Level>(level); }
@@ -88,12 +94,30 @@
   return signals;
 }
 
-// Gives the others notice, then waits for the requests in flight, at most drain_grace in all.
-// Returns the number of requests that are left.
-auto FinishRequests(node::Node& node) -> std::size_t {
-  const auto deadline = node::Now() + node.settings.drain_grace;
-  std::this_thread::sleep_until(std::min(deadline, node::Now() + node::kDrainNotice));
-  const auto left = node.in_flight.WaitForNone(deadline);
+// Waits until no request is in flight, and no answer in a socket buffer. Returns the number of
+// requests that are left at the deadline.
+auto AwaitRequests(node::Node& node, core::Time deadline) -> std::size_t {
+  while (true) {
+    const auto left = node.in_flight.WaitForNone(deadline);
+    if (left > 0) return left;
+    std::this_thread::sleep_for(kFlushTime);
+    // A connection that was open before the listeners closed may have sent a request meanwhile.
+    if (node.in_flight.Count() == 0) return 0;
+  }
+}
+
+// Stops the role: gives the others notice, waits for the requests in flight, and ends those that
+// are left shortly before drain_grace is over. Returns their number.
+auto FinishRequests(node::Node& node, const RoleActions& actions) -> std::size_t {
+  const auto end = node::Now() + node.settings.drain_grace;
+  node.end = end;
+  actions.drain();
+  std::this_thread::sleep_until(std::min(node::AnswerBy(node), node::Now() + node::kDrainNotice));
+  const auto left = AwaitRequests(node, node::AnswerBy(node));
+  if (left == 0) return 0;
+  actions.stop(node::StopScope::unanswered);
+  if (AwaitRequests(node, end) == 0) return left;
+  actions.stop(node::StopScope::all);
   std::this_thread::sleep_for(kFlushTime);
   return left;
 }
@@ -127,8 +151,8 @@
   }
 }
 
-auto Run(const settings::Settings& settings, const std::string& path) -> int {
-  const auto signals = BlockSignals();
+auto Run(const settings::Settings& settings, const std::string& path, const sigset_t& signals)
+    -> int {
   node::Node node(settings, Now());
   telemetry::Log(Level::info, Event::started,
                  {{"role", core::Name(settings.role)},
@@ -138,8 +162,7 @@
   try {
     const auto actions = StartRole(node);
     AwaitEnd(signals, path, actions);
-    actions.drain();
-    const auto cut = FinishRequests(node);
+    const auto cut = FinishRequests(node, actions);
     telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
   } catch (const core::Error& error) {
     node::LogError(Level::error, Event::start_failed, error);
@@ -170,9 +193,12 @@
       std::cerr << "filbertstaird: " << schema::Describe(problem) << '\n';
     }
     if (!result.settings) return kExitRefused;
+    // Before the log starts its thread: a signal that any thread takes ends the process at once
+    // while the main thread does not wait for it, as during a planned stop.
+    const auto signals = BlockSignals();
     telemetry::SetUpLog(ToLevel(result.settings->log_level), ToFormat(result.settings->log_format),
                         result.settings->id);
-    return Run(*result.settings, path);
+    return Run(*result.settings, path, signals);
   } catch (const core::Error& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
     return kExitRefused;
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -26,6 +26,9 @@
 
 // Interval at which the shares of what the entry takes in are computed anew, as that of the delay.
 constexpr core::Duration kShareInterval = std::chrono::milliseconds(50);
+// Time after which a caller comes back to another entry if this one is being stopped. The balancer
+// knows by the time at which most of these refusals are given.
+constexpr core::Duration kRetryStopping = std::chrono::milliseconds(100);
 
 auto Refuse(Reason reason, Step step, std::string message,
             core::Duration retry_after = std::chrono::seconds(1)) -> Refused {
@@ -116,6 +119,26 @@
   return head.prompt->tokens_in + 2.0 * head.prompt->tokens_out;
 }
 
+// Refuses a request that the end of this process would cut.
+auto RefuseStopping(Relay& relay, const Call& call) -> std::optional<Refused> {
+  if (!relay.node.draining && !call.stopped) return std::nullopt;
+  const auto now = node::Now();
+  core::Prospect prospect;
+  // The objective of a stream says nothing about its end.
+  if (!call.route->streaming) prospect.objective = call.route->objective;
+  prospect.remaining = call.deadline - now;
+  if (call.head.prompt) prospect.size = call.head.prompt->tokens_out;
+  if (direct::Repeatable(*call.route)) prospect.call_class = core::CallClass::repeatable;
+  const auto end = node::AnswerBy(relay.node);
+  const auto durations =
+      relay.dispatch.With([&](DispatchTable& table) { return table.durations[call.route->name]; });
+  if (!call.stopped && core::MayBegin(relay.policies.drain, durations, prospect, now, end)) {
+    return std::nullopt;
+  }
+  return Refuse(Reason::draining, Step::queue,
+                "this entry is being stopped and would cut the request", kRetryStopping);
+}
+
 auto Resolve(Relay& relay, const net::HttpRequest& request, Call& call) -> std::optional<Refused> {
   if (call.fleet == nullptr) {
     return Refuse(Reason::no_configuration, Step::document, "no configuration is in force yet",
@@ -181,12 +204,13 @@
   const bool promises = core::Status(refused.reason) == 503;
   if (promises && progress.may_have_run) refused.reason = Reason::connection_lost;
   if (!promises && !progress.may_have_run) refused.reason = Reason::no_room;
+  if (refused.reason == Reason::draining) refused.retry_after = kRetryStopping;
   return refused;
 }
 
 // Whether the request may be sent to another replica after the failure.
 auto MayContinue(const Call& call, const Progress& progress, const Failure& failure) -> bool {
-  if (call.caller_gone || node::Now() >= call.deadline) return false;
+  if (call.caller_gone || call.stopped || node::Now() >= call.deadline) return false;
   if (progress.connects >= kMaxConnects || failure.reason == Reason::overloaded) return false;
   if (!failure.sent) return true;
   if (call.tried.size() >= call.route->attempts) return false;
@@ -230,6 +254,10 @@
       if (assignment) Release(relay, *assignment);
       return Refuse(Reason::withdrawn, Step::queue, "the caller closed its connection");
     }
+    if (auto refused = RefuseStopping(relay, call)) {
+      if (assignment) Release(relay, *assignment);
+      return progress.last ? ToRefused(progress, call) : refused;
+    }
     if (!assignment) return ToRefused(progress, call);
     if (!call.tried.empty() && !TakeRepeat(relay, call)) {
       Release(relay, *assignment);
@@ -269,6 +297,15 @@
   });
 }
 
+// Records how long a request took that was answered, or that reached its deadline.
+auto NoteDuration(Relay& relay, const Call& call, const std::optional<Refused>& refused) -> void {
+  if (refused && (call.stopped || refused->reason != Reason::deadline_exceeded)) return;
+  const double size = call.head.prompt ? call.head.prompt->tokens_out : 0;
+  relay.dispatch.With([&](DispatchTable& table) {
+    core::NoteDuration(table.durations[call.route->name], node::Now() - call.arrived, size);
+  });
+}
+
 auto Handle(Relay& relay, const net::HttpRequest& request, const std::shared_ptr<Call>& call,
             net::Responder& responder) -> std::optional<Refused> {
   if (auto refused = Resolve(relay, request, *call)) return refused;
@@ -276,6 +313,10 @@
     node::SetTarget(table, call->id, call->service, call->workspace);
   });
   CountAsked(relay, *call);
+  if (auto refused = RefuseStopping(relay, *call)) {
+    CountRefused(relay, *call, refused->reason);
+    return refused;
+  }
   if (auto refused = RefuseBeyondIntake(relay, *call)) {
     CountRefused(relay, *call, refused->reason);
     return refused;
@@ -284,6 +325,7 @@
   CountTaken(relay, *call);
   WatchCaller(call, responder);
   auto refused = RunAttempts(relay, *call, request, responder);
+  NoteDuration(relay, *call, refused);
   if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
     call->begun = true;
     responder.Respond(call->held->status, call->held->headers, call->held->body);
@@ -346,10 +388,20 @@
   return node::ToReply(relay.node, call.id, call.workspace, *refused);
 }
 
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
+  for (const auto& call : worker.calls) {
+    if (call->begun && scope == node::StopScope::unanswered) continue;
+    call->stopped = true;
+    call->pending->changed.Notify();
+    if (call->exchange) call->exchange->Cancel();
+  }
+}
+
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void {
   const node::InFlightGuard in_flight(relay.node.in_flight);
   const auto call = std::make_shared<Call>();
+  const node::ListedGuard listed(ThisWorker(relay).calls, call);
   ReadCall(relay, request, *call);
   node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
   try {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "filbertstair/core/drain.h"
 #include "filbertstair/direct/assignment.h"
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
@@ -75,6 +76,8 @@
   std::map<std::string, direct::Budget, std::less<>> budgets;
   // By service; used while the entry bounds what it takes in.
   std::map<std::string, ShareInForce, std::less<>> shares;
+  // Recent durations of requests, by route.
+  std::map<std::string, core::Durations, std::less<>> durations;
   // Usage since the last log lines, by service.
   std::map<std::string, direct::UsageTable, std::less<>> usage;
   std::map<direct::Ticket, std::shared_ptr<Pending>> pending;
@@ -92,6 +95,8 @@
   Exchange exchange;
   core::Time until{};
 };
+struct Call;
+
 // State that is used by one worker only.
 struct WorkerState {
   // By address, the last used one at the end.
@@ -99,6 +104,8 @@
   std::shared_ptr<net::HttpListener> callers;
   direct::Pressure pressure;
   direct::Intake intake;
+  // Requests in flight.
+  std::set<std::shared_ptr<Call>> calls;
 };
 
 // Another entry, by the address of its listener.
@@ -130,6 +137,7 @@
   direct::PressurePolicy pressure;
   direct::IntakePolicy intake;
   direct::RotationPolicy rotation;
+  core::DrainPolicy drain;
 };
 
 struct Relay {
@@ -179,6 +187,8 @@
   // Connection to the replica while there is one.
   Exchange exchange;
   bool caller_gone = false;
+  // Set when the request is ended because the process ends.
+  bool stopped = false;
   // The replica of the last attempt, and all that the request was sent to.
   std::string replica;
   std::set<std::string> tried;
@@ -216,10 +226,15 @@
     -> void;
 
 // Returns the answer to a request that this entry does not take in, by its head alone; with `full`
-// it takes in none. Nothing if it may be taken in, or is to be answered otherwise. Does not suspend.
+// it takes in none. Nothing if it may be taken in, or is to be answered otherwise. Does not
+// suspend.
 auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full)
     -> std::optional<net::HttpReply>;
 
+// Ends requests of the calling worker: those that wait for a replica are refused, those at a
+// replica fail, and answers that have begun are cut.
+auto StopCalls(WorkerState& worker, node::StopScope scope) -> void;
+
 // Counts a request that arrived, one that was taken in, and one that was refused.
 auto CountAsked(Relay& relay, const Call& call) -> void;
 auto CountTaken(Relay& relay, const Call& call) -> void;
