Keep the framing of answers that end with their connection

A success with neither Content-Length nor chunks reached the caller with a length or a last chunk, which vouched for an end that nothing had stated: the kernel closes the socket of a replica that was killed in order too. Such an answer is now passed on as it came, up to the end of the connection. The caller's connection is closed in order only after an orderly close by the replica. It is reset if the replica's was reset, if the answer timed out, ended inside an event or was otherwise cut, and also if the entry process is killed: SO_LINGER is set to 0 from the first byte and taken back at the end.

Plain answers of up to 256 KB are still read to their end first, so that one that was reset is repeated where its route allows that, and are then sent with the same framing. A continued stream keeps the framing that it began with. If it began in chunks and its rest ends with the connection, it is cut, since a last chunk would state more than the replica did.

Between an entry and an endpoint process no message is new: the head carries the replica's headers as they came, which tell the framing, and End(complete) says whether the connection was closed in order.

Not taken: a refusal as 502 would fail answers that HTTP and the users' pages call valid; chunks that are cut only after a reset still vouch for an orderly close in the middle; holding the whole body adds the length that was missing.

The new tests were seen to fail before, but for those of cut heads, short bodies, chunks and answers without a body, where no fault was found.

--- a/libs/entry/src/attempt.cc
+++ b/libs/entry/src/attempt.cc
@@ -91,6 +91,15 @@
   return headers;
 }
 
+// The endpoint process passes the replica's headers on as they came, so that they tell what marked
+// the end of the replica's answer.
+auto FramingOf(const wire::Head& head) -> net::Framing {
+  const bool stated =
+      !net::FindHeader(head.headers, "Content-Length").empty() ||
+      boost::beast::iequals(net::FindHeader(head.headers, "Transfer-Encoding"), "chunked");
+  return stated ? net::Framing::stated : net::Framing::connection;
+}
+
 // Opens the stream of the attempt. Returns a failure if the endpoint process can't be reached.
 auto OpenStream(Entry& entry, Call& call, const Target& target) -> std::optional<AttemptFailure> {
   std::shared_ptr<net::Connection> connection;
@@ -166,7 +175,7 @@
                   responder.HasBegun());
     }
     if (const auto* head = std::get_if<wire::Head>(&*message)) {
-      responder.Begin(head->status, AnswerHeaders(call, target, *head));
+      responder.Begin(head->status, AnswerHeaders(call, target, *head), FramingOf(*head));
     } else if (const auto* chunk = std::get_if<wire::Chunk>(&*message)) {
       ObservePart(entry, call, times);
       responder.Write(chunk->data);
--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -20,6 +20,7 @@
 struct HttpAnswer {
   int status = 0;
   Headers headers;
+  Framing framing = Framing::stated;
 };
 
 // Exchanges with a server over one HTTP/1.1 connection, one after the other, with each answer's
@@ -51,7 +52,8 @@
       -> HttpAnswer;
 
   // Returns the next piece of the body, or an empty string after its end. Throws core::Error if the
-  // body is cut short or nothing arrives in time.
+  // body is cut short or nothing arrives in time. With Framing::connection, a connection that was
+  // closed in order in the middle of the body can't be told from the end.
   auto Read(std::chrono::milliseconds timeout) -> std::string;
 
   // Closes the connection. May be called from another fiber of the worker while Start or Read
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -29,6 +29,14 @@
 // Why a request could not be read.
 enum class RequestFault { none, malformed, header_too_large, body_too_large };
 
+// What tells a reader that an answer has come to its end.
+enum class Framing {
+  // The answer itself: its length, its last chunk, or that it has no body.
+  stated,
+  // Only the end of the connection. A reset one means that the answer was cut.
+  connection
+};
+
 namespace detail {
 struct HttpExchange;
 }  // namespace detail
@@ -41,9 +49,11 @@
   // Sends a whole answer.
   auto Respond(int status, const Headers& headers, std::string_view body) -> void;
 
-  // Begins a streamed answer. With a Content-Length header the body is sent as it is, else chunked.
-  // Throws core::Error (Step::respond), as the functions below, if the caller is gone.
-  auto Begin(int status, const Headers& headers) -> void;
+  // Begins a streamed answer. With a Content-Length header the body is sent as it is, else chunked,
+  // or up to the end of the connection. Such a connection is closed in order only after End, and
+  // reset otherwise, also by the end of this process. Throws core::Error (Step::respond), as the
+  // functions below, if the caller is gone.
+  auto Begin(int status, const Headers& headers, Framing framing = Framing::stated) -> void;
   auto Write(std::string_view data) -> void;
   auto End() -> void;
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -108,6 +108,7 @@
   for (const auto& field : c.parser->get()) {
     answer.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
   }
+  if (c.parser->need_eof()) answer.framing = Framing::connection;
   return answer;
 }
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -1,5 +1,7 @@
 #include "filbertstair/net/http_server.h"
 
+#include <sys/socket.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -27,6 +29,8 @@
   bool begun = false;
   bool ended = false;
   bool chunked = false;
+  // Whether only the end of the connection ends the answer.
+  bool until_closed = false;
   bool aborted = false;
   bool watching = false;
 };
@@ -45,6 +49,13 @@
   ThrowOnError(exchange, result.error);
 }
 
+// Sets whether closing the socket resets the connection, also if the process ends. Asio is not
+// told, since its destructor of a socket would undo it.
+auto SetResetOnClose(Tcp::socket& socket, bool on) -> void {
+  const ::linger option{on ? 1 : 0, 0};
+  setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 template <typename Message>
 auto SetHeaders(Message& message, const Headers& headers) -> void {
   for (const auto& [name, value] : headers) message.insert(name, value);
@@ -184,6 +195,11 @@
     exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.closing();
     HandleRequest(*listener, exchange, ToRequest(parser.release(), peer));
     keep = exchange.keep_alive && !exchange.aborted;
+    // An orderly end of the connection would make the cut answer a whole one.
+    if (exchange.until_closed && !exchange.ended) {
+      stream.close();
+      return;
+    }
   }
   stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
   stream.close();
@@ -214,15 +230,21 @@
   this->exchange.ended = true;
 }
 
-auto Responder::Begin(int status, const Headers& headers) -> void {
+auto Responder::Begin(int status, const Headers& headers, Framing framing) -> void {
   namespace http = detail::http;
   http::response<http::empty_body> message;
   message.result(static_cast<unsigned>(status));
   detail::SetHeaders(message, headers);
   // Answers to HEAD and with these statuses have no body, not even an empty chunked one.
   const bool bodiless = this->exchange.head_only || status == 204 || status == 304;
-  this->exchange.chunked = !bodiless && FindHeader(headers, "Content-Length").empty();
+  const bool open = !bodiless && FindHeader(headers, "Content-Length").empty();
+  this->exchange.chunked = open && framing == Framing::stated;
+  this->exchange.until_closed = open && framing == Framing::connection;
   if (this->exchange.chunked) message.chunked(true);
+  if (this->exchange.until_closed) {
+    this->exchange.keep_alive = false;
+    detail::SetResetOnClose(this->exchange.stream.socket(), true);
+  }
   message.keep_alive(this->exchange.keep_alive);
   this->exchange.begun = true;
   http::response_serializer<http::empty_body> serializer(message);
@@ -246,6 +268,9 @@
   if (this->exchange.chunked) {
     detail::WriteAll(this->exchange, detail::http::make_chunk_last());
   }
+  if (this->exchange.until_closed) {
+    detail::SetResetOnClose(this->exchange.stream.socket(), false);
+  }
   this->exchange.ended = true;
 }
 
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(testWholeAnswer);
   CPPUNIT_TEST(testStreamedAnswerArrivesInPieces);
   CPPUNIT_TEST(testCutAnswerIsAnError);
+  CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST_SUITE_END();
@@ -107,6 +108,30 @@
         });
   }
 
+  // Guards against a cut answer that looks complete where only the end of the connection ends it.
+  auto testAnswerUpToTheEndOfTheConnection() -> void {
+    RunPair(
+        [](const HttpRequest& request, Responder& responder) {
+          responder.Begin(200, {}, Framing::connection);
+          responder.Write("part");
+          if (request.target == "/whole") responder.End();
+        },
+        [](const std::string& address) {
+          HttpExchange whole;
+          const auto answer = whole.Start(address, Get("/whole"), kTimeout, kTimeout);
+          CPPUNIT_ASSERT(answer.framing == Framing::connection);
+          CPPUNIT_ASSERT(FindHeader(answer.headers, "Connection") == "close");
+          CPPUNIT_ASSERT_EQUAL(std::string("part"), whole.Read(kTimeout));
+          CPPUNIT_ASSERT_EQUAL(std::string(), whole.Read(kTimeout));
+          HttpExchange cut;
+          const auto read = [&] {
+            cut.Start(address, Get("/cut"), kTimeout, kTimeout);
+            while (!cut.Read(kTimeout).empty()) continue;
+          };
+          CPPUNIT_ASSERT_THROW(read(), core::Error);
+        });
+  }
+
   auto testOversizedBody() -> void {
     RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
             [](const std::string& address) {
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -203,7 +203,8 @@
   // A continued stream keeps the head of its first replica.
   if (call.begun) return;
   call.begun = true;
-  responder.Begin(answer.status, relay.dialect.answer_headers(answer));
+  call.framing = answer.framing;
+  responder.Begin(answer.status, relay.dialect.answer_headers(answer), answer.framing);
 }
 
 // Passes events on as they complete. Returns normally after the end of the stream.
@@ -230,6 +231,12 @@
   if (!call.events.rest.empty()) {
     throw core::Error(Step::read, assignment.address, "stream ended inside an event");
   }
+  // The caller's last chunk would vouch for an end that nothing but this connection marks.
+  if (call.begun && call.framing == net::Framing::stated &&
+      answer.framing == net::Framing::connection) {
+    throw core::Error(Step::read, assignment.address,
+                      "nothing states the end of the stream's rest");
+  }
   BeginAnswer(relay, call, answer, responder);
   responder.End();
 }
@@ -245,14 +252,15 @@
       core::Time last{};
       ObservePart(relay, call, last);
       const int status = answer.answer.status;
-      HeldAnswer held{status, relay.dialect.answer_headers(answer.answer), std::move(body)};
+      HeldAnswer held{status, relay.dialect.answer_headers(answer.answer), std::move(body),
+                      answer.answer.framing};
       if (status >= 500 && CanTryAnother(call)) {
         call.held = std::move(held);
         return Fail(Reason::engine_error, Outcome::ran, Step::engine,
                     "status " + std::to_string(status));
       }
       call.begun = true;
-      responder.Respond(held.status, held.headers, held.body);
+      RespondHeld(responder, held);
       return std::nullopt;
     }
     body += piece;
@@ -317,6 +325,16 @@
 
 }  // namespace
 
+auto RespondHeld(net::Responder& responder, const HeldAnswer& held) -> void {
+  if (held.framing == net::Framing::stated) {
+    responder.Respond(held.status, held.headers, held.body);
+    return;
+  }
+  responder.Begin(held.status, held.headers, held.framing);
+  responder.Write(held.body);
+  responder.End();
+}
+
 auto Attempt(Relay& relay, Call& call, const net::HttpRequest& request, Assignment& assignment,
              net::Responder& responder) -> std::optional<Failure> {
   node::RecordEvent(relay.node, call.id,
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -255,7 +255,7 @@
   auto refused = RunAttempts(relay, *call, request, responder);
   if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
     call->begun = true;
-    responder.Respond(call->held->status, call->held->headers, call->held->body);
+    RespondHeld(responder, *call->held);
     return std::nullopt;
   }
   if (refused && !responder.HasBegun()) CountRefused(relay, *call, refused->reason);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -144,6 +144,7 @@
   int status = 0;
   net::Headers headers;
   std::string body;
+  net::Framing framing = net::Framing::stated;
 };
 
 // A caller's request on its way through the relay. Used by the fiber that handles it, and by the
@@ -166,8 +167,9 @@
   std::set<std::string> tried;
   direct::EventCutter events;
   std::optional<HeldAnswer> held;
-  // Whether the first part of the answer has been passed on.
+  // Whether the first part of the answer has been passed on, and how its caller learns of its end.
   bool begun = false;
+  net::Framing framing = net::Framing::stated;
 };
 
 // How an attempt ended that did not answer the caller.
@@ -227,6 +229,9 @@
 // Tells the linked entries soon that the load changed. Call without the dispatch table.
 auto WakePeers(Relay& relay) -> void;
 
+// Sends a whole answer that was kept, framed as its replica did.
+auto RespondHeld(net::Responder& responder, const HeldAnswer& held) -> void;
+
 // Sends the request to the assigned replica and passes its answer on. Returns nothing if the caller
 // has the whole answer, or how the attempt failed.
 auto Attempt(Relay& relay, Call& call, const net::HttpRequest& request, Assignment& assignment,
--- /dev/null
+++ b/libs/relay/test/cut_answer_test.cc
@@ -0,0 +1,373 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "fixture.h"
+
+namespace filbertstair::relay {
+namespace {
+
+// How a replica leaves a connection in the middle of an answer.
+enum class Ending { closed, reset };
+
+constexpr Ending kEndings[] = {Ending::closed, Ending::reset};
+const std::vector<std::string> kPlain = {"/once/x", "/again/x"};
+const std::vector<std::string> kStreams = {"/stream-once/x", "/stream/x"};
+// More than the entry holds back of a plain answer.
+const std::string kLongBody(400000, 'b');
+
+auto Leave(const RawReplica::Write& write, Ending ending) -> void {
+  if (ending == Ending::closed) {
+    write.Close();
+  } else {
+    write.Reset();
+  }
+}
+
+// Head without its blank line.
+auto Head(const std::string& id, const std::string& status = "200 OK") -> std::string {
+  return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\nReceipt: r\r\n";
+}
+
+auto WithLength(const std::string& id, const std::string& body) -> std::string {
+  return Head(id) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+auto Chunked(const std::string& id) -> std::string {
+  return Head(id) + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+auto Chunk(const std::string& data) -> std::string {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  return size + data + "\r\n";
+}
+
+auto Event(int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: part " + std::to_string(id) + "\n\n";
+}
+
+// Whether only the end of the connection marks the end of the answer.
+auto EndsWithConnection(const CallerAnswer& answer) -> bool {
+  return net::FindHeader(answer.headers, "Content-Length").empty() &&
+         net::FindHeader(answer.headers, "Transfer-Encoding").empty() &&
+         net::FindHeader(answer.headers, "Connection") == "close";
+}
+
+auto IsWholeSuccess(const CallerAnswer& answer) -> bool {
+  return answer.status == 200 && answer.whole;
+}
+
+// Calls a fleet whose only replica answers with the bytes, which get the request's id, and leaves.
+auto CallCut(const std::string& target, const std::function<std::string(const std::string&)>& bytes,
+             Ending ending, milliseconds timeout = seconds(4), const std::string& method = "GET")
+    -> CallerAnswer {
+  RawReplica replica("a", [&](int, const std::string& id, const RawReplica::Write& write) {
+    write(bytes(id));
+    Leave(write, ending);
+  });
+  Fleet fleet;
+  auto configuration = MakeFleet();
+  for (auto& route : configuration.routes) route.timeout = timeout;
+  fleet.Configure(std::move(configuration));
+  fleet.List(replica);
+  auto request = Get(target);
+  request.method = method;
+  return fleet.Call(request);
+}
+
+class CutAnswerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CutAnswerTest);
+  CPPUNIT_TEST(testHeadCutOnANewConnection);
+  CPPUNIT_TEST(testHeadCutOnAKeptConnection);
+  CPPUNIT_TEST(testPlainAnswerThatEndsWithItsConnection);
+  CPPUNIT_TEST(testStreamThatEndsWithItsConnection);
+  CPPUNIT_TEST(testPlainAnswerThatIsReset);
+  CPPUNIT_TEST(testStreamThatIsReset);
+  CPPUNIT_TEST(testStreamThatEndsInsideAnEvent);
+  CPPUNIT_TEST(testAnswerThatStopsUntilTheDeadline);
+  CPPUNIT_TEST(testFailureThatEndsWithItsConnection);
+  CPPUNIT_TEST(testResetAnswerIsRepeated);
+  CPPUNIT_TEST(testWeakStreamContinued);
+  CPPUNIT_TEST(testContinuationThatEndsWithItsConnection);
+  CPPUNIT_TEST(testShortBody);
+  CPPUNIT_TEST(testChunksCut);
+  CPPUNIT_TEST(testAnswersWithoutABody);
+  CPPUNIT_TEST(testLineEndsWithoutCarriageReturn);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a success made of a head that never came to its end.
+  auto testHeadCutOnANewConnection() -> void { CutHeads(false); }
+
+  // Guards against the same on a connection that carried a whole answer before.
+  auto testHeadCutOnAKeptConnection() -> void { CutHeads(true); }
+
+  // Guards against an answer whose end only the connection marks, and which reaches the caller with
+  // a length or chunks that vouch for the whole.
+  auto testPlainAnswerThatEndsWithItsConnection() -> void {
+    for (const auto& target : kPlain) {
+      for (const auto& body : {std::string(), std::string("part"), kLongBody}) {
+        const auto answer = CallCut(
+            target, [&](const std::string& id) { return Head(id) + "\r\n" + body; },
+            Ending::closed);
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(body, answer.body);
+        CPPUNIT_ASSERT(answer.whole);
+        CPPUNIT_ASSERT(EndsWithConnection(answer));
+      }
+    }
+  }
+
+  // Guards against a stream of such a replica that is ended by a last chunk.
+  auto testStreamThatEndsWithItsConnection() -> void {
+    for (const auto& target : kStreams) {
+      const auto answer = CallCut(
+          target, [](const std::string& id) { return Head(id) + "\r\n" + Event(1) + Event(2); },
+          Ending::closed);
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), answer.body);
+      CPPUNIT_ASSERT(answer.whole);
+      CPPUNIT_ASSERT(EndsWithConnection(answer));
+    }
+  }
+
+  // Guards against an answer that was reset and looks complete to its caller. A reset may overtake
+  // a part of a long body, which is then refused.
+  auto testPlainAnswerThatIsReset() -> void {
+    for (const auto& target : kPlain) {
+      const auto answer = CallCut(
+          target, [](const std::string& id) { return Head(id) + "\r\npart"; }, Ending::reset);
+      CPPUNIT_ASSERT_EQUAL(502, answer.status);
+      const auto begun = CallCut(
+          target, [](const std::string& id) { return Head(id) + "\r\n" + kLongBody; },
+          Ending::reset);
+      CPPUNIT_ASSERT(!IsWholeSuccess(begun));
+    }
+  }
+
+  // Guards against a stream that was reset and looks complete to its caller.
+  auto testStreamThatIsReset() -> void {
+    for (const auto& target : kStreams) {
+      const auto answer = CallCut(
+          target, [](const std::string& id) { return Head(id) + "\r\n" + Event(1); },
+          Ending::reset);
+      CPPUNIT_ASSERT_EQUAL(Event(1), answer.body);
+      CPPUNIT_ASSERT(!answer.whole);
+      CPPUNIT_ASSERT(EndsWithConnection(answer));
+      CPPUNIT_ASSERT(!answer.left.empty());
+    }
+  }
+
+  // Guards against a stream that ends inside an event and looks complete, however the replica left.
+  auto testStreamThatEndsInsideAnEvent() -> void {
+    for (const auto& target : kStreams) {
+      for (const auto ending : kEndings) {
+        const auto answer = CallCut(
+            target,
+            [](const std::string& id) { return Head(id) + "\r\n" + Event(1) + "id: 2\nda"; },
+            ending);
+        CPPUNIT_ASSERT_EQUAL(Event(1), answer.body);
+        CPPUNIT_ASSERT(!answer.whole);
+        CPPUNIT_ASSERT(!answer.left.empty());
+      }
+    }
+  }
+
+  // Guards against the deadline's end of an answer without a length that looks like its own end.
+  auto testAnswerThatStopsUntilTheDeadline() -> void {
+    for (const std::string target : {"/once/x", "/stream-once/x"}) {
+      RawReplica replica("a", [&](int, const std::string& id, const RawReplica::Write& write) {
+        write(Head(id) + "\r\n" + (target == "/once/x" ? kLongBody : Event(1)));
+      });
+      Fleet fleet;
+      auto configuration = MakeFleet();
+      for (auto& route : configuration.routes) route.timeout = seconds(1);
+      fleet.Configure(std::move(configuration));
+      fleet.List(replica);
+      const auto answer = fleet.Call(Get(target));
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT(!answer.whole);
+    }
+  }
+
+  // Guards against a failure that is kept for the end of all attempts and gains a length meanwhile.
+  auto testFailureThatEndsWithItsConnection() -> void {
+    for (const auto& target : kPlain) {
+      const auto answer = CallCut(
+          target, [](const std::string& id) { return Head(id, "500 Broken") + "\r\nbroken"; },
+          Ending::closed);
+      CPPUNIT_ASSERT_EQUAL(500, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("broken"), answer.body);
+      CPPUNIT_ASSERT(EndsWithConnection(answer));
+    }
+  }
+
+  // Guards against giving up where another replica may still answer: nothing was passed on yet.
+  auto testResetAnswerIsRepeated() -> void {
+    RawReplica first("a", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(Head(id) + "\r\npart");
+      write.Reset();
+    });
+    RawReplica second("b", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(WithLength(id, "whole"));
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto answer = fleet.Call(Get("/again/x"));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT(!EndsWithConnection(answer));
+  }
+
+  // Guards against the loss of a stream's rest: it began without a length, was reset, and another
+  // replica had the rest.
+  auto testWeakStreamContinued() -> void {
+    RawReplica first("a", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(Head(id) + "\r\n" + Event(1) + "id: 2\nda");
+      write.Reset();
+    });
+    RawReplica second("b", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(Chunked(id) + Chunk(Event(2) + Event(3)) + "0\r\n\r\n");
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto answer = fleet.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2) + Event(3), answer.body);
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT(EndsWithConnection(answer));
+  }
+
+  // Guards against a last chunk for a stream that began in chunks and whose rest was ended by
+  // nothing but its connection.
+  auto testContinuationThatEndsWithItsConnection() -> void {
+    RawReplica first("a", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(Chunked(id) + Chunk(Event(1)));
+      write.Close();
+    });
+    RawReplica second("b", [](int, const std::string& id, const RawReplica::Write& write) {
+      write(Head(id) + "\r\n" + Event(2));
+      write.Close();
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(first);
+    fleet.List(second);
+    const auto answer = fleet.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT_EQUAL(Event(1) + Event(2), answer.body);
+    CPPUNIT_ASSERT(!answer.whole);
+  }
+
+  // Guards against a body that is shorter than its stated length and looks complete.
+  auto testShortBody() -> void {
+    for (const auto ending : kEndings) {
+      const auto plain = [](const std::string& id) {
+        const auto whole = WithLength(id, "whole");
+        return whole.substr(0, whole.size() - 1);
+      };
+      CPPUNIT_ASSERT_EQUAL(502, CallCut("/once/x", plain, ending).status);
+      const auto begun = [](const std::string& id) {
+        const auto whole = WithLength(id, kLongBody);
+        return whole.substr(0, whole.size() - 1);
+      };
+      CPPUNIT_ASSERT(!IsWholeSuccess(CallCut("/once/x", begun, ending)));
+      const auto stream = [](const std::string& id) {
+        const auto whole = WithLength(id, Event(1) + Event(2));
+        return whole.substr(0, whole.size() - Event(2).size());
+      };
+      CPPUNIT_ASSERT(!CallCut("/stream-once/x", stream, ending).whole);
+    }
+  }
+
+  // Guards against chunks that end between two of them, inside the last one or inside the trailer,
+  // and look complete.
+  auto testChunksCut() -> void {
+    const std::string end = "0\r\nTrailer-Field: value\r\n\r\n";
+    for (const auto ending : kEndings) {
+      for (std::size_t size = 0; size < end.size(); ++size) {
+        const auto bytes = [&](const std::string& id) {
+          return Chunked(id) + Chunk(Event(1)) + end.substr(0, size);
+        };
+        CPPUNIT_ASSERT_EQUAL(502, CallCut("/once/x", bytes, ending).status);
+        CPPUNIT_ASSERT(!CallCut("/stream-once/x", bytes, ending).whole);
+      }
+    }
+    const auto whole = [&](const std::string& id) { return Chunked(id) + Chunk(Event(1)) + end; };
+    CPPUNIT_ASSERT(CallCut("/once/x", whole, Ending::closed).whole);
+    CPPUNIT_ASSERT(CallCut("/stream-once/x", whole, Ending::closed).whole);
+  }
+
+  // Guards against a caller that waits for the body of an answer that has none.
+  auto testAnswersWithoutABody() -> void {
+    for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+      const auto answer = CallCut(
+          "/once/x", [&](const std::string& id) { return Head(id, status) + "\r\n"; },
+          Ending::closed);
+      CPPUNIT_ASSERT_EQUAL(std::stoi(status), answer.status);
+      CPPUNIT_ASSERT(answer.whole);
+      CPPUNIT_ASSERT(answer.body.empty());
+      CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Connection").empty());
+    }
+    for (const std::string field :
+         {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      const auto answer = CallCut(
+          "/once/x", [&](const std::string& id) { return Head(id) + field + "\r\n"; },
+          Ending::closed, seconds(4), "HEAD");
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT(answer.whole);
+      CPPUNIT_ASSERT(net::FindHeader(answer.headers, "Connection").empty());
+    }
+  }
+
+  // Guards against a head that is read differently here and by callers.
+  auto testLineEndsWithoutCarriageReturn() -> void {
+    const auto answer = CallCut(
+        "/once/x",
+        [](const std::string& id) {
+          return "HTTP/1.1 200 OK\nId: " + id + "\nReceipt: r\nContent-Length: 5\n\nwhole";
+        },
+        Ending::closed);
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+  }
+
+ private:
+  static auto CutHeads(bool kept) -> void {
+    for (const auto ending : kEndings) {
+      std::atomic<std::size_t> cut = 0;
+      RawReplica replica("a",
+                         [&](int number, const std::string& id, const RawReplica::Write& write) {
+                           if (kept && number % 2 == 1) {
+                             write(WithLength(id, "whole"));
+                             return;
+                           }
+                           write(WithLength(id, "").substr(0, cut));
+                           Leave(write, ending);
+                         });
+      Fleet fleet;
+      fleet.Configure(MakeFleet());
+      fleet.List(replica);
+      int calls = 0;
+      for (const std::string target : {"/once/x", "/again/x", "/stream-once/x", "/stream/x"}) {
+        for (cut = 0; cut < WithLength("1", "").size(); ++cut) {
+          ++calls;
+          if (kept) {
+            const auto whole = fleet.Call(Get("/once/x"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(whole.body, 200, whole.status);
+          }
+          const auto answer = fleet.Call(Get(target));
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 502, answer.status);
+          CPPUNIT_ASSERT(answer.whole);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(calls, replica.Connections());
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CutAnswerTest);
+
+}  // namespace
+}  // namespace filbertstair::relay
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -140,8 +140,28 @@
 
 // A replica that answers with bytes of the test's own. It reads requests without a body.
 struct RawReplica {
-  // Writes bytes; returns false once the entry has closed the connection.
-  using Write = std::function<bool(std::string_view)>;
+  // The replica's end of a connection.
+  struct Write {
+    boost::asio::ip::tcp::socket& socket;
+
+    // Writes bytes; returns false once the entry has closed the connection.
+    auto operator()(std::string_view bytes) const -> bool {
+      boost::system::error_code error;
+      boost::asio::write(this->socket, boost::asio::buffer(bytes), error);
+      return !error;
+    }
+
+    // Ends the connection in order.
+    auto Close() const -> void { ::shutdown(this->socket.native_handle(), SHUT_RDWR); }
+
+    // Resets the connection once the entry has read what was written. The socket stays open, since
+    // the destructor of the replica uses it from another thread.
+    auto Reset() const -> void {
+      std::this_thread::sleep_for(milliseconds(5));
+      const sockaddr none{AF_UNSPEC, {}};
+      static_cast<void>(::connect(this->socket.native_handle(), &none, sizeof(none)));
+    }
+  };
   // Gets the number of the request at this replica, from 1, and its id.
   using Serve = std::function<void(int, const std::string&, const Write&)>;
 
@@ -181,10 +201,7 @@
 
   auto ServeConnection(boost::asio::ip::tcp::socket& socket) -> void {
     boost::system::error_code error;
-    const Write write = [&](std::string_view bytes) {
-      boost::asio::write(socket, boost::asio::buffer(bytes), error);
-      return !error;
-    };
+    const Write write{socket};
     std::string head;
     while (!error) {
       const auto size =
