Refuse a fetched document whose end nothing states

The entry reads documents of the platform by net::Fetch. An answer with neither Content-Length nor chunks was taken as whole when its connection was closed, so a document that was cut could come into force: `filbertstair check` accepts 20 of 93 prefixes of examples/reports.yaml, each 7 bytes longer than the one before. Fetch now throws for such an answer, and the call is repeated as after any failed one.

The store client of the entries that admit by themselves is not affected: all that it reads is one JSON object, which does not parse unless it is whole.

net.http_server_test testFetchNeedsAMarkedEnd was seen to fail before.

--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -67,7 +67,8 @@
   Progress progress = Progress::not_sent;
 };
 
-// Runs a whole exchange and returns the body in `body`. Throws core::Error.
+// Runs a whole exchange and returns the body in `body`. Throws core::Error, also if only the end of
+// the connection marks that of the answer: nothing tells then that the body is whole.
 auto Fetch(const std::string& address, const HttpRequest& request,
            std::chrono::milliseconds timeout, std::string& body) -> HttpAnswer;
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -161,6 +161,9 @@
            std::chrono::milliseconds timeout, std::string& body) -> HttpAnswer {
   HttpExchange exchange;
   auto answer = exchange.Start(address, request, timeout, timeout);
+  if (answer.framing == Framing::connection) {
+    throw core::Error(core::Step::read, address, "nothing states the end of the answer");
+  }
   body.clear();
   for (std::string piece = exchange.Read(timeout); !piece.empty(); piece = exchange.Read(timeout)) {
     body += piece;
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -2,7 +2,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <future>
+#include <thread>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/http_client.h"
@@ -45,6 +51,30 @@
 
 auto Get(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
 
+// Calls `client` with the address of a server that answers one request with the bytes and closes.
+auto RunAgainstBytes(const std::string& bytes,
+                     const std::function<void(const std::string&)>& client) -> void {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  const auto port = acceptor.local_endpoint().port();
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+  });
+  std::promise<std::string> done;
+  runtime::Pool pool(1, [&](const std::exception& error) { done.set_value(error.what()); });
+  pool.Post(0, [&] {
+    client("127.0.0.1:" + std::to_string(port));
+    done.set_value("");
+  });
+  const auto failure = done.get_future().get();
+  server.join();
+  pool.Stop();
+  CPPUNIT_ASSERT_EQUAL(std::string(), failure);
+}
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(testWholeAnswer);
@@ -53,6 +83,7 @@
   CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
+  CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -162,6 +193,15 @@
           noticed.get_future().get();
         });
   }
+
+  // Guards against a document that was cut and is taken as a whole one: nothing but the end of the
+  // connection marked its end.
+  auto testFetchNeedsAMarkedEnd() -> void {
+    RunAgainstBytes("HTTP/1.1 200 OK\r\n\r\nname: repo", [](const std::string& address) {
+      std::string body;
+      CPPUNIT_ASSERT_THROW(Fetch(address, Get("/"), kTimeout, body), core::Error);
+    });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
