Send no body with answers to HEAD

Respond wrote the body of a refusal also to a HEAD request. The caller read it as the beginning of the next answer on that connection. Answers to HEAD now end with their head, with the length of the body that GET would get if it is known; those with 204 and 304 no longer state a length, which HTTP forbids for 204.

net.http_server_test testAnswerToHeadHasNoBody was seen to fail before ("bad version" for the second answer).

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -61,6 +61,11 @@
   for (const auto& [name, value] : headers) message.insert(name, value);
 }
 
+// Answers to HEAD and with these statuses have no body, not even an empty chunked one.
+auto IsBodiless(const HttpExchange& exchange, int status) -> bool {
+  return exchange.head_only || status == 204 || status == 304;
+}
+
 auto ToRequest(http::request<http::string_body> message, const std::string& peer) -> HttpRequest {
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -221,12 +226,23 @@
   message.result(static_cast<unsigned>(status));
   detail::SetHeaders(message, headers);
   message.keep_alive(this->exchange.keep_alive);
-  message.body() = std::string(body);
-  message.prepare_payload();
   this->exchange.begun = true;
-  const auto result = runtime::Await(
-      [&](auto handler) { http::async_write(this->exchange.stream, message, std::move(handler)); });
-  detail::ThrowOnError(this->exchange, result.error);
+  if (detail::IsBodiless(this->exchange, status)) {
+    // Without a body for GET to have, a length of 0 would state what is not known.
+    if (this->exchange.head_only && !body.empty()) message.content_length(body.size());
+    http::response_serializer<http::string_body> serializer(message);
+    const auto result = runtime::Await([&](auto handler) {
+      http::async_write_header(this->exchange.stream, serializer, std::move(handler));
+    });
+    detail::ThrowOnError(this->exchange, result.error);
+  } else {
+    message.body() = std::string(body);
+    message.prepare_payload();
+    const auto result = runtime::Await([&](auto handler) {
+      http::async_write(this->exchange.stream, message, std::move(handler));
+    });
+    detail::ThrowOnError(this->exchange, result.error);
+  }
   this->exchange.ended = true;
 }
 
@@ -235,9 +251,8 @@
   http::response<http::empty_body> message;
   message.result(static_cast<unsigned>(status));
   detail::SetHeaders(message, headers);
-  // Answers to HEAD and with these statuses have no body, not even an empty chunked one.
-  const bool bodiless = this->exchange.head_only || status == 204 || status == 304;
-  const bool open = !bodiless && FindHeader(headers, "Content-Length").empty();
+  const bool open =
+      !detail::IsBodiless(this->exchange, status) && FindHeader(headers, "Content-Length").empty();
   this->exchange.chunked = open && framing == Framing::stated;
   this->exchange.until_closed = open && framing == Framing::connection;
   if (this->exchange.chunked) message.chunked(true);
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
+  CPPUNIT_TEST(testAnswerToHeadHasNoBody);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -202,6 +203,20 @@
       CPPUNIT_ASSERT_THROW(Fetch(address, Get("/"), kTimeout, body), core::Error);
     });
   }
+
+  // Guards against a body after an answer to HEAD, which the caller takes for its next answer.
+  auto testAnswerToHeadHasNoBody() -> void {
+    RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(404, {}, "text"); },
+            [](const std::string& address) {
+              HttpExchange exchange;
+              exchange.Connect(address, kTimeout);
+              for (int call = 0; call < 2; ++call) {
+                exchange.Send({"HEAD", "/", {{"Host", "a"}}, "", ""}, kTimeout);
+                CPPUNIT_ASSERT_EQUAL(404, exchange.ReadHead(kTimeout).status);
+                CPPUNIT_ASSERT_EQUAL(std::string(), exchange.Read(kTimeout));
+              }
+            });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
