Send no chunks to HTTP/1.0 callers

A streamed answer without a Content-Length was chunked whatever the version of the request; HTTP/1.0 has no chunks, and its callers read their sizes as part of the body. They now get the body up to the end of the connection, which is reset if the answer is cut.

net.http_server_test testOldCallerGetsNoChunks was seen to fail before.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -26,6 +26,8 @@
   std::string peer;
   bool keep_alive;
   bool head_only = false;
+  // HTTP/1.0 has no chunks.
+  bool takes_chunks = true;
   bool begun = false;
   bool ended = false;
   bool chunked = false;
@@ -197,6 +199,7 @@
       break;
     }
     exchange.head_only = parser.get().method() == http::verb::head;
+    exchange.takes_chunks = parser.get().version() >= 11;
     exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.closing();
     HandleRequest(*listener, exchange, ToRequest(parser.release(), peer));
     keep = exchange.keep_alive && !exchange.aborted;
@@ -253,8 +256,8 @@
   detail::SetHeaders(message, headers);
   const bool open =
       !detail::IsBodiless(this->exchange, status) && FindHeader(headers, "Content-Length").empty();
-  this->exchange.chunked = open && framing == Framing::stated;
-  this->exchange.until_closed = open && framing == Framing::connection;
+  this->exchange.chunked = open && framing == Framing::stated && this->exchange.takes_chunks;
+  this->exchange.until_closed = open && !this->exchange.chunked;
   if (this->exchange.chunked) message.chunked(true);
   if (this->exchange.until_closed) {
     this->exchange.keep_alive = false;
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -5,12 +5,14 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/net/address.h"
 #include "filbertstair/net/http_client.h"
 #include "filbertstair/runtime/pool.h"
 #include "filbertstair/runtime/signal.h"
@@ -51,6 +53,18 @@
 
 auto Get(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
 
+// Sends the bytes and returns what comes back until the connection ends.
+auto ExchangeBytes(const std::string& address, const std::string& bytes) -> std::string {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(ParseAddress(address));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string received;
+  boost::system::error_code ended;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), ended);
+  return received;
+}
+
 // Calls `client` with the address of a server that answers one request with the bytes and closes.
 auto RunAgainstBytes(const std::string& bytes,
                      const std::function<void(const std::string&)>& client) -> void {
@@ -85,6 +99,7 @@
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
   CPPUNIT_TEST(testAnswerToHeadHasNoBody);
+  CPPUNIT_TEST(testOldCallerGetsNoChunks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -217,6 +232,22 @@
               }
             });
   }
+
+  // Guards against chunks in an answer to HTTP/1.0, which has none.
+  auto testOldCallerGetsNoChunks() -> void {
+    RunPair(
+        [](const HttpRequest&, Responder& responder) {
+          responder.Begin(200, {});
+          responder.Write("one");
+          responder.Write("two");
+          responder.End();
+        },
+        [](const std::string& address) {
+          const auto answer = ExchangeBytes(address, "GET / HTTP/1.0\r\n\r\n");
+          CPPUNIT_ASSERT(answer.find("chunked") == std::string::npos);
+          CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nonetwo"));
+        });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
