Read on after interim answers

An interim answer (1xx) before the answer was taken for the answer itself. An endpoint process passed any on as the whole answer; an entry that admits by itself passed one on if it had the request's id and else counted it among the answers to other requests, of which it reads three, and then gave up the connection. ReadHead now reads past up to eight of them within its time limit. 101 is an error, since no request asks for another protocol.

relay.cut_answer_test testInterimAnswers and testEndlessInterimAnswers and fleet.answer_test testInterimAnswers were seen to fail before.

--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -35,7 +35,8 @@
   // The steps of an exchange. Each throws core::Error. A request names its own Host.
   auto Connect(const std::string& address, std::chrono::milliseconds timeout) -> void;
   auto Send(const HttpRequest& request, std::chrono::milliseconds timeout) -> void;
-  // Reads the head of the next answer. May be called again for a further answer to one request.
+  // Reads the head of the next answer, past interim ones. May be called again for a further answer
+  // to one request.
   auto ReadHead(std::chrono::milliseconds timeout) -> HttpAnswer;
 
   // Whether the last answer was read to its end and the connection may carry another request: the
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -18,6 +18,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kPiece = std::size_t{16} * 1024;
+// Interim answers before the answer to one request. Servers send one or two; more hold up its
+// caller.
+constexpr int kMaxInterim = 8;
 
 struct ClientConnection {
   std::string address;
@@ -35,6 +38,8 @@
 
 namespace http = detail::http;
 
+constexpr unsigned kSwitchingProtocols = 101;
+
 auto Check(const boost::system::error_code& error, core::Step step, const std::string& peer)
     -> void {
   if (!error) return;
@@ -58,6 +63,24 @@
   return message;
 }
 
+auto ReadNextHead(detail::ClientConnection& c) -> void {
+  c.parser.emplace();
+  // A response to HEAD has no body whatever its Content-Length says.
+  c.parser->skip(c.head_only);
+  c.parser->body_limit(boost::none);
+  const auto result = runtime::Await([&](auto handler) {
+    http::async_read_header(c.stream, c.buffer, *c.parser, std::move(handler));
+  });
+  Check(result.error, core::Step::read, c.address);
+}
+
+// Whether the answer proper is still to come. After 101 none of this protocol does.
+auto IsInterim(const http::response_parser<http::buffer_body>& parser) -> bool {
+  // Beast has no names for some of these statuses.
+  const auto status = parser.get().result_int();
+  return status / 100 == 1 && status != kSwitchingProtocols;
+}
+
 }  // namespace
 
 HttpExchange::HttpExchange() : connection(std::make_unique<detail::ClientConnection>()) {}
@@ -92,15 +115,17 @@
 
 auto HttpExchange::ReadHead(std::chrono::milliseconds timeout) -> HttpAnswer {
   auto& c = *this->connection;
-  c.parser.emplace();
-  // A response to HEAD has no body whatever its Content-Length says.
-  c.parser->skip(c.head_only);
-  c.parser->body_limit(boost::none);
   c.stream.expires_after(timeout);
-  const auto result = runtime::Await([&](auto handler) {
-    http::async_read_header(c.stream, c.buffer, *c.parser, std::move(handler));
-  });
-  Check(result.error, core::Step::read, c.address);
+  ReadNextHead(c);
+  for (int interim = 0; IsInterim(*c.parser); ++interim) {
+    if (interim == detail::kMaxInterim) {
+      throw core::Error(core::Step::read, c.address, "interim answers only");
+    }
+    ReadNextHead(c);
+  }
+  if (c.parser->get().result_int() == kSwitchingProtocols) {
+    throw core::Error(core::Step::read, c.address, "a protocol that was not asked for");
+  }
   this->progress = Progress::answered;
 
   HttpAnswer answer;
--- a/libs/relay/test/cut_answer_test.cc
+++ b/libs/relay/test/cut_answer_test.cc
@@ -91,6 +91,8 @@
   CPPUNIT_TEST(testShortBody);
   CPPUNIT_TEST(testChunksCut);
   CPPUNIT_TEST(testAnswersWithoutABody);
+  CPPUNIT_TEST(testInterimAnswers);
+  CPPUNIT_TEST(testEndlessInterimAnswers);
   CPPUNIT_TEST(testLineEndsWithoutCarriageReturn);
   CPPUNIT_TEST_SUITE_END();
 
@@ -322,6 +324,45 @@
     }
   }
 
+  // Guards against an interim answer that is taken for the answer: the caller gets no other one, or
+  // the connection is given up.
+  auto testInterimAnswers() -> void {
+    RawReplica replica("a", [](int, const std::string& id, const RawReplica::Write& write) {
+      write("HTTP/1.1 100 Continue\r\n\r\n" + Head(id, "103 Early Hints") + "\r\n" +
+            Head(id, "102 Processing") + "\r\n" + Head(id, "103 Early Hints") + "\r\n" +
+            WithLength(id, "whole"));
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    for (int call = 0; call < 2; ++call) {
+      const auto answer = fleet.Call(Get("/once/x"));
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
+      CPPUNIT_ASSERT(answer.whole);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, replica.Connections());
+  }
+
+  // Guards against interim answers without end that hold the caller, and against a switch to a
+  // protocol that nobody asked for.
+  auto testEndlessInterimAnswers() -> void {
+    RawReplica replica("a", [](int, const std::string& id, const RawReplica::Write& write) {
+      while (write(Head(id, "103 Early Hints") + "\r\n")) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+    });
+    Fleet fleet;
+    fleet.Configure(MakeFleet());
+    fleet.List(replica);
+    CPPUNIT_ASSERT_EQUAL(502, fleet.Call(Get("/once/x")).status);
+    const auto switched = CallCut(
+        "/once/x",
+        [](const std::string& id) { return Head(id, "101 Switching Protocols") + "\r\n"; },
+        Ending::closed);
+    CPPUNIT_ASSERT_EQUAL(502, switched.status);
+  }
+
   // Guards against a head that is read differently here and by callers.
   auto testLineEndsWithoutCarriageReturn() -> void {
     const auto answer = CallCut(
--- a/tests/fleet/answer_test.cc
+++ b/tests/fleet/answer_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(testStoppedEntryProcess);
   CPPUNIT_TEST(testShortBodyAndChunks);
   CPPUNIT_TEST(testAnswersWithoutABody);
+  CPPUNIT_TEST(testInterimAnswers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -166,6 +167,17 @@
     }
   }
 
+  // Guards against an interim answer that is taken for the answer.
+  auto testInterimAnswers() -> void {
+    this->Answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+                     kHead + "Content-Length: 5\r\n\r\nwhole",
+                 Ending::closed);
+    const auto reply = this->Call();
+    CPPUNIT_ASSERT_EQUAL(200, reply.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), reply.body);
+    CPPUNIT_ASSERT(reply.complete);
+  }
+
  private:
   auto Answer(std::string bytes, std::optional<Ending> ending) -> void {
     const std::lock_guard lock(this->mutex);
