--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -20,6 +20,7 @@
 struct HttpAnswer {
   int status = 0;
   Headers headers;
+  Framing framing = Framing::stated;
 };
 
 // Exchanges with a server over one HTTP/1.1 connection, one after the other, with each answer's
@@ -34,7 +35,8 @@
   // The steps of an exchange. Each throws core::Error. A request names its own Host.
   auto Connect(const std::string& address, std::chrono::milliseconds timeout) -> void;
   auto Send(const HttpRequest& request, std::chrono::milliseconds timeout) -> void;
-  // Reads the head of the next answer. May be called again for a further answer to one request.
+  // Reads the head of the next answer, past interim ones. May be called again for a further answer
+  // to one request.
   auto ReadHead(std::chrono::milliseconds timeout) -> HttpAnswer;
 
   // Whether the last answer was read to its end and the connection may carry another request: the
@@ -51,7 +53,8 @@
       -> HttpAnswer;
 
   // Returns the next piece of the body, or an empty string after its end. Throws core::Error if the
-  // body is cut short or nothing arrives in time.
+  // body is cut short or nothing arrives in time. With Framing::connection, a connection that was
+  // closed in order in the middle of the body can't be told from the end.
   auto Read(std::chrono::milliseconds timeout) -> std::string;
 
   // Closes the connection. May be called from another fiber of the worker while Start or Read
@@ -65,7 +68,8 @@
   Progress progress = Progress::not_sent;
 };
 
-// Runs a whole exchange and returns the body in `body`. Throws core::Error.
+// Runs a whole exchange and returns the body in `body`. Throws core::Error, also if only the end of
+// the connection marks that of the answer: nothing tells then that the body is whole.
 auto Fetch(const std::string& address, const HttpRequest& request,
            std::chrono::milliseconds timeout, std::string& body) -> HttpAnswer;
 
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <thread>
@@ -59,6 +60,18 @@
 
 auto Get(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
 
+// Sends the bytes and returns what comes back until the connection ends.
+auto ExchangeBytes(const std::string& address, const std::string& bytes) -> std::string {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(ParseAddress(address));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string received;
+  boost::system::error_code ended;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), ended);
+  return received;
+}
+
 auto RefuseSome(const HttpRequest& request, bool full) -> std::optional<HttpReply> {
   if (request.target != "/refused" && !full) return std::nullopt;
   return HttpReply{503, {{"Retry-After", "1"}}, "busy"};
@@ -87,7 +100,31 @@
 
 auto SendWhole(const std::string& address, const std::string& target, const std::string& body)
     -> std::string {
-  return SendInTwo(address, ToText(target, body), 0);
+  return ExchangeBytes(address, ToText(target, body));
+}
+
+// Calls `client` with the address of a server that answers one request with the bytes and closes.
+auto RunAgainstBytes(const std::string& bytes,
+                     const std::function<void(const std::string&)>& client) -> void {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  const auto port = acceptor.local_endpoint().port();
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::string request;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+  });
+  std::promise<std::string> done;
+  runtime::Pool pool(1, [&](const std::exception& error) { done.set_value(error.what()); });
+  pool.Post(0, [&] {
+    client("127.0.0.1:" + std::to_string(port));
+    done.set_value("");
+  });
+  const auto failure = done.get_future().get();
+  server.join();
+  pool.Stop();
+  CPPUNIT_ASSERT_EQUAL(std::string(), failure);
 }
 
 class HttpServerTest : public CppUnit::TestFixture {
@@ -95,11 +132,15 @@
   CPPUNIT_TEST(testWholeAnswer);
   CPPUNIT_TEST(testStreamedAnswerArrivesInPieces);
   CPPUNIT_TEST(testCutAnswerIsAnError);
+  CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
   CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
   CPPUNIT_TEST(testConnectionsAreBounded);
+  CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
+  CPPUNIT_TEST(testAnswerToHeadHasNoBody);
+  CPPUNIT_TEST(testOldCallerGetsNoChunks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -155,6 +196,30 @@
         });
   }
 
+  // Guards against a cut answer that looks complete where only the end of the connection ends it.
+  auto testAnswerUpToTheEndOfTheConnection() -> void {
+    RunPair(
+        [](const HttpRequest& request, Responder& responder) {
+          responder.Begin(200, {}, Framing::connection);
+          responder.Write("part");
+          if (request.target == "/whole") responder.End();
+        },
+        [](const std::string& address) {
+          HttpExchange whole;
+          const auto answer = whole.Start(address, Get("/whole"), kTimeout, kTimeout);
+          CPPUNIT_ASSERT(answer.framing == Framing::connection);
+          CPPUNIT_ASSERT(FindHeader(answer.headers, "Connection") == "close");
+          CPPUNIT_ASSERT_EQUAL(std::string("part"), whole.Read(kTimeout));
+          CPPUNIT_ASSERT_EQUAL(std::string(), whole.Read(kTimeout));
+          HttpExchange cut;
+          const auto read = [&] {
+            cut.Start(address, Get("/cut"), kTimeout, kTimeout);
+            while (!cut.Read(kTimeout).empty()) continue;
+          };
+          CPPUNIT_ASSERT_THROW(read(), core::Error);
+        });
+  }
+
   auto testOversizedBody() -> void {
     RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
             [](const std::string& address) {
@@ -254,6 +319,45 @@
           noticed.get_future().get();
         });
   }
+
+  // Guards against a document that was cut and is taken as a whole one: nothing but the end of the
+  // connection marked its end.
+  auto testFetchNeedsAMarkedEnd() -> void {
+    RunAgainstBytes("HTTP/1.1 200 OK\r\n\r\nname: repo", [](const std::string& address) {
+      std::string body;
+      CPPUNIT_ASSERT_THROW(Fetch(address, Get("/"), kTimeout, body), core::Error);
+    });
+  }
+
+  // Guards against a body after an answer to HEAD, which the caller takes for its next answer.
+  auto testAnswerToHeadHasNoBody() -> void {
+    RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(404, {}, "text"); },
+            [](const std::string& address) {
+              HttpExchange exchange;
+              exchange.Connect(address, kTimeout);
+              for (int call = 0; call < 2; ++call) {
+                exchange.Send({"HEAD", "/", {{"Host", "a"}}, "", ""}, kTimeout);
+                CPPUNIT_ASSERT_EQUAL(404, exchange.ReadHead(kTimeout).status);
+                CPPUNIT_ASSERT_EQUAL(std::string(), exchange.Read(kTimeout));
+              }
+            });
+  }
+
+  // Guards against chunks in an answer to HTTP/1.0, which has none.
+  auto testOldCallerGetsNoChunks() -> void {
+    RunPair(
+        [](const HttpRequest&, Responder& responder) {
+          responder.Begin(200, {});
+          responder.Write("one");
+          responder.Write("two");
+          responder.End();
+        },
+        [](const std::string& address) {
+          const auto answer = ExchangeBytes(address, "GET / HTTP/1.0\r\n\r\n");
+          CPPUNIT_ASSERT(answer.find("chunked") == std::string::npos);
+          CPPUNIT_ASSERT(answer.ends_with("\r\n\r\nonetwo"));
+        });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -328,7 +328,7 @@
   NoteDuration(relay, *call, refused);
   if (refused && call->held && !responder.HasBegun() && !call->caller_gone) {
     call->begun = true;
-    responder.Respond(call->held->status, call->held->headers, call->held->body);
+    RespondHeld(responder, *call->held);
     return std::nullopt;
   }
   if (refused && !responder.HasBegun()) CountRefused(relay, *call, refused->reason);
