Bound the nesting of YAML before the parser recurses

yaml-cpp recurses for each list and map and stops at 500 levels. Documents are parsed on fibers with stacks of 128 KiB, which have no guard page: on a fiber of runtime::Pool, texts nested 100 deep passed, and the first one nested 300 deep ended the test program with "free(): invalid pointer". The handler of the parser's events now ends the parse at 16 levels, which take 6 to 8 KB of stack (measured with a handler alone); documents and settings need four. schema.value_test testDeepNesting failed before.

--- a/libs/schema/include/filbertstair/schema/value.h
+++ b/libs/schema/include/filbertstair/schema/value.h
@@ -31,9 +31,13 @@
   int name_line = 0;
 };
 
+// Deepest nesting of lists and maps. Documents and settings need four levels. The parser recurses
+// for each: 16 take up to 8 KB of a fiber's stack of 128 KiB, and 300 ended the process.
+inline constexpr std::size_t kMaxDepth = 16;
+
 // Reads the one YAML document in `text`. Adds problems for text that is larger than `max_bytes`, is
-// not YAML, has control characters, tags, anchors, aliases or keys that are not scalars, or has
-// more than one document. Returns nothing if there are any.
+// not YAML, has control characters, tags, anchors, aliases or keys that are not scalars, nests
+// more than kMaxDepth levels deep, or has more than one document. Returns nothing if there are any.
 auto Load(std::string_view text, std::size_t max_bytes, Report& report) -> std::optional<Value>;
 
 // Returns the file's content, cut off one byte above `max_bytes`. Throws core::Error with `step`
--- a/libs/schema/src/value.cc
+++ b/libs/schema/src/value.cc
@@ -1,6 +1,5 @@
 #include "filbertstair/schema/value.h"
 
-#include <yaml-cpp/depthguard.h>
 #include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/exceptions.h>
 #include <yaml-cpp/mark.h>
@@ -17,6 +16,11 @@
 namespace filbertstair::schema {
 namespace {
 
+// Thrown out of the parser, which would recurse further, by the handler of its events.
+struct TooDeep {
+  int line = 0;
+};
+
 auto Line(const YAML::Mark& mark) -> int { return mark.line + 1; }
 
 // Builds a Value from the parser's events. YAML::Node is not used because it hides aliases, whose
@@ -54,13 +58,13 @@
   auto OnSequenceStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t,
                        YAML::EmitterStyle::value) -> void override {
     if (tag != "?") this->RefuseTag(mark, tag);
-    this->open.push_back({.value = {.kind = Kind::list, .line = Line(mark)}});
+    this->Open(mark, Kind::list);
   }
 
   auto OnMapStart(const YAML::Mark& mark, const std::string& tag, YAML::anchor_t,
                   YAML::EmitterStyle::value) -> void override {
     if (tag != "?") this->RefuseTag(mark, tag);
-    this->open.push_back({.value = {.kind = Kind::map, .line = Line(mark)}});
+    this->Open(mark, Kind::map);
   }
 
   auto OnSequenceEnd() -> void override { this->Close(); }
@@ -82,6 +86,11 @@
     if (!tag.empty()) Add(this->report, Line(mark), "", "tag " + tag, "values without tags");
   }
 
+  auto Open(const YAML::Mark& mark, Kind kind) -> void {
+    if (this->open.size() >= kMaxDepth) throw TooDeep{Line(mark)};
+    this->open.push_back({.value = {.kind = kind, .line = Line(mark)}});
+  }
+
   auto Close() -> void {
     auto value = std::move(this->open.back().value);
     this->open.pop_back();
@@ -154,8 +163,9 @@
     // empty documents without end.
     while (builder.Documents() < 2 && parser.HandleNextDocument(builder)) {
     }
-  } catch (const YAML::DeepRecursion& error) {
-    Add(report, Line(error.mark), "", "lists or maps nested too deeply", "the documented fields");
+  } catch (const TooDeep& error) {
+    Add(report, error.line, "", "lists or maps nested too deeply",
+        "at most " + std::to_string(kMaxDepth) + " levels");
   } catch (const YAML::Exception& error) {
     Add(report, Line(error.mark), "", "malformed YAML: " + error.msg, "well-formed YAML");
   }
--- a/libs/schema/test/value_test.cc
+++ b/libs/schema/test/value_test.cc
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
+
+#include "filbertstair/runtime/pool.h"
+
 namespace filbertstair::schema {
 namespace {
 
@@ -11,6 +15,7 @@
   CPPUNIT_TEST(testNotUtf8);
   CPPUNIT_TEST(testStrayToken);
   CPPUNIT_TEST(testRefused);
+  CPPUNIT_TEST(testDeepNesting);
   CPPUNIT_TEST(testTooLarge);
   CPPUNIT_TEST(testUnreadableFile);
   CPPUNIT_TEST_SUITE_END();
@@ -67,6 +72,42 @@
     }
   }
 
+  // Guards against nesting that overflows the stack of the parser and ends the process. Documents
+  // are read on fibers, whose stacks are much smaller than a thread's.
+  auto testDeepNesting() -> void {
+    const auto repeat = [](const std::string& text, std::size_t count) {
+      std::string out;
+      for (std::size_t i = 0; i < count; ++i) out += text;
+      return out;
+    };
+    std::vector<std::string> texts;
+    for (const std::size_t depth : {17, 100, 300, 498, 501, 100000}) {
+      for (const auto* opening : {"[", "{a: ", "- ", "? ", "[a: ", "{[", "- ? ", "[? "}) {
+        texts.push_back(repeat(opening, depth));
+      }
+      texts.push_back(repeat("[", depth) + repeat("]", depth));
+      texts.push_back(repeat("{a: ", depth) + repeat("}", depth));
+    }
+    std::string indented;
+    for (std::size_t depth = 0; depth < 600; ++depth) indented += std::string(depth, ' ') + "a:\n";
+    texts.push_back(indented);
+    const auto check = [&] {
+      for (const auto& text : texts) {
+        Report report{.file = "a"};
+        if (Load(text, 1'000'000, report) || report.problems.empty()) return text.substr(0, 40);
+      }
+      return std::string();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string(), check());
+    std::promise<std::string> found;
+    runtime::Pool pool(1, [](const std::exception&) {});
+    pool.Post(0, [&] { found.set_value(check()); });
+    CPPUNIT_ASSERT_EQUAL(std::string(), found.get_future().get());
+    pool.Stop();
+    Report report{.file = "a"};
+    CPPUNIT_ASSERT(Load(repeat("[", kMaxDepth) + repeat("]", kMaxDepth), 1000, report));
+  }
+
   auto testTooLarge() -> void {
     Report report{.file = "a"};
     CPPUNIT_ASSERT(Load("a: b", 4, report));
