Read addresses with one parser

settings, net and membership each had a parser of addresses, and they differed: net accepted an IPv6 address without brackets, settings one with a null byte after the IP address. core::ParseAddress is now the only one; settings::Parse- Address is an alias and net::ParseAddress converts its result.

--- a/libs/net/src/address.cc
+++ b/libs/net/src/address.cc
@@ -1,30 +1,18 @@
 #include "filbertstair/net/address.h"
 
 #include <boost/asio/io_context.hpp>
-#include <charconv>
 
+#include "filbertstair/core/address.h"
 #include "filbertstair/core/error.h"
 
 namespace filbertstair::net {
 
 auto ParseAddress(const std::string& text) -> boost::asio::ip::tcp::endpoint {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    throw core::Error(core::Step::resolve, text, "expected ip:port");
-  }
-  std::string host = text.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(host, error);
-  std::uint16_t port = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+  const auto address = core::ParseAddress(text);
+  if (!address) {
     throw core::Error(core::Step::resolve, text, "expected ip:port with a numeric address");
   }
-  return {ip, port};
+  return {boost::asio::ip::make_address(address->host), address->port};
 }
 
 auto CheckFree(const std::string& address) -> void {
--- a/libs/settings/include/filbertstair/settings/settings.h
+++ b/libs/settings/include/filbertstair/settings/settings.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "filbertstair/core/address.h"
 #include "filbertstair/core/names.h"
 #include "filbertstair/core/types.h"
 #include "filbertstair/schema/problem.h"
@@ -21,14 +22,9 @@
 // Who admits requests to a replica: the endpoint process beside it, or each entry by itself.
 enum class Admission { endpoint, entry };
 
-// An IP address and a TCP port.
-struct Address {
-  // Without brackets for IPv6.
-  std::string host;
-  std::uint16_t port = 0;
-
-  auto operator==(const Address&) const -> bool = default;
-};
+using core::Address;
+using core::FormatAddress;
+using core::ParseAddress;
 
 // Settings of one daemon.
 struct Settings {
@@ -85,11 +81,6 @@
 // cannot be read.
 auto ReadFile(const std::string& path) -> ParseResult;
 
-// Reads "127.0.0.1:8080" or "[::1]:8080".
-auto ParseAddress(std::string_view text) -> std::optional<Address>;
-
-auto FormatAddress(const Address& address) -> std::string;
-
 }  // namespace filbertstair::settings
 
 template <>
--- a/libs/settings/src/settings.cc
+++ b/libs/settings/src/settings.cc
@@ -1,10 +1,6 @@
 #include "filbertstair/settings/settings.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
 
 #include "filbertstair/core/error.h"
@@ -24,12 +20,6 @@
 
 constexpr schema::TextRule kFileName{"a file name of 1 to 4096 bytes", IsFileName};
 
-auto IsIpAddress(const std::string& host) -> bool {
-  std::array<unsigned char, sizeof(in6_addr)> buffer{};
-  const auto family = host.find(':') == std::string::npos ? AF_INET : AF_INET6;
-  return inet_pton(family, host.c_str(), buffer.data()) == 1;
-}
-
 auto ReadAddress(const Cursor& cursor, Port port, Address& out) -> void {
   const auto address =
       cursor.value.kind == schema::Kind::scalar ? ParseAddress(cursor.value.text) : std::nullopt;
@@ -147,24 +137,4 @@
   return Parse(schema::ReadFile(path, kMaxBytes, core::Step::settings), path);
 }
 
-auto ParseAddress(std::string_view text) -> std::optional<Address> {
-  const auto colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  auto host = text.substr(0, colon);
-  const auto bracketed = host.size() >= 2 && host.front() == '[' && host.back() == ']';
-  if (bracketed) host = host.substr(1, host.size() - 2);
-  Address address{.host = std::string(host)};
-  if (bracketed != (host.find(':') != std::string_view::npos)) return std::nullopt;
-  const auto* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, address.port);
-  if (error != std::errc() || rest != end || !IsIpAddress(address.host)) return std::nullopt;
-  return address;
-}
-
-auto FormatAddress(const Address& address) -> std::string {
-  const auto host =
-      address.host.find(':') == std::string::npos ? address.host : "[" + address.host + "]";
-  return host + ":" + std::to_string(address.port);
-}
-
 }  // namespace filbertstair::settings
