Refuse VM lists with aliases, deep nesting, or addresses that nobody can connect to

The YAML form was read through YAML::Node, which expands aliases: a list with an alias of itself ended the process, and one of 30 short lines would take exponential memory. It is now read by schema::Load, which refuses aliases and bounds the nesting. Addresses pass core::ParseTarget, so host names and malformed IP addresses, to which each linked process tried to connect again and again, are problems; so are ids and names that settings could not have. A list with a problem changes nothing as a whole, as docs/design.md 4.6 says. membership.vm_list_test: testAddresses and testNames failed before, testAliases ended the test program.

--- a/libs/membership/src/vm_list.cc
+++ b/libs/membership/src/vm_list.cc
@@ -1,56 +1,64 @@
 #include "filbertstair/membership/vm_list.h"
 
-#include <yaml-cpp/yaml.h>
-
 #include <boost/json.hpp>
 #include <charconv>
 #include <set>
 #include <utility>
 
+#include "filbertstair/core/address.h"
+#include "filbertstair/schema/read.h"
+
 namespace filbertstair::membership {
 namespace {
 
 namespace json = boost::json;
 
+// Larger than the list of 11,200 VMs, which takes 1.8 MB.
+constexpr std::size_t kMaxYaml = std::size_t{8} << 20;
+
+struct Reader {
+  std::string file;
+  std::vector<std::string> problems;
+};
+
 // Converts YAML to JSON, so that both forms pass the same validation. Only plain scalars become
 // numbers; a quoted number stays text.
-auto FromYaml(const YAML::Node& node) -> json::value {
-  if (node.IsMap()) {
+auto ToJson(const schema::Value& value) -> json::value {
+  if (value.kind == schema::Kind::map) {
     json::object object;
-    for (const auto& pair : node) object[pair.first.as<std::string>()] = FromYaml(pair.second);
+    for (const auto& field : value.items) object[field.name] = ToJson(field);
     return object;
   }
-  if (node.IsSequence()) {
+  if (value.kind == schema::Kind::list) {
     json::array array;
-    for (const auto& item : node) array.push_back(FromYaml(item));
+    for (const auto& item : value.items) array.push_back(ToJson(item));
     return array;
   }
-  if (!node.IsScalar()) return nullptr;
-  const auto& text = node.Scalar();
+  if (value.kind == schema::Kind::null) return nullptr;
   std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  const bool plain = node.Tag() == "?";
-  if (plain && error == std::errc{} && end == text.data() + text.size()) return number;
-  return json::string(text);
+  const auto* last = value.text.data() + value.text.size();
+  const auto [end, error] = std::from_chars(value.text.data(), last, number);
+  if (!value.quoted && error == std::errc{} && end == last) return number;
+  return json::string(value.text);
 }
 
 // Parses JSON with Boost.JSON, which takes a hundredth of the time of yaml-cpp: the list of 11,200
 // VMs is parsed by every node at each change.
-auto ParseText(std::string_view text) -> json::value {
+auto ParseText(Reader& reader, std::string_view text) -> std::optional<json::value> {
   const auto start = text.find_first_not_of(" \t\r\n");
   if (start != std::string_view::npos && text[start] == '{') {
     boost::system::error_code error;
     auto value = json::parse(json::string_view(text.data(), text.size()), error);
     if (!error) return value;
   }
-  return FromYaml(YAML::Load(std::string(text)));
+  schema::Report report{.file = reader.file};
+  const auto value = schema::Load(text, kMaxYaml, report);
+  for (const auto& problem : schema::Finish(std::move(report))) {
+    reader.problems.push_back(schema::Describe(problem));
+  }
+  return value ? std::optional(ToJson(*value)) : std::nullopt;
 }
 
-struct Reader {
-  std::string file;
-  std::vector<std::string> problems;
-};
-
 auto AddProblem(Reader& reader, const std::string& where, const std::string& message) -> void {
   reader.problems.push_back(reader.file + ": " + where + ": " + message);
 }
@@ -78,13 +86,14 @@
   return value.value_or(E{});
 }
 
-auto IsAddress(const std::string& address) -> bool {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos || colon == 0) return false;
-  unsigned port = 0;
-  const auto* last = address.data() + address.size();
-  const auto [end, error] = std::from_chars(address.data() + colon + 1, last, port);
-  return error == std::errc{} && end == last && port >= 1 && port <= 65535;
+// Reads a name in the form that settings have it.
+auto ReadName(Reader& reader, const json::object& object, const std::string& where,
+              const char* name, bool required) -> std::string {
+  auto text = ReadText(reader, object, where, name, required);
+  if (!text.empty() && !schema::kIdentifier.accepts(text)) {
+    AddProblem(reader, where + "." + name, "must be " + std::string(schema::kIdentifier.allowed));
+  }
+  return text;
 }
 
 auto ReadVm(Reader& reader, const json::value& value, const std::string& where) -> Vm {
@@ -94,15 +103,16 @@
     AddProblem(reader, where, "a map is required");
     return vm;
   }
-  vm.id = ReadText(reader, *object, where, "id", true);
+  vm.id = ReadName(reader, *object, where, "id", true);
   vm.role = ReadEnum<core::Role>(reader, *object, where, "role");
   vm.address = ReadText(reader, *object, where, "address", true);
-  vm.region = ReadText(reader, *object, where, "region", true);
-  vm.failure_domain = ReadText(reader, *object, where, "failure_domain", false);
-  vm.pool = ReadText(reader, *object, where, "pool", false);
+  vm.region = ReadName(reader, *object, where, "region", true);
+  vm.failure_domain = ReadName(reader, *object, where, "failure_domain", false);
+  vm.pool = ReadName(reader, *object, where, "pool", false);
   vm.state = ReadEnum<VmState>(reader, *object, where, "state");
-  if (!vm.address.empty() && !IsAddress(vm.address)) {
-    AddProblem(reader, where + ".address", "\"" + vm.address + "\" is not ip:port");
+  if (!vm.address.empty() && !core::ParseTarget(vm.address)) {
+    AddProblem(reader, where + ".address",
+               "must be an IP address and a port from 1 to 65535, for example 127.0.0.1:8080");
   }
   if (vm.role == core::Role::endpoint && vm.pool.empty()) {
     AddProblem(reader, where + ".pool", "an endpoint needs a pool");
@@ -145,7 +155,7 @@
   Reader reader{.file = std::string(file), .problems = {}};
   VmList list;
   try {
-    list = ReadList(reader, ParseText(text));
+    if (const auto value = ParseText(reader, text)) list = ReadList(reader, *value);
   } catch (const std::exception& error) {
     AddProblem(reader, "list", error.what());
   }
