Ignore addresses of entries that nobody can connect to

An entry learnt any text as the address of another entry, tried it for 30 s, gave it one of 48 places, and told all its peers. relay.peers_test testOddAddressesAreNotLearnt failed before.

--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "filbertstair/core/address.h"
 #include "filbertstair/core/error.h"
 #include "filbertstair/direct/links.h"
 #include "filbertstair/net/h2.h"
@@ -111,7 +112,7 @@
   }
 }
 
-auto Learn(Relay& relay, const std::string& address) -> void;
+auto Learn(Relay& relay, const std::string& peer, const std::string& address) -> void;
 
 auto HandleState(Relay& relay, const std::string& peer, const wire::EntryState& message) -> void {
   const auto now = node::Now();
@@ -135,8 +136,8 @@
     const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
     table.current_until[peer] = now + core::Duration(lease);
   });
-  if (!message.address.empty()) Learn(relay, message.address);
-  for (const auto& address : message.known) Learn(relay, address);
+  if (!message.address.empty()) Learn(relay, peer, message.address);
+  for (const auto& address : message.known) Learn(relay, peer, address);
 }
 
 auto ForgetPeer(Relay& relay, const std::string& peer) -> void {
@@ -264,7 +265,16 @@
   relay.node.pool.Post(worker, [&relay, address] { RunLink(relay, address); });
 }
 
-auto Learn(Relay& relay, const std::string& address) -> void { AddPeer(relay, address, false); }
+// Links to an entry that `peer` told of. An address that nobody can connect to would be tried again
+// and again, take the place of another one and spread to all entries.
+auto Learn(Relay& relay, const std::string& peer, const std::string& address) -> void {
+  if (const auto target = core::ParseTarget(address)) {
+    AddPeer(relay, core::FormatAddress(*target), false);
+  } else {
+    node::LogError(Level::debug, Event::peer_lost,
+                   core::Error(core::Step::decode, peer, "told of an entry without an address"));
+  }
+}
 
 auto ServePeer(Relay& relay, const std::shared_ptr<net::Stream>& stream) -> void {
   if (stream->Path() != node::kControlPath) {
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include "filbertstair/net/h2.h"
+#include "filbertstair/node/control.h"
+#include "filbertstair/node/start.h"
 #include "fixture.h"
 
 namespace filbertstair::relay {
@@ -35,11 +38,36 @@
   return condition();
 }
 
+// Addresses that an entry told a peer of.
+struct Told {
+  std::mutex mutex;
+  std::vector<std::string> known;
+};
+
+// Handlers of a peer that pushes `state` every second and notes what it is told.
+auto PeerHandlers(const std::shared_ptr<Told>& told, const wire::EntryState& state)
+    -> node::ControlHandlers {
+  node::ControlHandlers handlers;
+  handlers.open = [](const wire::Hello&, const std::shared_ptr<node::Outbox>&) { return true; };
+  handlers.message = [told](const wire::Hello&, const wire::ControlMessage& message) {
+    const auto* heard = std::get_if<wire::EntryState>(&message);
+    if (heard == nullptr || heard->known.empty()) return;
+    const std::lock_guard lock(told->mutex);
+    told->known = heard->known;
+  };
+  handlers.update = [state](const wire::Hello&, node::Outbox& outbox, bool period_over) {
+    if (period_over) outbox.Push(state);
+  };
+  handlers.close = [](const wire::Hello&) {};
+  return handlers;
+}
+
 class PeersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeersTest);
   CPPUNIT_TEST(testEntriesLearnOfEachOthersRequests);
   CPPUNIT_TEST(testReadyAsSoonAsNoPeerIsBetterOff);
   CPPUNIT_TEST(testKeptPartsAreTold);
+  CPPUNIT_TEST(testOddAddressesAreNotLearnt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -127,6 +155,44 @@
       CPPUNIT_ASSERT(IsReady(first));
     }
   }
+
+  // Guards against addresses that no entry can connect to: each would be tried again and again,
+  // take the place of a real one, and spread to all entries.
+  auto testOddAddressesAreNotLearnt() -> void {
+    const auto told = std::make_shared<Told>();
+    const auto settings = MakeSettings("entry-2");
+    wire::EntryState state;
+    state.address = settings::FormatAddress(settings.peers);
+    state.known = {"",
+                   "text",
+                   "127.0.0.1:70000",
+                   "127.0.0.1:0",
+                   "127.0.0.1",
+                   "localhost:80",
+                   "127.0.0.1:80 ",
+                   "::1:80",
+                   "127.0.0.1:-1",
+                   "a\nb:80"};
+    Fleet entry;
+    node::Node peer(settings, 1);
+    node::RunOnWorker(peer, 0, [&] {
+      net::ListenStreams(state.address, [&peer, told](const std::shared_ptr<net::Stream>& stream) {
+        node::RunControl(peer, stream, PeerHandlers(told, {}));
+      });
+    });
+    const auto address = settings::FormatAddress(entry.node.settings.peers);
+    peer.pool.Post(0, [&peer, told, state, address] {
+      const auto connection = net::Connect(address, milliseconds(1000));
+      const auto stream = connection->Open(std::string(node::kControlPath));
+      node::RunControl(peer, stream, PeerHandlers(told, state));
+    });
+    const auto known = [&] {
+      const std::lock_guard lock(told->mutex);
+      return told->known;
+    };
+    CPPUNIT_ASSERT(WaitFor([&] { return !known().empty(); }));
+    CPPUNIT_ASSERT(known() == std::vector<std::string>{state.address});
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
