--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using detail::FromEnum;
+using detail::ToDuration;
 using detail::ToEnum;
 
 auto Fill(const Hello& from, pb::ControlMessage& envelope) -> void {
@@ -146,10 +147,6 @@
   return to;
 }
 
-auto ToDuration(std::uint64_t microseconds) -> core::Duration {
-  return core::Duration(static_cast<std::int64_t>(microseconds));
-}
-
 auto ToStruct(const pb::Grant& from) -> Grant {
   return {from.grant(), from.granter(), from.service(), from.workspace(),
           ToDuration(from.time_to_live_us())};
--- a/libs/wire/src/convert.h
+++ b/libs/wire/src/convert.h
@@ -1,6 +1,9 @@
 #ifndef FILBERTSTAIR_WIRE_SRC_CONVERT_H_
 #define FILBERTSTAIR_WIRE_SRC_CONVERT_H_
 
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "filbertstair.pb.h"
@@ -25,6 +28,16 @@
   return static_cast<std::uint32_t>(value);
 }
 
+// Longest duration in a message; no process runs for longer. Times to which it is added don't
+// overflow.
+inline constexpr core::Duration kMaxDuration = std::chrono::years(10);
+
+// Converts a duration from a peer. Negative ones are sent as their two's complement.
+inline auto ToDuration(std::uint64_t microseconds) -> core::Duration {
+  const core::Duration duration(static_cast<std::int64_t>(microseconds));
+  return std::clamp(duration, -kMaxDuration, kMaxDuration);
+}
+
 inline auto Copy(const core::AttemptId& id, pb::AttemptId* out) -> void {
   out->set_entry(id.entry);
   out->set_incarnation(id.incarnation);
--- a/libs/wire/src/request.cc
+++ b/libs/wire/src/request.cc
@@ -91,7 +91,7 @@
   to.call_class = ToEnum<core::CallClass>(from.call_class(), peer);
   to.key = from.key();
   to.key_issued_ms = from.key_issued_ms();
-  to.remaining = core::Duration(static_cast<std::int64_t>(from.remaining_us()));
+  to.remaining = detail::ToDuration(from.remaining_us());
   to.cost_hint = static_cast<core::Cost>(from.cost_hint_us());
   to.method = from.method();
   to.target = from.target();
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(testService);
   CPPUNIT_TEST(testConfiguration);
   CPPUNIT_TEST(testEntryState);
+  CPPUNIT_TEST(testOddDurations);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -74,6 +75,19 @@
     const auto& part = copy.kept.at(0);
     CPPUNIT_ASSERT(part.replica == "r" && part.key == 4 && part.tokens == 5);
   }
+
+  // Guards against durations of a peer that overflow when they are added to the time.
+  auto testOddDurations() -> void {
+    constexpr auto bound = core::Duration(std::chrono::years(10));
+    for (const auto duration : {core::Duration::max(), core::Duration::min()}) {
+      const auto grant = RoundTrip(Grant{1, 2, "s", "w", duration});
+      CPPUNIT_ASSERT(grant.time_to_live <= bound && grant.time_to_live >= -bound);
+      const auto digest = RoundTrip(Digest{1, true, {}, duration, true});
+      CPPUNIT_ASSERT(digest.contact_age <= bound && digest.contact_age >= -bound);
+    }
+    CPPUNIT_ASSERT(RoundTrip(Grant{1, 2, "s", "w", core::Duration(-5)}).time_to_live ==
+                   core::Duration(-5));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ControlTest);
