Keep sums of tokens and loads within 32 bits

A replica that reported requests looked empty after the sum wrapped around, and so did prompts whose parts have more than 2^32 tokens. A part larger than a replica's memory displaced all that it was believed to keep. direct.kept_test testSumsDoNotWrap, testTooLargePartsAreNotKept and direct.replicas_test testHugeReportIsNoRoom failed before.

--- a/libs/direct/src/kept.cc
+++ b/libs/direct/src/kept.cc
@@ -1,6 +1,8 @@
 #include "filbertstair/direct/kept.h"
 
+#include <algorithm>
 #include <functional>
+#include <limits>
 
 namespace filbertstair::direct {
 namespace {
@@ -12,6 +14,12 @@
   return key ^ (key >> 29);
 }
 
+// Returns the sum of tokens, or the largest number that fits.
+auto Bounded(std::uint64_t tokens) -> std::uint32_t {
+  constexpr auto max = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(tokens, max));
+}
+
 auto Root(const Prompt& prompt) -> std::uint64_t { return std::hash<std::string>()(prompt.model); }
 
 }  // namespace
@@ -28,12 +36,12 @@
 }
 
 auto KeptTokens(const KeptParts& kept, const std::vector<KeptParts::Item>& parts) -> std::uint32_t {
-  std::uint32_t tokens = 0;
+  std::uint64_t tokens = 0;
   for (const auto& part : parts) {
     if (!kept.index.contains(part.key)) break;
     tokens += part.tokens;
   }
-  return tokens;
+  return Bounded(tokens);
 }
 
 auto Keep(KeptParts& kept, const Prompt& prompt, std::uint64_t capacity) -> void {
@@ -46,6 +54,8 @@
     kept.recent.splice(kept.recent.begin(), kept.recent, found->second);
     return;
   }
+  // A replica refuses a request that its memory can't hold, and keeps what it has.
+  if (part.tokens > capacity) return;
   kept.recent.push_front(part);
   kept.index[part.key] = kept.recent.begin();
   kept.tokens += part.tokens;
@@ -64,9 +74,9 @@
 }
 
 auto SharedTokens(const Prompt& prompt) -> std::uint32_t {
-  std::uint32_t tokens = 0;
+  std::uint64_t tokens = 0;
   for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) tokens += prompt.parts[i].tokens;
-  return tokens;
+  return Bounded(tokens);
 }
 
 auto SharedHash(const Prompt& prompt) -> std::uint64_t {
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -9,6 +9,10 @@
 namespace filbertstair::direct {
 namespace {
 
+// More requests than any replica holds. A replica may report any number; the sums that it enters
+// stay within 32 bits.
+constexpr std::uint64_t kMaxReported = 1'000'000;
+
 // What other entries have at the replica: what the linked ones say, or the replica's own report,
 // discounted by its age, if that tells of more.
 auto Elsewhere(const ReplicaTable& table, const Replica& replica, const ReplicaPolicy& policy,
@@ -254,8 +258,9 @@
 }
 
 auto Reported(Replica& replica, const LoadReport& report, core::Time now) -> void {
-  const auto total = report.running + report.waiting;
-  replica.others = total > replica.in_flight ? total - replica.in_flight : 0;
+  const auto total = std::min(std::uint64_t{report.running} + report.waiting, kMaxReported);
+  replica.others =
+      total > replica.in_flight ? static_cast<std::uint32_t>(total) - replica.in_flight : 0;
   replica.others_at = now;
 }
 
--- a/libs/direct/test/kept_test.cc
+++ b/libs/direct/test/kept_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 namespace filbertstair::direct {
 namespace {
 
@@ -18,6 +20,8 @@
   CPPUNIT_TEST(testPartsCountFromTheStart);
   CPPUNIT_TEST(testLeastRecentlyUsedYields);
   CPPUNIT_TEST(testSharedHash);
+  CPPUNIT_TEST(testSumsDoNotWrap);
+  CPPUNIT_TEST(testTooLargePartsAreNotKept);
   CPPUNIT_TEST(testSinglePartsAddUp);
   CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +51,27 @@
     CPPUNIT_ASSERT_EQUAL(kept.recent.size(), kept.index.size());
   }
 
+  // Guards against parts whose sum is beyond 32 bits and then counts as a few tokens.
+  auto testSumsDoNotWrap() -> void {
+    constexpr auto max = std::numeric_limits<std::uint32_t>::max();
+    const auto prompt = MakePrompt({{1, max}, {2, max}, {3, 2}, {4, max}});
+    KeptParts kept;
+    Keep(kept, prompt, std::uint64_t{max} * 8);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{max} * 3 + 2, kept.tokens);
+    CPPUNIT_ASSERT_EQUAL(max, KeptTokens(kept, Keyed(prompt)));
+    CPPUNIT_ASSERT_EQUAL(max, SharedTokens(prompt));
+  }
+
+  // Guards against one part that no replica can hold and that displaces all that one keeps.
+  auto testTooLargePartsAreNotKept() -> void {
+    KeptParts kept;
+    Keep(kept, MakePrompt({{1, 400}}), 1000);
+    Keep(kept, MakePrompt({{2, 1001}}), 1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{400}, kept.tokens);
+    CPPUNIT_ASSERT_EQUAL(400u, KeptTokens(kept, Keyed(MakePrompt({{1, 400}}))));
+    CPPUNIT_ASSERT_EQUAL(0u, KeptTokens(kept, Keyed(MakePrompt({{2, 1001}}))));
+  }
+
   // Guards against a hash that covers the request's own part, which would spread shared parts over
   // all replicas.
   auto testSharedHash() -> void {
--- a/libs/direct/test/replicas_test.cc
+++ b/libs/direct/test/replicas_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <limits>
+
 namespace filbertstair::direct {
 namespace {
 
@@ -22,6 +24,7 @@
   CPPUNIT_TEST(testFullReplicasAreNoReasonForFailedOnes);
   CPPUNIT_TEST(testTriedReplicasAreLeftOut);
   CPPUNIT_TEST(testOtherServicesAddress);
+  CPPUNIT_TEST(testHugeReportIsNoRoom);
   CPPUNIT_TEST_SUITE_END();
 
   const ReplicaPolicy policy{};
@@ -237,6 +240,23 @@
     const Need need{"app", nullptr, nullptr};
     CPPUNIT_ASSERT(Choose(table, this->policy, this->origin, need, this->now).id == "a");
   }
+
+  // Guards against a load that wraps around 32 bits, so that a replica that calls itself full looks
+  // empty.
+  auto testHugeReportIsNoRoom() -> void {
+    constexpr auto max = std::numeric_limits<std::uint32_t>::max();
+    for (const auto& report :
+         std::vector<LoadReport>{{max, 0, 8}, {max, 1, 8}, {1, max, 8}, {max, max, 8}}) {
+      ReplicaTable table;
+      Upsert(table, Make("a", "n1"));
+      auto& replica = *Find(table, "llm", "a");
+      for (int requests = 0; requests < 3; ++requests) {
+        Reported(replica, report, this->now);
+        CPPUNIT_ASSERT(this->ChooseFor(table, nullptr).status == ChoiceStatus::full);
+        Assigned(replica, this->policy, {}, 0);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReplicasTest);
