Escape control characters in the text form of log lines

Bytes such as escape, which a terminal takes for commands, were written as they are; the key of an object that another writer left in the platform's store may have them. telemetry.log_test testControlCharacters failed before.

--- a/libs/telemetry/src/log.cc
+++ b/libs/telemetry/src/log.cc
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -52,12 +53,14 @@
   return spdlog::level::err;
 }
 
+auto IsControl(char c) -> bool { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; }
+
 auto AppendEscaped(std::string& out, std::string_view text) -> void {
   for (const char c : text) {
     if (c == '"' || c == '\\') {
       out += '\\';
       out += c;
-    } else if (static_cast<unsigned char>(c) < 0x20) {
+    } else if (IsControl(c)) {
       out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
     } else {
       out += c;
@@ -72,7 +75,8 @@
 }
 
 auto NeedsQuotes(std::string_view text) -> bool {
-  return text.find_first_of(" \"\\=\n\t\r") != std::string_view::npos;
+  return text.find_first_of(" \"\\=") != std::string_view::npos ||
+         std::any_of(text.begin(), text.end(), IsControl);
 }
 
 }  // namespace
--- a/libs/telemetry/test/log_test.cc
+++ b/libs/telemetry/test/log_test.cc
@@ -9,6 +9,7 @@
 class LogTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LogTest);
   CPPUNIT_TEST(testText);
+  CPPUNIT_TEST(testControlCharacters);
   CPPUNIT_TEST(testJson);
   CPPUNIT_TEST_SUITE_END();
 
@@ -20,6 +21,13 @@
                            {{"reason", "queue_full"}, {"peer", ""}, {"workspace", "a\nb=\"c\""}}));
   }
 
+  // Guards against bytes that a terminal takes for commands, as in the key of a foreign object.
+  auto testControlCharacters() -> void {
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(R"(201 object_rejected object="a\u001b[2Jb" error="\u007f")"),
+        detail::FormatText(Event::object_rejected, {{"object", "a\x1b[2Jb"}, {"error", "\x7f"}}));
+  }
+
   auto testJson() -> void {
     CPPUNIT_ASSERT_EQUAL(std::string(R"("event":900,"name":"internal_error","step":"a\\b")"),
                          detail::FormatJson(Event::internal_error, {{"step", "a\\b"}}));
