--- a/bench/direct_scenarios.cc
+++ b/bench/direct_scenarios.cc
@@ -9,16 +9,44 @@
 
 using std::chrono::milliseconds;
 
+// Parts of a core of the strongest and the weakest entries in use.
+constexpr double kStrongCores = 0.5;
+constexpr double kWeakCores = 0.09;
+
 // Requests like those of the moisture office, in tokens.
 auto DrawClasses() -> std::vector<DirectClass> {
-  return {{0.25, 5400, 6600, 1.4, 54000, 380, 312, milliseconds(1000)},
-          {0.39, 200, 630, 1.0, 3300, 290, 738, milliseconds(500)},
-          {0.36, 570, 1800, 1.3, 6900, 23, 1011, milliseconds(500)}};
+  return {{0.25, 5400, 6600, 1.4, 54000, 380, 312, milliseconds(1000), milliseconds(4000), false},
+          {0.39, 200, 630, 1.0, 3300, 290, 738, milliseconds(500), milliseconds(3000), false},
+          {0.36, 570, 1800, 1.3, 6900, 23, 1011, milliseconds(500), milliseconds(2500), true}};
+}
+
+// Has the balancer place the callers as on the day of the incident: those of a workspace in one
+// failure domain are one client, the others are spread.
+auto PlaceCallers(DirectScenario& scenario, std::size_t spread) -> void {
+  for (auto& workspace : scenario.workspaces) {
+    const bool one = workspace.domains.size() == 1;
+    workspace.clients = one ? 1 : spread;
+    workspace.returns = one ? DirectReturn::hashed_again : DirectReturn::another_entry;
+  }
+}
+
+// Draws the strengths of the entries, and the balancer's clients and hash.
+auto DrawUnequal(std::uint64_t seed, DirectScenario& scenario) -> void {
+  // A source of its own, so that the rest of the day is that without unequal entries.
+  std::seed_seq source{seed, std::uint64_t{1}};
+  std::mt19937_64 random(source);
+  const std::size_t positions = scenario.entries / scenario.domains + 1;
+  const std::size_t strong = 1 + random() % (positions - 1);
+  for (std::size_t i = 0; i < scenario.entries; ++i) {
+    scenario.cores.push_back(i / scenario.domains < strong ? kStrongCores : kWeakCores);
+  }
+  scenario.callers.hash_seed = random();
+  PlaceCallers(scenario, 1 + random() % 8);
 }
 
 }  // namespace
 
-auto DrawScenario(std::uint64_t seed) -> DirectScenario {
+auto DrawScenario(std::uint64_t seed, bool unequal) -> DirectScenario {
   std::mt19937_64 random(seed);
   const auto uniform = [&](double from, double to) {
     return std::uniform_real_distribution<double>(from, to)(random);
@@ -67,6 +95,7 @@
   scenario.shift_to = random() % scenario.domains;
   scenario.shift_from = uniform(2, 5);
   scenario.shift_until = scenario.shift_from + uniform(4, 7);
+  if (unequal) DrawUnequal(seed, scenario);
   return scenario;
 }
 
@@ -93,4 +122,29 @@
   return scenario;
 }
 
+auto FloodScenario() -> DirectScenario {
+  DirectScenario scenario;
+  scenario.seconds = 16;
+  scenario.classes = DrawClasses();
+  // Two strong entries in each failure domain, and two or three weak ones.
+  constexpr std::size_t strong = 2;
+  for (std::size_t i = 0; i < scenario.entries; ++i) {
+    scenario.cores.push_back(i / scenario.domains < strong ? kStrongCores : kWeakCores);
+  }
+  // With this hash the weak entries of the flood's failure domain come before the strong ones.
+  scenario.callers.hash_seed = 13;
+  const std::vector<std::size_t> all = {0, 1, 2, 3, 4, 5};
+  for (int i = 0; i < 20; ++i) {
+    scenario.workspaces.push_back(
+        {.name = "small-" + std::to_string(i), .rate = 4, .domains = all});
+  }
+  scenario.workspaces.push_back({.name = "large", .rate = 270, .domains = all});
+  scenario.workspaces.push_back({.name = "middle", .rate = 120, .domains = all});
+  scenario.workspaces.push_back(
+      {.name = "flood", .rate = 20, .hot_factor = 30, .hot_from = 8, .hot_to = 16, .domains = {1}});
+  constexpr std::size_t spread = 8;
+  PlaceCallers(scenario, spread);
+  return scenario;
+}
+
 }  // namespace filbertstair::bench
