--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -118,7 +118,8 @@
       for (const auto& [address, peer] : table.peers) message.known.push_back(address);
     });
   }
-  if (period_over || turned || !message.replicas.empty() || !message.accounts.empty()) {
+  if (period_over || turned || !message.replicas.empty() || !message.kept.empty() ||
+      !message.accounts.empty()) {
     outbox.Push(std::move(message));
   }
 }
