Close connections after answers while refusals are screened

A refused caller on a kept connection keeps sending on it, where a refusal takes a fiber's turns; on a new connection it takes one read and one write.

--- a/bench/direct_entry.cc
+++ b/bench/direct_entry.cc
@@ -71,7 +71,7 @@
 auto IsReady(const Model& model, const Entry& entry) -> bool { return !HasLeft(model, entry); }
 
 auto ClosesConnections(const Model& model, const Entry& entry) -> bool {
-  return HasLeft(model, entry);
+  return HasLeft(model, entry) || Screens(model, entry);
 }
 
 auto HandleTimer(Model& model, Entry& entry, core::Duration late) -> void {
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -71,6 +71,13 @@
   return limits;
 }
 
+// Whether the calling worker may refuse requests as overloaded now.
+auto IsScreening(Relay& relay) -> bool {
+  const auto& worker = ThisWorker(relay);
+  return direct::IsStalled(worker.pressure, relay.policies.pressure) ||
+         direct::IsTight(worker.intake, relay.policies.intake, node::Now());
+}
+
 auto ListenCallers(const std::shared_ptr<Relay>& relay) -> void {
   const auto address = settings::FormatAddress(relay->node.settings.callers);
   net::HttpHandlers handlers;
@@ -80,14 +87,13 @@
   handlers.fault = [relay](net::RequestFault fault, net::Responder& responder) {
     node::AnswerRefused(relay->node, "", "", node::ToRefused(fault), responder);
   };
-  // Callers of an entry that stays in rotation would come back to it on new connections.
-  handlers.closing = [relay] { return relay->node.draining || relay->left_rotation; };
-  handlers.limits = [relay] { return LimitsInForce(*relay); };
-  handlers.screening = [relay] {
-    const auto& worker = ThisWorker(*relay);
-    return direct::IsStalled(worker.pressure, relay->policies.pressure) ||
-           direct::IsTight(worker.intake, relay->policies.intake, node::Now());
+  // A caller whose next request would be refused comes back on a new connection, where that costs
+  // less. Otherwise a caller of an entry that stays in rotation keeps its connection.
+  handlers.closing = [relay] {
+    return relay->node.draining || relay->left_rotation || IsScreening(*relay);
   };
+  handlers.limits = [relay] { return LimitsInForce(*relay); };
+  handlers.screening = [relay] { return IsScreening(*relay); };
   handlers.screen = [relay](const net::HttpRequest& head, bool full) {
     return ScreenRequest(*relay, head, full);
   };
