--- a/libs/direct/src/intake.cc
+++ b/libs/direct/src/intake.cc
@@ -57,8 +57,10 @@
   intake.at = now;
   // What is not asked says nothing of what the worker can do; it begins from what it took in.
   const double change = Change(policy, delay);
-  if (change < 1)
-    intake.rate = std::min(intake.rate, std::max(intake.mean_rate, LeastRate(intake, policy)));
+  if (change < 1) {
+    const double begin = std::max(intake.mean_rate, LeastRate(intake, policy));
+    intake.rate = std::min(intake.rate, begin);
+  }
   intake.rate =
       std::clamp(intake.rate * change, LeastRate(intake, policy), MostRate(intake, policy));
 }
