Debit a request when its connection is screened

A request that the screen let pass was debited only when its fiber had read it, so that one free place let a whole batch of connections pass, most of which were then refused on the costly way. The screen now takes the request in, and its handler does not judge it again.

--- a/bench/direct_state.h
+++ b/bench/direct_state.h
@@ -60,6 +60,8 @@
   // caller gave up.
   bool assigned = false;
   bool dropped = false;
+  // Whether the entry took it in when it accepted the connection.
+  bool screened = false;
   double unread = 0;
   double left = 0;
   // Tokens that were generated since the last event.
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -26,6 +26,8 @@
   Headers headers;
   std::string body;
   std::string peer;
+  // Whether the listener's screen took the request in.
+  bool taken_in = false;
 };
 
 // A whole answer.
@@ -35,6 +37,14 @@
   std::string body;
 };
 
+// What a listener's screen says of a request.
+struct ScreenResult {
+  // The answer, if the request is refused.
+  std::optional<HttpReply> reply{};
+  // Whether the request was taken in, so that its handler need not judge it again.
+  bool taken_in = false;
+};
+
 // Why a request could not be read.
 enum class RequestFault { none, malformed, header_too_large, body_too_large };
 
@@ -110,7 +120,7 @@
   // connections as it may. If that returns an answer, the answer is sent and the connection closed,
   // at a fraction of the cost of a fiber of its own. Neither may suspend.
   std::function<bool()> screening{};
-  std::function<std::optional<HttpReply>(const HttpRequest&, bool full)> screen{};
+  std::function<ScreenResult(const HttpRequest&, bool full)> screen{};
 };
 
 // Handle on the connections of one worker's listener.
--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -26,12 +26,19 @@
 // Wait before accepting again after an error such as too many open files.
 inline constexpr std::chrono::milliseconds kAcceptBackoff{100};
 
+// What was read from a connection before it got a fiber.
+struct Arrived {
+  std::string bytes;
+  // Whether they are a request that the screen took in.
+  bool taken_in = false;
+};
+
 struct AcceptHandlers {
-  // Serves a connection on a fiber of its own; `arrived` was read from it already.
-  std::function<void(Tcp::socket, std::string arrived)> serve;
+  // Serves a connection on a fiber of its own.
+  std::function<void(Tcp::socket, Arrived)> serve;
   // Looks at a new connection before it gets a fiber, and may read what has arrived. Returns
   // whether it is dealt with, and is then closed. Must not suspend. May be empty.
-  std::function<bool(int socket, std::string& arrived)> screen;
+  std::function<bool(int socket, Arrived& arrived)> screen;
 };
 
 // Opens an acceptor with SO_REUSEPORT, so that every worker can listen on the same address and the
@@ -52,7 +59,7 @@
 
 // Hands an accepted connection to a fiber of its own, unless it is dealt with at once.
 inline auto Dispatch(int accepted, const Tcp& protocol, const AcceptHandlers& handlers) -> void {
-  std::string arrived;
+  Arrived arrived;
   if (handlers.screen && handlers.screen(accepted, arrived)) {
     close(accepted);
     return;
@@ -62,8 +69,8 @@
   socket.assign(protocol, accepted, ignored);
   socket.set_option(Tcp::no_delay(true), ignored);
   auto shared = std::make_shared<Tcp::socket>(std::move(socket));
-  runtime::Spawn([serve = handlers.serve, shared, arrived = std::move(arrived)] {
-    serve(std::move(*shared), arrived);
+  runtime::Spawn([serve = handlers.serve, shared, arrived = std::move(arrived)]() mutable {
+    serve(std::move(*shared), std::move(arrived));
   });
 }
 
--- a/libs/net/src/h2.cc
+++ b/libs/net/src/h2.cc
@@ -447,7 +447,8 @@
 auto ListenStreams(const std::string& address, StreamHandler handler) -> void {
   const auto acceptor = detail::OpenAcceptor(address);
   detail::AcceptHandlers handlers;
-  handlers.serve = [handler = std::move(handler)](detail::Tcp::socket socket, const std::string&) {
+  handlers.serve = [handler = std::move(handler)](detail::Tcp::socket socket,
+                                                  const detail::Arrived&) {
     const std::string peer = detail::PeerName(socket);
     auto session = std::make_shared<detail::Session>(std::move(socket), peer);
     session->handler = handler;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <set>
+#include <utility>
 
 #include "acceptor.h"
 #include "beast_request.h"
@@ -177,16 +178,17 @@
 
 // Answers a refused request at once if all of it has arrived. Returns whether the connection is
 // dealt with; with as many connections as the listener may have it always is.
-auto Screen(const HttpListener::State& listener, int socket, std::string& arrived) -> bool {
+auto Screen(const HttpListener::State& listener, int socket, Arrived& arrived) -> bool {
   const auto limits = LimitsInForce(listener);
   const bool full = listener.connections >= limits.max_connections;
   if (!full && !listener.handlers.screening()) return false;
-  arrived = TakeArrived(socket);
-  const auto request = ParseWhole(arrived, limits);
+  arrived.bytes = TakeArrived(socket);
+  const auto request = ParseWhole(arrived.bytes, limits);
   if (!request) return full;
-  const auto reply = listener.handlers.screen(*request, full);
-  if (!reply) return full;
-  SendAtOnce(socket, *reply);
+  const auto result = listener.handlers.screen(*request, full);
+  arrived.taken_in = result.taken_in;
+  if (!result.reply) return full;
+  SendAtOnce(socket, *result.reply);
   return true;
 }
 
@@ -201,15 +203,16 @@
 };
 
 auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
-                     std::string_view arrived) -> void {
+                     Arrived arrived) -> void {
   const ConnectionGuard counted(listener->connections);
   boost::system::error_code ignored;
   const auto remote = socket.remote_endpoint(ignored);
   const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
-  buffer.commit(boost::asio::buffer_copy(buffer.prepare(arrived.size()),
-                                         boost::asio::buffer(arrived.data(), arrived.size())));
+  buffer.commit(boost::asio::buffer_copy(buffer.prepare(arrived.bytes.size()),
+                                         boost::asio::buffer(arrived.bytes)));
+  arrived.bytes = {};
   bool keep = true;
   while (keep && !listener->draining) {
     http::request_parser<http::string_body> parser;
@@ -230,7 +233,9 @@
     exchange.head_only = parser.get().method() == http::verb::head;
     exchange.takes_chunks = parser.get().version() >= 11;
     exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.closing();
-    HandleRequest(*listener, exchange, ToRequest(parser.release(), peer));
+    auto request = ToRequest(parser.release(), peer);
+    request.taken_in = std::exchange(arrived.taken_in, false);
+    HandleRequest(*listener, exchange, request);
     keep = exchange.keep_alive && !exchange.aborted;
     // An orderly end of the connection would make the cut answer a whole one.
     if (exchange.until_closed && !exchange.ended) {
@@ -359,11 +364,11 @@
   state->handlers = std::move(handlers);
   state->acceptor = detail::OpenAcceptor(address);
   detail::AcceptHandlers accept;
-  accept.serve = [state](detail::Tcp::socket socket, const std::string& arrived) {
-    detail::ServeConnection(state, std::move(socket), arrived);
+  accept.serve = [state](detail::Tcp::socket socket, detail::Arrived arrived) {
+    detail::ServeConnection(state, std::move(socket), std::move(arrived));
   };
   if (state->handlers.screen) {
-    accept.screen = [state](int socket, std::string& arrived) {
+    accept.screen = [state](int socket, detail::Arrived& arrived) {
       return detail::Screen(*state, socket, arrived);
     };
   }
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -317,11 +317,13 @@
     CountRefused(relay, *call, refused->reason);
     return refused;
   }
-  if (auto refused = RefuseBeyondIntake(relay, *call)) {
-    CountRefused(relay, *call, refused->reason);
-    return refused;
+  if (!request.taken_in) {
+    if (auto refused = RefuseBeyondIntake(relay, *call)) {
+      CountRefused(relay, *call, refused->reason);
+      return refused;
+    }
+    direct::Take(ThisWorker(relay).intake, relay.policies.intake, node::Now());
   }
-  direct::Take(ThisWorker(relay).intake, relay.policies.intake, node::Now());
   CountTaken(relay, *call);
   WatchCaller(call, responder);
   auto refused = RunAttempts(relay, *call, request, responder);
@@ -373,19 +375,21 @@
 
 }  // namespace
 
-auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full)
-    -> std::optional<net::HttpReply> {
+auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full) -> net::ScreenResult {
   Call call;
   ReadCall(relay, head, call);
-  if (Resolve(relay, head, call)) return std::nullopt;
+  if (Resolve(relay, head, call)) return {};
   const auto refused =
       full ? Refuse(Reason::overloaded, Step::allocate, "no memory is left for further connections",
                     relay.policies.intake.retry_soon)
            : RefuseBeyondIntake(relay, call);
-  if (!refused) return std::nullopt;
+  if (!refused) {
+    direct::Take(ThisWorker(relay).intake, relay.policies.intake, node::Now());
+    return {.taken_in = true};
+  }
   CountAsked(relay, call);
   CountRefused(relay, call, refused->reason);
-  return node::ToReply(relay.node, call.id, call.workspace, *refused);
+  return {.reply = node::ToReply(relay.node, call.id, call.workspace, *refused)};
 }
 
 auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -227,11 +227,9 @@
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void;
 
-// Returns the answer to a request that this entry does not take in, by its head alone; with `full`
-// it takes in none. Nothing if it may be taken in, or is to be answered otherwise. Does not
-// suspend.
-auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full)
-    -> std::optional<net::HttpReply>;
+// Takes a request in or refuses it, by its head alone; with `full` it refuses all. Does neither if
+// the request is to be answered otherwise. Does not suspend.
+auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full) -> net::ScreenResult;
 
 // Ends requests of the calling worker: those that wait for a replica are refused, those at a
 // replica fail, and answers that have begun are cut.
