--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -129,6 +129,9 @@
   // Stops accepting and closes connections on which no request is being handled.
   auto Drain() -> void;
 
+  // Whether the listener has as many connections as it may.
+  auto IsFull() const -> bool;
+
   struct State;
   explicit HttpListener(std::shared_ptr<State> state) : state(std::move(state)) {}
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -182,6 +182,8 @@
   const auto limits = LimitsInForce(listener);
   const bool full = listener.connections >= limits.max_connections;
   if (!full && !listener.handlers.screening()) return false;
+  // Makes room for later callers. Connections without a request would lock them out for long.
+  if (full && !listener.idle.empty()) (*listener.idle.begin())->cancel();
   arrived.bytes = TakeArrived(socket);
   const auto request = ParseWhole(arrived.bytes, limits);
   if (!request) return full;
@@ -350,6 +352,10 @@
   return error && error != boost::asio::error::would_block;
 }
 
+auto HttpListener::IsFull() const -> bool {
+  return this->state->connections >= detail::LimitsInForce(*this->state).max_connections;
+}
+
 auto HttpListener::Drain() -> void {
   this->state->draining = true;
   boost::system::error_code ignored;
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -40,6 +40,8 @@
 auto IsReady(Relay& relay) -> bool {
   if (relay.node.draining || CurrentFleet(relay) == nullptr) return false;
   if (relay.left_rotation) return false;
+  const auto& callers = ThisWorker(relay).callers;
+  if (callers != nullptr && callers->IsFull()) return false;
   if (HasCurrentFleet(relay)) return true;
   return relay.peers.With([now = node::Now()](const PeerTable& table) {
     return std::none_of(table.current_until.begin(), table.current_until.end(),
@@ -171,8 +173,8 @@
 }
 
 // Decides anew whether this entry leaves new callers to others of its failure domain, and tells the
-// others of its state.
-auto UpdateRotation(Relay& relay, bool behind) -> void {
+// others of its state. One that is stalled serves nobody and leaves in any case.
+auto UpdateRotation(Relay& relay, bool behind, bool stalled) -> void {
   using core::RotationState;
   const bool out = relay.node.draining || !HasCurrentFleet(relay);
   const auto state = out      ? RotationState::out
@@ -180,7 +182,8 @@
                               : RotationState::serving;
   const direct::RotationMember self{relay.node.settings.id, relay.node.settings.cores.value_or(1),
                                     state};
-  const bool left = behind && direct::MayLeave(relay.policies.rotation, self, Neighbors(relay));
+  const bool left =
+      behind && (stalled || direct::MayLeave(relay.policies.rotation, self, Neighbors(relay)));
   if (relay.rotation.exchange(state) != state) WakePeers(relay);
   if (relay.left_rotation.exchange(left) == left) return;
   telemetry::Log(Level::info, Event::rotation_changed,
@@ -202,7 +205,8 @@
     direct::NoteDelay(pressure, relay.policies.pressure, now - due, now);
     direct::Adapt(intake, relay.policies.intake, pressure.delay, now);
     const bool behind = direct::IsBehind(pressure, now);
-    if (runtime::WorkerIndex() == 0) UpdateRotation(relay, behind);
+    if (runtime::WorkerIndex() == 0)
+      UpdateRotation(relay, behind, direct::IsStalled(pressure, relay.policies.pressure));
     if (behind == before) continue;
     if (!behind) pressure.behind_until = {};
     telemetry::Log(behind ? Level::warning : Level::info,
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -121,6 +121,7 @@
     const auto left = [&] {
       for (auto& fleet : fleets) Confirm(*fleet->relay, BootTime());
       std::vector<bool> out;
+      out.reserve(fleets.size());
       for (auto& fleet : fleets) out.push_back(!IsReady(*fleet));
       return out;
     };
