--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -205,8 +205,8 @@
     direct::NoteDelay(pressure, relay.policies.pressure, now - due, now);
     direct::Adapt(intake, relay.policies.intake, pressure.delay, now);
     const bool behind = direct::IsBehind(pressure, now);
-    if (runtime::WorkerIndex() == 0)
-      UpdateRotation(relay, behind, direct::IsStalled(pressure, relay.policies.pressure));
+    const bool stalled = direct::IsStalled(pressure, relay.policies.pressure);
+    if (runtime::WorkerIndex() == 0) UpdateRotation(relay, behind, stalled);
     if (behind == before) continue;
     if (!behind) pressure.behind_until = {};
     telemetry::Log(behind ? Level::warning : Level::info,
