Let requests wait for the owner of their shared blocks

Cause: under load every slot of every replica is in use, so that a freed slot went to the first request in the queue, whatever the replica had cached.

A replica that has the blocks cached is used at once. The model of entries that admit by themselves does the same.

--- a/bench/direct_dispatch.cc
+++ b/bench/direct_dispatch.cc
@@ -55,8 +55,10 @@
   const auto need = [&](direct::Ticket ticket) {
     Spend(model, entry, model.scenario.costs.look);
     const auto& job = *entry.pending.at(ticket);
-    return direct::PlacementRequest{
-        .service = kService, .prompt = &job.prompt, .tried = &job.tried};
+    return direct::PlacementRequest{.service = kService,
+                                    .prompt = &job.prompt,
+                                    .tried = &job.tried,
+                                    .may_wait_for_owner = model.now < job.owner_wait_until};
   };
   const direct::AssignmentInput input{entry.queue,           model.scenario.queue, entry.replicas,
                                       model.scenario.policy, entry.origin,         need};
@@ -85,11 +87,19 @@
 auto Wait(Model& model, const JobPtr& job, core::Time latest) -> void {
   auto& entry = EntryOf(model, *job);
   job->latest = latest;
+  job->owner_wait_until =
+      model.now + std::min(direct::MaxOwnerWait(model.scenario.policy, job->prompt),
+                           std::max(core::Duration{}, latest - model.now) / 2);
   job->ticket = ++model.last_ticket;
   entry.pending[job->ticket] = job;
   direct::Enqueue(entry.queue, Name(model, *job), {job->ticket, 0, job->cost});
   Continue(model, entry);
   const auto ticket = job->ticket;
+  if (entry.pending.contains(ticket) && job->owner_wait_until < latest) {
+    Schedule(model, job->owner_wait_until, [&model, &entry, ticket] {
+      if (entry.pending.contains(ticket)) NewRound(model, entry);
+    });
+  }
   Schedule(model, std::max(latest, model.now), [&model, &entry, job, ticket] {
     if (!entry.pending.contains(ticket)) return;
     Submit(model, entry, 0, [&model, job, ticket] {
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -213,6 +213,12 @@
   return found == replicas->second.end() ? nullptr : &found->second;
 }
 
+auto MaxOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration {
+  const std::chrono::duration<double, std::milli> prefill_time(SharedPrefixTokens(prompt) /
+                                                               policy.prefill_tokens_per_ms);
+  return std::chrono::duration_cast<core::Duration>(prefill_time * policy.max_owner_wait);
+}
+
 auto ChooseReplica(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
                    const PlacementRequest& request, core::Time now) -> ReplicaChoice {
   static const Prompt no_prompt;
@@ -224,6 +230,7 @@
   const auto candidates = FindCandidates(replicas->second, request, prompt, now);
   const bool ranked = prompt.blocks.size() > 1;
   ReplicaChoice choice;
+  bool has_blocks_cached = false;
   double best_cost = 0;
   for (std::size_t rank = 0; rank < candidates.items.size(); ++rank) {
     const auto& replica = *candidates.items[rank].replica;
@@ -249,8 +256,14 @@
     }
     if (choice.status == status && cost >= best_cost) continue;
     choice = {status, replica.listing.id, replica.listing.address, estimate.prefill_tokens};
+    has_blocks_cached = estimate.cached_shared_tokens == shared_tokens;
     best_cost = cost;
   }
+  const bool waits_for_owner = ranked && request.may_wait_for_owner && !has_blocks_cached;
+  if (choice.status == ChoiceStatus::chosen && waits_for_owner) {
+    const auto& owner = candidates.items.front().replica->listing;
+    return {ChoiceStatus::full, owner.id, owner.address, 0};
+  }
   const auto* ejected = candidates.ejected;
   if (choice.status != ChoiceStatus::none || ejected == nullptr) return choice;
   // If every replica is ejected, use the one whose ejection ends first.
