Forward events of streams in batches while an entry is loaded

Chunks that were read at once were also written one by one.

Change: chunks that were received together are returned together, and a stream is read at intervals that grow with the delay of the entry's timers, up to half of the pause that the route allows between events (itl-target-ms). An entry that keeps up forwards events as they arrive.

--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -40,6 +40,8 @@
   core::Duration timeout = std::chrono::seconds(15);
   // Target time to the response, or to its first event if it is streamed.
   core::Duration latency_objective = std::chrono::seconds(1);
+  // Longest time between two events of a stream that callers accept.
+  core::Duration event_gap_objective = std::chrono::milliseconds(200);
   // Priority; 0 is the most urgent.
   std::uint32_t priority = 0;
 };
--- a/libs/direct/include/filbertstair/direct/pressure.h
+++ b/libs/direct/include/filbertstair/direct/pressure.h
@@ -19,6 +19,13 @@
   // Time for which an entry takes no new callers after an overload. Callers return as soon as it is
   // ready, so a shorter time overloads it again at once.
   core::Duration recovery_time = std::chrono::seconds(3);
+  // Mean timer delay from which the events of a stream are forwarded in batches. Most of the cost of
+  // an event is that of a wake-up, a read and a write, whatever it contains.
+  core::Duration batch_threshold = std::chrono::milliseconds(4);
+  // Interval of the batches at `overload_threshold`: a fraction of the longest pause that callers
+  // accept, which leaves the rest to the replica, up to a limit.
+  double max_batch_gap_share = 0.5;
+  core::Duration max_batch_interval = std::chrono::milliseconds(125);
 };
 
 // Overload of an entry, measured by the delay of its timers.
@@ -37,6 +44,11 @@
 // Whether the entry should leave new callers to other entries.
 auto IsOverloaded(const OverloadState& overload, core::Time now) -> bool;
 
+// Returns the time between two reads of a stream whose callers accept pauses of `gap_objective`
+// between events. Zero if events should be forwarded as they arrive.
+auto EventBatchInterval(const OverloadState& overload, const OverloadPolicy& policy,
+                        core::Duration gap_objective) -> core::Duration;
+
 // Whether the entry lags so far that a new request would not start in time.
 auto IsStalled(const OverloadState& overload, const OverloadPolicy& policy) -> bool;
 
--- a/libs/direct/src/pressure.cc
+++ b/libs/direct/src/pressure.cc
@@ -18,6 +18,18 @@
   return now < overload.overloaded_until;
 }
 
+auto EventBatchInterval(const OverloadState& overload, const OverloadPolicy& policy,
+                        core::Duration gap_objective) -> core::Duration {
+  const auto excess = overload.mean_delay - policy.batch_threshold;
+  if (excess <= core::Duration{}) return {};
+  const auto range = policy.overload_threshold - policy.batch_threshold;
+  const double load =
+      std::min(1.0, static_cast<double>(excess.count()) / static_cast<double>(range.count()));
+  const auto longest = std::min<std::chrono::duration<double, std::micro>>(
+      gap_objective * policy.max_batch_gap_share, policy.max_batch_interval);
+  return std::chrono::duration_cast<core::Duration>(longest * load);
+}
+
 auto IsStalled(const OverloadState& overload, const OverloadPolicy& policy) -> bool {
   return overload.mean_stall >= policy.stall_threshold;
 }
--- a/libs/direct/test/pressure_test.cc
+++ b/libs/direct/test/pressure_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST_SUITE(PressureTest);
   CPPUNIT_TEST(testOneLateTimerIsNoOverload);
   CPPUNIT_TEST(testOverloadEndsAfterAPause);
+  CPPUNIT_TEST(testEventsAreBatchedUnderLoadOnly);
   CPPUNIT_TEST_SUITE_END();
 
   const OverloadPolicy policy{};
@@ -54,6 +55,25 @@
     CPPUNIT_ASSERT(IsOverloaded(overload, this->now + seconds(2)));
     CPPUNIT_ASSERT(!IsOverloaded(overload, this->now + seconds(4)));
   }
+
+  // Guards against events that an idle entry holds back, and against pauses in streams of a loaded
+  // entry that callers count as late.
+  auto testEventsAreBatchedUnderLoadOnly() -> void {
+    OverloadState overload;
+    RecordTimerDelay(overload, this->policy, milliseconds(3), this->now);
+    CPPUNIT_ASSERT_EQUAL(core::Duration{},
+                         EventBatchInterval(overload, this->policy, milliseconds(200)));
+    core::Duration last{};
+    for (int i = 0; i < 20; ++i) {
+      RecordTimerDelay(overload, this->policy, milliseconds(800), this->now);
+      const auto interval = EventBatchInterval(overload, this->policy, milliseconds(200));
+      CPPUNIT_ASSERT(interval >= last);
+      last = interval;
+    }
+    CPPUNIT_ASSERT_EQUAL(core::Duration(milliseconds(100)), last);
+    CPPUNIT_ASSERT_EQUAL(this->policy.max_batch_interval,
+                         EventBatchInterval(overload, this->policy, std::chrono::hours(24)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PressureTest);
--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -63,6 +63,9 @@
   // from its end.
   auto ReadBody(std::chrono::milliseconds timeout) -> std::string;
 
+  // Returns whether the end of the body has been received, so that ReadBody does not wait.
+  auto IsBodyComplete() const -> bool;
+
   // Closes the connection. May be called from another fiber of the worker while StartRequest or
   // ReadBody waits.
   auto Cancel() -> void;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <utility>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -29,6 +30,8 @@
   // Replaced for each response.
   std::optional<http::response_parser<http::buffer_body>> parser;
   bool is_head_request = false;
+  // Error in received bytes that follow the part of the body returned last.
+  boost::system::error_code pending_error;
   std::array<char, kReadBufferBytes> read_buffer{};
 };
 
@@ -65,6 +68,7 @@
 
 auto ReadNextHead(detail::ClientConnection& c) -> void {
   c.parser.emplace();
+  c.pending_error = {};
   // A response to HEAD has no body whatever its Content-Length says.
   c.parser->skip(c.is_head_request);
   c.parser->body_limit(boost::none);
@@ -74,6 +78,21 @@
   ThrowOnError(result.error, core::Step::read, c.address);
 }
 
+// Parses the received bytes of the body that fit into the read buffer. A server that writes small
+// chunks has several of them read at once, and passing each on by itself costs a write for each.
+auto ParseReceivedBody(detail::ClientConnection& c) -> void {
+  auto& parser = *c.parser;
+  while (!parser.is_done() && c.buffer.size() > 0 && parser.get().body().size > 0) {
+    boost::system::error_code error;
+    c.buffer.consume(parser.put(c.buffer.data(), error));
+    if (!error) continue;
+    if (error != http::error::need_more && error != http::error::need_buffer) {
+      c.pending_error = error;
+    }
+    return;
+  }
+}
+
 // Returns whether the final response is still to come. After status 101 the server no longer speaks
 // HTTP/1.1.
 auto IsInterim(const http::response_parser<http::buffer_body>& parser) -> bool {
@@ -141,7 +160,7 @@
 auto HttpExchange::IsReusable() const -> bool {
   const auto& c = *this->connection;
   return c.parser && c.parser->is_done() && c.parser->keep_alive() && c.buffer.size() == 0 &&
-         c.stream.socket().is_open();
+         !c.pending_error && c.stream.socket().is_open();
 }
 
 auto HttpExchange::IsIdle() -> bool {
@@ -163,6 +182,7 @@
 auto HttpExchange::ReadBody(std::chrono::milliseconds timeout) -> std::string {
   auto& c = *this->connection;
   auto& parser = *c.parser;
+  ThrowOnError(std::exchange(c.pending_error, {}), core::Step::read, c.address);
   while (!parser.is_done()) {
     auto& body = parser.get().body();
     body.data = c.read_buffer.data();
@@ -175,12 +195,18 @@
     if (result.error && result.error != http::error::need_buffer) {
       ThrowOnError(result.error, core::Step::read, c.address);
     }
+    ParseReceivedBody(c);
     const std::size_t size = c.read_buffer.size() - body.size;
     if (size > 0) return {c.read_buffer.data(), size};
   }
   return {};
 }
 
+auto HttpExchange::IsBodyComplete() const -> bool {
+  const auto& parser = this->connection->parser;
+  return parser && parser->is_done();
+}
+
 auto HttpExchange::Cancel() -> void { this->connection->stream.close(); }
 
 auto Fetch(const std::string& address, const HttpRequest& request,
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <string_view>
 #include <thread>
 
 #include "filbertstair/core/error.h"
@@ -59,6 +60,8 @@
   pool.Stop();
 }
 
+constexpr std::string_view kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 auto MakeGet(const std::string& target) -> HttpRequest { return {"GET", target, {}, "", ""}; }
 
 // Sends the bytes and returns all bytes received until the connection ends.
@@ -144,6 +147,9 @@
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(testWholeAnswer);
   CPPUNIT_TEST(testStreamedAnswerArrivesInPieces);
+  CPPUNIT_TEST(testChunksReadTogetherAreReturnedTogether);
+  CPPUNIT_TEST(testIncompleteChunkDoesNotDelayThoseBefore);
+  CPPUNIT_TEST(testBytesBeforeABadChunkAreReturned);
   CPPUNIT_TEST(testCutAnswerIsAnError);
   CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
@@ -192,6 +198,44 @@
         });
   }
 
+  // Guards against a separate write to the caller for each of several events that were read at
+  // once.
+  auto testChunksReadTogetherAreReturnedTogether() -> void {
+    RunAgainstRawServer(std::string(kChunkedHead) + "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n",
+                        [](const std::string& address) {
+                          HttpExchange exchange;
+                          exchange.StartRequest(address, MakeGet("/"), kTimeout, kTimeout);
+                          CPPUNIT_ASSERT_EQUAL(std::string("onetwo"), exchange.ReadBody(kTimeout));
+                          CPPUNIT_ASSERT_EQUAL(std::string(), exchange.ReadBody(kTimeout));
+                          CPPUNIT_ASSERT(exchange.IsReusable());
+                        });
+  }
+
+  // Guards against an event that is held back until the next one, of which a part has arrived, is
+  // complete.
+  auto testIncompleteChunkDoesNotDelayThoseBefore() -> void {
+    RunAgainstRawServer(std::string(kChunkedHead) + "3\r\none\r\n3",
+                        [](const std::string& address) {
+                          HttpExchange exchange;
+                          exchange.StartRequest(address, MakeGet("/"), kTimeout, kTimeout);
+                          CPPUNIT_ASSERT_EQUAL(std::string("one"), exchange.ReadBody(kTimeout));
+                          CPPUNIT_ASSERT_THROW(exchange.ReadBody(kTimeout), core::Error);
+                        });
+  }
+
+  // Guards against whole events that are lost because bytes after them are not a chunk, and against
+  // a response that then looks complete.
+  auto testBytesBeforeABadChunkAreReturned() -> void {
+    RunAgainstRawServer(std::string(kChunkedHead) + "3\r\none\r\nbad\r\n",
+                        [](const std::string& address) {
+                          HttpExchange exchange;
+                          exchange.StartRequest(address, MakeGet("/"), kTimeout, kTimeout);
+                          CPPUNIT_ASSERT_EQUAL(std::string("one"), exchange.ReadBody(kTimeout));
+                          CPPUNIT_ASSERT(!exchange.IsReusable());
+                          CPPUNIT_ASSERT_THROW(exchange.ReadBody(kTimeout), core::Error);
+                        });
+  }
+
   // Guards against a truncated response that looks complete, chunked or with a Content-Length.
   auto testCutAnswerIsAnError() -> void {
     RunPair(
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -29,6 +29,9 @@
 // the earliest.
 constexpr std::chrono::milliseconds kMaxEventGap{1500};
 
+// Batches of events are read at multiples of this time.
+constexpr core::Duration kBatchTick = std::chrono::milliseconds(20);
+
 constexpr int kHttpOk = 200;
 constexpr auto* kStopped = "this entry was stopped before the response arrived";
 
@@ -216,6 +219,17 @@
   responder.Begin(response.status, relay.dialect.make_response_headers(response), response.framing);
 }
 
+// Waits for the next batch of events while the worker has little processor time left. All streams
+// of the worker wait for the same moment, so that it wakes up once for all of them.
+auto WaitForBatch(Relay& relay, const direct::Route& route) -> void {
+  const auto interval = direct::EventBatchInterval(
+      ThisWorker(relay).overload, relay.policies.overload, route.event_gap_objective);
+  if (interval <= core::Duration{}) return;
+  const auto now = node::Now().time_since_epoch();
+  const auto latest = now + interval;
+  runtime::SleepFor(latest - latest % kBatchTick - now);
+}
+
 // Forwards events as they complete. Returns normally after the end of the stream.
 auto RelayEvents(Relay& relay, Call& call, Assignment& assignment,
                  const net::HttpResponseHead& response, net::Responder& responder) -> void {
@@ -236,6 +250,7 @@
     ObservePartLatency(relay, call, last);
     BeginResponse(relay, call, response, responder);
     responder.Write(events);
+    if (!call.exchange->IsBodyComplete()) WaitForBatch(relay, *call.route);
   }
   if (!call.event_splitter.partial_event.empty()) {
     throw core::Error(Step::read, assignment.address, "stream ended in the middle of an event");
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -242,6 +242,8 @@
   int status = 0;
   net::Headers headers;
   std::string body;
+  // Parts in which the body was read.
+  int parts = 0;
   // Whether the response was read to its end.
   bool whole = false;
   // Error that ended the response early, if other than the end of the connection.
@@ -287,6 +289,7 @@
         for (auto piece = exchange.ReadBody(kTimeout); !piece.empty();
              piece = exchange.ReadBody(kTimeout)) {
           out.body += piece;
+          ++out.parts;
         }
         out.whole = true;
       } catch (const std::exception& error) {
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -46,6 +46,7 @@
 class StreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamTest);
   CPPUNIT_TEST(testWholeStream);
+  CPPUNIT_TEST(testLoadedEntrySendsEventsInBatches);
   CPPUNIT_TEST(testResumedAfterTheLastWholeEvent);
   CPPUNIT_TEST(testCutStreamDoesNotLookComplete);
   CPPUNIT_TEST(testHeldAnswerIsNotAddedToAStream);
@@ -65,6 +66,39 @@
     CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
   }
 
+  // Guards against an entry that uses up its processor time with a wake-up, a read and a write for
+  // each event of its streams: a flood of one workspace at a weak entry then gets no further than
+  // that.
+  auto testLoadedEntrySendsEventsInBatches() -> void {
+    constexpr int events = 60;
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Begin(200, AnswerHeaders(request));
+      for (int id = 1; id <= events; ++id) {
+        responder.Write(Event(id));
+        runtime::SleepFor(milliseconds(10));
+      }
+      responder.End();
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    // Delays timers by 20 ms, more than an entry that keeps up and less than one that stalls.
+    entry.node.pool.Post(0, [] {
+      for (int i = 0; i < 60; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        runtime::SleepFor(milliseconds(1));
+      }
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto answer = entry.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT(answer.whole);
+    std::string expected;
+    for (int id = 1; id <= events; ++id) expected += Event(id);
+    CPPUNIT_ASSERT_EQUAL(expected, answer.body);
+    // Without batches there is a part for each turn of the worker, 25 to 30 of them.
+    CPPUNIT_ASSERT(answer.parts <= 15);
+  }
+
   // Guards against events that are missing, duplicated or mixed from two runs, for every event at
   // which a replica may stop.
   auto testResumedAfterTheLastWholeEvent() -> void {
