--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -46,6 +46,7 @@
 class StreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamTest);
   CPPUNIT_TEST(testWholeStream);
+  CPPUNIT_TEST(testSlowStreamStaysAtItsReplica);
   CPPUNIT_TEST(testLoadedEntrySendsEventsInBatches);
   CPPUNIT_TEST(testResumedAfterTheLastWholeEvent);
   CPPUNIT_TEST(testCutStreamDoesNotLookComplete);
@@ -66,6 +67,31 @@
     CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
   }
 
+  // Guards against a sound stream that is cut, or run again at another replica, because its replica
+  // is slow or silent for a while.
+  auto testSlowStreamStaysAtItsReplica() -> void {
+    const auto serve = [](const net::HttpRequest& request, net::Responder& responder) {
+      responder.Begin(200, AnswerHeaders(request));
+      for (int id = 1; id <= kEvents; ++id) {
+        responder.Write(Event(id));
+        runtime::SleepFor(id == 3 ? milliseconds(1000) : milliseconds(250));
+      }
+      responder.End();
+    };
+    FakeReplica first("a", serve);
+    FakeReplica second("b", serve);
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    for (const auto* path : {"/stream/x", "/stream-once/x"}) {
+      const auto answer = entry.Call(Get(path));
+      CPPUNIT_ASSERT(answer.whole);
+      CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.Requests().size() + second.Requests().size());
+  }
+
   // Guards against an entry that uses up its processor time with a wake-up, a read and a write for
   // each event of its streams: a flood of one workspace at a weak entry then gets no further than
   // that.
