--- a/bench/direct_dispatch.cc
+++ b/bench/direct_dispatch.cc
@@ -55,10 +55,11 @@
   const auto need = [&](direct::Ticket ticket) {
     Spend(model, entry, model.scenario.costs.look);
     const auto& job = *entry.pending.at(ticket);
-    return direct::PlacementRequest{.service = kService,
-                                    .prompt = &job.prompt,
-                                    .tried = &job.tried,
-                                    .may_wait_for_owner = model.now < job.owner_wait_until};
+    return direct::PlacementRequest{
+        .service = kService,
+        .prompt = &job.prompt,
+        .tried = &job.tried,
+        .may_wait_for_cache_owner = model.now < job.cache_owner_wait_until};
   };
   const direct::AssignmentInput input{entry.queue,           model.scenario.queue, entry.replicas,
                                       model.scenario.policy, entry.origin,         need};
@@ -87,16 +88,16 @@
 auto Wait(Model& model, const JobPtr& job, core::Time latest) -> void {
   auto& entry = EntryOf(model, *job);
   job->latest = latest;
-  job->owner_wait_until =
-      model.now + std::min(direct::MaxOwnerWait(model.scenario.policy, job->prompt),
+  job->cache_owner_wait_until =
+      model.now + std::min(direct::MaxCacheOwnerWait(model.scenario.policy, job->prompt),
                            std::max(core::Duration{}, latest - model.now) / 2);
   job->ticket = ++model.last_ticket;
   entry.pending[job->ticket] = job;
   direct::Enqueue(entry.queue, Name(model, *job), {job->ticket, 0, job->cost});
   Continue(model, entry);
   const auto ticket = job->ticket;
-  if (entry.pending.contains(ticket) && job->owner_wait_until < latest) {
-    Schedule(model, job->owner_wait_until, [&model, &entry, ticket] {
+  if (entry.pending.contains(ticket) && job->cache_owner_wait_until < latest) {
+    Schedule(model, job->cache_owner_wait_until, [&model, &entry, ticket] {
       if (entry.pending.contains(ticket)) NewRound(model, entry);
     });
   }
--- a/bench/direct_state.h
+++ b/bench/direct_state.h
@@ -52,8 +52,8 @@
   bool closing = false;
   // Time until which it waits for a replica.
   core::Time latest{};
-  // Time until which it waits for the replica that owns its shared blocks.
-  core::Time owner_wait_until{};
+  // Time until which it waits for the cache owner of its shared blocks.
+  core::Time cache_owner_wait_until{};
   direct::Ticket ticket = 0;
   int connects = 0;
   std::set<std::string> tried;
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -101,11 +101,11 @@
   // Additional cost per rank of a replica that has not cached the shared blocks, in milliseconds,
   // so that all entries fall back to the same few replicas when the first is busy.
   double rank_cost_ms = 15;
-  // Maximum time for which a request waits for the replica that owns its shared blocks while others
-  // have capacity, as a multiple of the time in which another one would prefill these blocks. A
-  // wait of 1 costs the request no more than that, and the prefill would also delay all other
-  // requests of the replica.
-  double max_owner_wait = 2;
+  // Maximum time for which a request waits for the cache owner of its shared blocks while other
+  // replicas have capacity, as a multiple of the time in which one of these would prefill the
+  // blocks. At 1 the wait costs the request no more than the prefill, which would also delay all
+  // other requests of that replica.
+  double max_cache_owner_wait = 2;
   // Slowdown of all requests of a replica by one more request, as milliseconds of the new one.
   double request_cost_ms = 4;
   // Time in which the weight of a report of other entries' requests halves.
@@ -151,8 +151,9 @@
   double capacity_share = 1;
   // Replicas that are reserved for requests ahead of this one.
   const std::set<std::string>* reserved = nullptr;
-  // Whether the request may still wait for the owner of its shared blocks; see MaxOwnerWait.
-  bool may_wait_for_owner = false;
+  // Whether the request may still wait for the cache owner of its shared blocks; see
+  // MaxCacheOwnerWait.
+  bool may_wait_for_cache_owner = false;
 };
 
 enum class ChoiceStatus { chosen, full, none };
@@ -166,19 +167,19 @@
   std::uint64_t prefill_tokens = 0;
 };
 
-// Returns the maximum time for which a request with this prompt waits for the owner of its shared
-// blocks while other replicas have capacity.
-auto MaxOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration;
+// Returns the maximum time for which a request with this prompt waits for the cache owner of its
+// shared blocks while other replicas have capacity.
+auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration;
 
 // Chooses the replica where the request is expected to start first, weighing distance and cached
 // blocks. `full` means that there are replicas, but none should get a request now; `none` means
 // that there is no usable replica.
 //
 // All entries rank the replicas in the same order for the shared blocks of a prompt, so that each
-// block is prefilled by its owner, the first replica of that order, and by another one only when
-// the owner is busy. A request that may wait for the owner gets `full` with the owner's id if no
-// replica with capacity has its shared blocks cached: under load each freed slot would otherwise go
-// to the next request in the queue, whatever the replica has cached.
+// block is prefilled by its cache owner, the first replica of that order, and by another one only
+// when the owner is busy. A request that may wait for the cache owner gets `full` with the owner's
+// id if no replica with capacity has its shared blocks cached: under load each freed slot would
+// otherwise go to the next request in the queue, whatever the replica has cached.
 auto ChooseReplica(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
                    const PlacementRequest& request, core::Time now) -> ReplicaChoice;
 
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -213,10 +213,10 @@
   return found == replicas->second.end() ? nullptr : &found->second;
 }
 
-auto MaxOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration {
+auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration {
   const std::chrono::duration<double, std::milli> prefill_time(SharedPrefixTokens(prompt) /
                                                                policy.prefill_tokens_per_ms);
-  return std::chrono::duration_cast<core::Duration>(prefill_time * policy.max_owner_wait);
+  return std::chrono::duration_cast<core::Duration>(prefill_time * policy.max_cache_owner_wait);
 }
 
 auto ChooseReplica(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
@@ -259,8 +259,9 @@
     has_blocks_cached = estimate.cached_shared_tokens == shared_tokens;
     best_cost = cost;
   }
-  const bool waits_for_owner = ranked && request.may_wait_for_owner && !has_blocks_cached;
-  if (choice.status == ChoiceStatus::chosen && waits_for_owner) {
+  const bool waits_for_cache_owner =
+      ranked && request.may_wait_for_cache_owner && !has_blocks_cached;
+  if (choice.status == ChoiceStatus::chosen && waits_for_cache_owner) {
     const auto& owner = candidates.items.front().replica->listing;
     return {ChoiceStatus::full, owner.id, owner.address, 0};
   }
--- a/libs/direct/test/replicas_test.cc
+++ b/libs/direct/test/replicas_test.cc
@@ -15,8 +15,8 @@
   CPPUNIT_TEST(testNearestIdleReplica);
   CPPUNIT_TEST(testEntriesAgreeOnTheKeeper);
   CPPUNIT_TEST(testBusyKeeperGivesWay);
-  CPPUNIT_TEST(testRequestWaitsForTheOwnerFirst);
-  CPPUNIT_TEST(testOwnerWaitIsBounded);
+  CPPUNIT_TEST(testRequestWaitsForTheCacheOwnerFirst);
+  CPPUNIT_TEST(testCacheOwnerWaitIsBounded);
   CPPUNIT_TEST(testFullReplicas);
   CPPUNIT_TEST(testOtherEntriesCount);
   CPPUNIT_TEST(testLeavingAndGone);
@@ -110,10 +110,10 @@
 
   // Guards against backlogged requests that take whichever slot is freed first, so that every
   // replica prefills the shared blocks of every prompt again.
-  auto testRequestWaitsForTheOwnerFirst() -> void {
+  auto testRequestWaitsForTheCacheOwnerFirst() -> void {
     auto table = MakeTable();
     const auto prompt = MakePrompt(10, 5000, 1000);
-    PlacementRequest request{.service = "llm", .prompt = &prompt, .may_wait_for_owner = true};
+    PlacementRequest request{.service = "llm", .prompt = &prompt, .may_wait_for_cache_owner = true};
     const auto choose = [&] {
       return ChooseReplica(table, this->policy, this->origin, request, this->now);
     };
@@ -123,13 +123,13 @@
     const auto waiting = choose();
     CPPUNIT_ASSERT(waiting.status == ChoiceStatus::full);
     CPPUNIT_ASSERT_EQUAL(owner.id, waiting.id);
-    request.may_wait_for_owner = false;
+    request.may_wait_for_cache_owner = false;
     const auto second = choose();
     CPPUNIT_ASSERT(second.status == ChoiceStatus::chosen);
     CPPUNIT_ASSERT(second.id != owner.id);
     // A replica that has the blocks cached is used at once.
     RecordAssignment(*FindReplica(table, "llm", second.id), this->policy, prompt, 0);
-    request.may_wait_for_owner = true;
+    request.may_wait_for_cache_owner = true;
     CPPUNIT_ASSERT_EQUAL(second.id, choose().id);
     // So is any replica by a request without shared blocks.
     const Prompt single{.model = "m", .tokens_in = 1000, .tokens_out = 0, .blocks = {{99, 1000}}};
@@ -138,11 +138,13 @@
   }
 
   // Guards against requests that wait for their owner longer than twice the prefill that they save.
-  auto testOwnerWaitIsBounded() -> void {
+  auto testCacheOwnerWaitIsBounded() -> void {
     const auto tokens = static_cast<std::uint32_t>(this->policy.prefill_tokens_per_ms * 100);
-    CPPUNIT_ASSERT(MaxOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) <= milliseconds(200));
-    CPPUNIT_ASSERT(MaxOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) >= milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(core::Duration{}, MaxOwnerWait(this->policy, Prompt{}));
+    CPPUNIT_ASSERT(MaxCacheOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) <=
+                   milliseconds(200));
+    CPPUNIT_ASSERT(MaxCacheOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) >=
+                   milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(core::Duration{}, MaxCacheOwnerWait(this->policy, Prompt{}));
   }
 
   // Guards against sending more requests than replicas can run, which would be served in order of
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -46,10 +46,11 @@
   const auto now = node::Now();
   const auto make_request = [&](direct::Ticket ticket) {
     const auto& pending = *table.pending.at(ticket);
-    return direct::PlacementRequest{.service = service,
-                                    .prompt = pending.prompt,
-                                    .tried = pending.tried,
-                                    .may_wait_for_owner = now < pending.owner_wait_until};
+    return direct::PlacementRequest{
+        .service = service,
+        .prompt = pending.prompt,
+        .tried = pending.tried,
+        .may_wait_for_cache_owner = now < pending.cache_owner_wait_until};
   };
   const direct::AssignmentInput input{queue,          relay.policies.queue,
                                       table.replicas, relay.policies.replicas,
@@ -66,13 +67,14 @@
   }
 }
 
-// Returns the time until which a request that waits at most until `latest` waits for the owner of
-// its shared blocks. Half of the wait is left for finding another replica.
-auto OwnerWaitDeadline(const Relay& relay, const direct::Prompt* prompt, core::Time latest)
+// Returns the time until which a request that waits at most until `latest` waits for the cache
+// owner of its shared blocks. Half of the wait is left for finding another replica.
+auto CacheOwnerWaitDeadline(const Relay& relay, const direct::Prompt* prompt, core::Time latest)
     -> core::Time {
   const auto now = node::Now();
   if (prompt == nullptr || latest <= now) return now;
-  return now + std::min(direct::MaxOwnerWait(relay.policies.replicas, *prompt), (latest - now) / 2);
+  return now +
+         std::min(direct::MaxCacheOwnerWait(relay.policies.replicas, *prompt), (latest - now) / 2);
 }
 
 }  // namespace
@@ -90,7 +92,7 @@
   pending->tried = &call.tried;
   pending->workspace = call.workspace;
   pending->cost = call.cost;
-  pending->owner_wait_until = OwnerWaitDeadline(relay, pending->prompt, latest);
+  pending->cache_owner_wait_until = CacheOwnerWaitDeadline(relay, pending->prompt, latest);
   const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
     const auto id = ++table.last_ticket;
     auto& queue = table.queues[call.service];
@@ -106,11 +108,12 @@
         [&](const DispatchTable&) { return pending->assignment || pending->unassignable; });
   };
   while (!resolved() && !call.caller_disconnected && !call.stopped && node::Now() < latest) {
-    const bool waits_for_owner = node::Now() < pending->owner_wait_until;
-    const auto wait_until = waits_for_owner ? std::min(latest, pending->owner_wait_until) : latest;
+    const bool waits_for_cache_owner = node::Now() < pending->cache_owner_wait_until;
+    const auto wait_until =
+        waits_for_cache_owner ? std::min(latest, pending->cache_owner_wait_until) : latest;
     const bool notified = pending->changed.WaitUntil(wait_until);
     // Other replicas may have capacity for the request, which nothing else would signal.
-    if (!notified && waits_for_owner) relay.capacity_freed.Notify();
+    if (!notified && waits_for_cache_owner) relay.capacity_freed.Notify();
   }
   return relay.dispatch.With([&](DispatchTable& table) {
     if (table.pending.erase(ticket) > 0) {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -48,8 +48,8 @@
   const std::set<std::string>* tried = nullptr;
   std::string workspace;
   double cost = 1;
-  // Until then the request waits for the replica that owns its shared blocks.
-  core::Time owner_wait_until{};
+  // Until then the request waits for the cache owner of its shared blocks.
+  core::Time cache_owner_wait_until{};
   // Requests of the service that were queued when this one arrived.
   std::size_t queued_ahead = 0;
   std::optional<Assignment> assignment;
