Compute the whole wait for a cache owner in direct

The limit of half of the time in the queue stood in the relay and in the model. It is a field of ReplicaPolicy now, and MaxCacheOwnerWait applies it. No behavior changes; direct.replicas_test covers the limit.

--- a/bench/direct_dispatch.cc
+++ b/bench/direct_dispatch.cc
@@ -89,8 +89,7 @@
   auto& entry = EntryOf(model, *job);
   job->latest = latest;
   job->cache_owner_wait_until =
-      model.now + std::min(direct::MaxCacheOwnerWait(model.scenario.policy, job->prompt),
-                           std::max(core::Duration{}, latest - model.now) / 2);
+      model.now + direct::MaxCacheOwnerWait(model.scenario.policy, job->prompt, latest - model.now);
   job->ticket = ++model.last_ticket;
   entry.pending[job->ticket] = job;
   direct::Enqueue(entry.queue, Name(model, *job), {job->ticket, 0, job->cost});
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -106,6 +106,9 @@
   // blocks. At 1 the wait costs the request no more than the prefill, which would also delay all
   // other requests of that replica.
   double max_cache_owner_wait = 2;
+  // Maximum share of its time in the queue for which it waits for the cache owner. The rest is left
+  // for finding another replica.
+  double max_cache_owner_wait_share = 0.5;
   // Slowdown of all requests of a replica by one more request, as milliseconds of the new one.
   double request_cost_ms = 4;
   // Time in which the weight of a report of other entries' requests halves.
@@ -167,9 +170,10 @@
   std::uint64_t prefill_tokens = 0;
 };
 
-// Returns the maximum time for which a request with this prompt waits for the cache owner of its
-// shared blocks while other replicas have capacity.
-auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration;
+// Returns the maximum time for which a request with this prompt, which may wait in the queue for
+// `max_wait`, waits for the cache owner of its shared blocks while other replicas have capacity.
+auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt, core::Duration max_wait)
+    -> core::Duration;
 
 // Chooses the replica where the request is expected to start first, weighing distance and cached
 // blocks. `full` means that there are replicas, but none should get a request now; `none` means
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -213,10 +213,14 @@
   return found == replicas->second.end() ? nullptr : &found->second;
 }
 
-auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt) -> core::Duration {
-  const std::chrono::duration<double, std::milli> prefill_time(SharedPrefixTokens(prompt) /
-                                                               policy.prefill_tokens_per_ms);
-  return std::chrono::duration_cast<core::Duration>(prefill_time * policy.max_cache_owner_wait);
+auto MaxCacheOwnerWait(const ReplicaPolicy& policy, const Prompt& prompt, core::Duration max_wait)
+    -> core::Duration {
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  const Milliseconds prefill_time(SharedPrefixTokens(prompt) / policy.prefill_tokens_per_ms);
+  const Milliseconds queue_limit =
+      std::max(max_wait, core::Duration{}) * policy.max_cache_owner_wait_share;
+  return std::chrono::duration_cast<core::Duration>(
+      std::min(prefill_time * policy.max_cache_owner_wait, queue_limit));
 }
 
 auto ChooseReplica(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
--- a/libs/direct/src/round.cc
+++ b/libs/direct/src/round.cc
@@ -5,8 +5,8 @@
 namespace filbertstair::direct {
 namespace {
 
-// Interval at an entry of one core, and the bounds of the interval. The upper one is well below the
-// time that a request may wait.
+// Interval times cores, and the bounds of the interval. The upper one is well below the time that a
+// request may wait.
 constexpr core::Duration kCoreInterval = std::chrono::milliseconds(5);
 constexpr core::Duration kMinInterval = std::chrono::milliseconds(10);
 constexpr core::Duration kMaxInterval = std::chrono::milliseconds(60);
--- a/libs/direct/test/replicas_test.cc
+++ b/libs/direct/test/replicas_test.cc
@@ -137,14 +137,17 @@
     CPPUNIT_ASSERT(choose().status == ChoiceStatus::chosen);
   }
 
-  // Guards against requests that wait for their owner longer than twice the prefill that they save.
+  // Guards against requests that wait for their cache owner longer than twice the prefill that they
+  // save, or until too late for another replica.
   auto testCacheOwnerWaitIsBounded() -> void {
     const auto tokens = static_cast<std::uint32_t>(this->policy.prefill_tokens_per_ms * 100);
-    CPPUNIT_ASSERT(MaxCacheOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) <=
-                   milliseconds(200));
-    CPPUNIT_ASSERT(MaxCacheOwnerWait(this->policy, MakePrompt(10, tokens, 1000)) >=
-                   milliseconds(100));
-    CPPUNIT_ASSERT_EQUAL(core::Duration{}, MaxCacheOwnerWait(this->policy, Prompt{}));
+    const auto prompt = MakePrompt(10, tokens, 1000);
+    const auto wait = MaxCacheOwnerWait(this->policy, prompt, seconds(1));
+    CPPUNIT_ASSERT(wait >= milliseconds(100) && wait <= milliseconds(200));
+    CPPUNIT_ASSERT(MaxCacheOwnerWait(this->policy, prompt, milliseconds(160)) <= milliseconds(80));
+    CPPUNIT_ASSERT_EQUAL(core::Duration{},
+                         MaxCacheOwnerWait(this->policy, prompt, -milliseconds(1)));
+    CPPUNIT_ASSERT_EQUAL(core::Duration{}, MaxCacheOwnerWait(this->policy, Prompt{}, seconds(1)));
   }
 
   // Guards against sending more requests than replicas can run, which would be served in order of
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -67,16 +67,6 @@
   }
 }
 
-// Returns the time until which a request that waits at most until `latest` waits for the cache
-// owner of its shared blocks. Half of the wait is left for finding another replica.
-auto CacheOwnerWaitDeadline(const Relay& relay, const direct::Prompt* prompt, core::Time latest)
-    -> core::Time {
-  const auto now = node::Now();
-  if (prompt == nullptr || latest <= now) return now;
-  return now +
-         std::min(direct::MaxCacheOwnerWait(relay.policies.replicas, *prompt), (latest - now) / 2);
-}
-
 }  // namespace
 
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void {
@@ -92,7 +82,11 @@
   pending->tried = &call.tried;
   pending->workspace = call.workspace;
   pending->cost = call.cost;
-  pending->cache_owner_wait_until = CacheOwnerWaitDeadline(relay, pending->prompt, latest);
+  pending->cache_owner_wait_until = node::Now();
+  if (pending->prompt != nullptr) {
+    pending->cache_owner_wait_until += direct::MaxCacheOwnerWait(
+        relay.policies.replicas, *pending->prompt, latest - pending->cache_owner_wait_until);
+  }
   const auto ticket = relay.dispatch.With([&](DispatchTable& table) {
     const auto id = ++table.last_ticket;
     auto& queue = table.queues[call.service];
