--- a/libs/direct/include/filbertstair/direct/pressure.h
+++ b/libs/direct/include/filbertstair/direct/pressure.h
@@ -19,8 +19,8 @@
   // Time for which an entry takes no new callers after an overload. Callers return as soon as it is
   // ready, so a shorter time overloads it again at once.
   core::Duration recovery_time = std::chrono::seconds(3);
-  // Mean timer delay from which the events of a stream are forwarded in batches. Most of the cost of
-  // an event is that of a wake-up, a read and a write, whatever it contains.
+  // Mean timer delay from which the events of a stream are forwarded in batches. Most of the cost
+  // of an event is that of a wake-up, a read and a write, whatever it contains.
   core::Duration batch_threshold = std::chrono::milliseconds(4);
   // Interval of the batches at `overload_threshold`: a fraction of the longest pause that callers
   // accept, which leaves the rest to the replica, up to a limit.
