Wait for a cache owner only while it is full, and reserve nothing

Cause: a request also waited when its cache owner had capacity but another replica cost less, as for short shared blocks with an owner in another region, and the owner was then reserved for it in the round.

Change: a request waits only if its cache owner is full. Nothing is reserved for it, since it may use other replicas soon.

--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -163,7 +163,9 @@
 
 struct ReplicaChoice {
   ChoiceStatus status = ChoiceStatus::none;
-  // If the status is `full`, the replica for which the request should wait.
+  // If the status is `full`, the replica for which the request should wait. Empty if it waits for
+  // the cache owner of its shared blocks although others have capacity: nothing needs to be
+  // reserved for it then.
   std::string id;
   std::string address;
   // Prompt tokens that the replica is expected to prefill.
@@ -181,9 +183,9 @@
 //
 // All entries rank the replicas in the same order for the shared blocks of a prompt, so that each
 // block is prefilled by its cache owner, the first replica of that order, and by another one only
-// when the owner is busy. A request that may wait for the cache owner gets `full` with the owner's
-// id if no replica with capacity has its shared blocks cached: under load each freed slot would
-// otherwise go to the next request in the queue, whatever the replica has cached.
+// when the owner is busy. If the owner is full and the best replica with capacity has not cached
+// the blocks, a request that may wait for the owner gets `full` without an id: under load each
+// freed slot would otherwise go to the next request in the queue, whatever the replica has cached.
 auto ChooseReplica(const ReplicaTable& table, const ReplicaPolicy& policy, const Origin& origin,
                    const PlacementRequest& request, core::Time now) -> ReplicaChoice;
 
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -235,6 +235,7 @@
   const bool ranked = prompt.blocks.size() > 1;
   ReplicaChoice choice;
   bool has_blocks_cached = false;
+  bool cache_owner_is_full = false;
   double best_cost = 0;
   for (std::size_t rank = 0; rank < candidates.items.size(); ++rank) {
     const auto& replica = *candidates.items[rank].replica;
@@ -253,6 +254,7 @@
         open && HasCapacity(replica, policy, estimate, shared_tokens, load, request.capacity_share)
             ? ChoiceStatus::chosen
             : ChoiceStatus::full;
+    if (rank == 0) cache_owner_is_full = status == ChoiceStatus::full;
     if (choice.status == ChoiceStatus::chosen && status == ChoiceStatus::full) continue;
     double cost = base + PrefillCost(policy, estimate, shared_tokens);
     if (estimate.cached_shared_tokens < shared_tokens) {
@@ -264,10 +266,9 @@
     best_cost = cost;
   }
   const bool waits_for_cache_owner =
-      ranked && request.may_wait_for_cache_owner && !has_blocks_cached;
+      ranked && request.may_wait_for_cache_owner && cache_owner_is_full && !has_blocks_cached;
   if (choice.status == ChoiceStatus::chosen && waits_for_cache_owner) {
-    const auto& owner = candidates.items.front().replica->listing;
-    return {ChoiceStatus::full, owner.id, owner.address, 0};
+    return {.status = ChoiceStatus::full};
   }
   const auto* ejected = candidates.ejected;
   if (choice.status != ChoiceStatus::none || ejected == nullptr) return choice;
--- a/libs/direct/src/round.cc
+++ b/libs/direct/src/round.cc
@@ -31,7 +31,7 @@
     if (choice.status != ChoiceStatus::full) {
       return ResolvedRequest{workspace, next->waiter->ticket, choice};
     }
-    round.reserved.insert(choice.id);
+    if (!choice.id.empty()) round.reserved.insert(choice.id);
     round.skipped.insert(next->waiter->ticket);
   }
   return std::nullopt;
