--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -159,8 +159,8 @@
 
 auto HttpExchange::IsReusable() const -> bool {
   const auto& c = *this->connection;
-  return c.parser && c.parser->is_done() && c.parser->keep_alive() && c.buffer.size() == 0 &&
-         !c.pending_error && c.stream.socket().is_open();
+  return this->IsBodyComplete() && c.parser->keep_alive() && c.buffer.size() == 0 &&
+         c.stream.socket().is_open();
 }
 
 auto HttpExchange::IsIdle() -> bool {
