Log how far a cut attempt was and which blocks its prompt shares

Event 404, attempt_cut, names the stage of the response, the age of its head and the shared blocks; it is bounded like all events per request. No decision was changed.

--- a/bench/direct_dispatch.cc
+++ b/bench/direct_dispatch.cc
@@ -247,7 +247,7 @@
   auto& entry = EntryOf(model, *job);
   Submit(model, entry, model.scenario.costs.end, [&model, &entry, job, fault] {
     if (!job->assigned) return;
-    const bool begun = job->assignment.started;
+    const bool begun = job->assignment.stage == direct::AttemptStage::content;
     const auto replica = job->assignment.replica;
     direct::RecordFailure(*direct::FindReplica(entry.replicas, kService, replica),
                           model.scenario.policy, fault, model.now);
--- a/libs/direct/include/filbertstair/direct/assignment.h
+++ b/libs/direct/include/filbertstair/direct/assignment.h
@@ -10,6 +10,10 @@
 
 namespace filbertstair::direct {
 
+// How far the response of an attempt has come: the request was sent, the head of the response was
+// received, or a whole event or the whole body.
+enum class AttemptStage { sent, head, content };
+
 // A request that occupies a slot at a replica, and the service charged to its workspace.
 struct Assignment {
   std::string service;
@@ -22,8 +26,9 @@
   // Prompt tokens of this request that count as pending prefill at the replica; 0 once the prefill
   // is done.
   std::uint64_t prefill_tokens = 0;
-  // Whether the first part of the response has arrived.
-  bool started = false;
+  AttemptStage stage = AttemptStage::sent;
+  // Time at which the head of the response was received; zero before that.
+  core::Time head_received_at{};
 };
 
 // Tables that an assignment changes, and the policies that apply to them.
@@ -40,6 +45,9 @@
                    const std::string& workspace, const ReplicaChoice& choice, const Prompt& prompt,
                    double cost, core::Time now) -> Assignment;
 
+// Records that the head of the response was received.
+auto RecordResponseHead(Assignment& assignment, core::Time now) -> void;
+
 // Records that the first part of the response has arrived, so the prompt has been prefilled.
 auto RecordResponseStart(const AssignmentTables& tables, Assignment& assignment) -> void;
 
@@ -50,4 +58,12 @@
 
 }  // namespace filbertstair::direct
 
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<direct::AttemptStage, 3> kNames<direct::AttemptStage>{
+    {{direct::AttemptStage::sent, "sent"},
+     {direct::AttemptStage::head, "head"},
+     {direct::AttemptStage::content, "content"}}};
+}  // namespace filbertstair::core
+
 #endif  // FILBERTSTAIR_DIRECT_ASSIGNMENT_H_
--- a/libs/direct/src/assignment.cc
+++ b/libs/direct/src/assignment.cc
@@ -19,8 +19,13 @@
           .prefill_tokens = choice.prefill_tokens};
 }
 
+auto RecordResponseHead(Assignment& assignment, core::Time now) -> void {
+  assignment.stage = AttemptStage::head;
+  assignment.head_received_at = now;
+}
+
 auto RecordResponseStart(const AssignmentTables& tables, Assignment& assignment) -> void {
-  assignment.started = true;
+  assignment.stage = AttemptStage::content;
   auto* replica = FindReplica(tables.replicas, assignment.service, assignment.replica);
   const auto prefill_tokens = std::exchange(assignment.prefill_tokens, 0);
   if (replica != nullptr) RecordPrefillDone(*replica, prefill_tokens);
@@ -28,7 +33,7 @@
 
 auto FinishAssignment(const AssignmentTables& tables, Assignment& assignment, core::Time now)
     -> void {
-  if (!assignment.started) {
+  if (assignment.stage != AttemptStage::content) {
     const DecayingService charged_service{assignment.cost, assignment.charged_at};
     ChargeService(tables.queue, tables.queue_policy, assignment.workspace,
                   -RecentService(charged_service, tables.queue_policy, now), now);
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <array>
+#include <charconv>
 
 #include "filbertstair/core/error.h"
 #include "state.h"
@@ -42,6 +44,13 @@
 // Pieces of up to 16 KB that are still read after the deadline.
 constexpr int kMaxLateReads = 16;
 
+auto FormatBlockId(std::uint64_t id) -> std::string {
+  constexpr int hexadecimal = 16;
+  std::array<char, hexadecimal> digits{};
+  const auto end = std::to_chars(digits.begin(), digits.end(), id, hexadecimal).ptr;
+  return {digits.begin(), end};
+}
+
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
 }
@@ -138,6 +147,34 @@
   });
 }
 
+// Lists the ids of the prompt's shared blocks in hexadecimal.
+auto FormatSharedBlocks(const Call& call) -> std::string {
+  if (!call.head.prompt) return "";
+  std::string text;
+  const auto& blocks = call.head.prompt->blocks;
+  for (std::size_t i = 0; i + 1 < blocks.size(); ++i) {
+    text += (i == 0 ? "" : ",") + FormatBlockId(blocks[i].id);
+  }
+  return text;
+}
+
+auto LogCutAttempt(const Call& call, const Assignment& assignment, const core::Error& error)
+    -> void {
+  const auto head_age = assignment.stage == direct::AttemptStage::sent
+                            ? core::Duration::zero()
+                            : node::Now() - assignment.head_received_at;
+  telemetry::Log(
+      Level::info, Event::attempt_cut,
+      {{"request", call.id},
+       {"peer", assignment.replica},
+       {"step", core::Name(error.GetStep())},
+       {"stage", core::Name(assignment.stage)},
+       {"head_age_ms",
+        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(head_age).count())},
+       {"blocks", FormatSharedBlocks(call)},
+       {"error", error.what()}});
+}
+
 auto ConnectToReplica(Relay& relay, Call& call, const Assignment& assignment, bool& reused)
     -> std::optional<Failure> {
   call.exchange = TakeIdleConnection(relay, assignment.address);
@@ -387,6 +424,7 @@
   try {
     call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment), kSendTimeout);
     const auto response = ReadResponse(relay, call, assignment, reused);
+    direct::RecordResponseHead(assignment, node::Now());
     auto failure = RelayResponse(relay, call, assignment, response, responder);
     // A replica that sends responses without a request may do so again, and the next may have no
     // id.
@@ -399,6 +437,7 @@
     if (error.GetStep() == Step::respond) throw;
     if (call.stopped) return Fail(Reason::draining, Outcome::unknown, error.GetStep(), kStopped);
     if (!call.caller_disconnected && node::Now() < call.deadline) {
+      LogCutAttempt(call, assignment, error);
       CountFailure(relay, call, assignment, direct::ReplicaFault::bad_answer);
     }
     return Fail(node::Now() < call.deadline ? Reason::connection_lost : Reason::deadline_exceeded,
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -119,7 +119,7 @@
 }
 
 auto MarkResponseStarted(Relay& relay, Assignment& assignment) -> void {
-  if (assignment.started) return;
+  if (assignment.stage == direct::AttemptStage::content) return;
   const bool frees_capacity = assignment.prefill_tokens > 0;
   relay.dispatch.With([&](DispatchTable& table) {
     table.usage[assignment.service][assignment.workspace].started += assignment.cost;
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -34,6 +34,7 @@
   request_retried = 401,
   request_finished = 402,
   answer_cut = 403,
+  attempt_cut = 404,
   grant_expired = 500,
   limit_changed = 501,
   workspace_usage = 502,
@@ -44,7 +45,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 31> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 32> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -72,6 +73,7 @@
     {telemetry::Event::request_retried, "request_retried"},
     {telemetry::Event::request_finished, "request_finished"},
     {telemetry::Event::answer_cut, "answer_cut"},
+    {telemetry::Event::attempt_cut, "attempt_cut"},
     {telemetry::Event::grant_expired, "grant_expired"},
     {telemetry::Event::limit_changed, "limit_changed"},
     {telemetry::Event::workspace_usage, "workspace_usage"},
