--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -40,6 +40,15 @@
     head.request_id = net::FindHeader(request.headers, "Id");
     head.credential = net::FindHeader(request.headers, "Key");
     head.resume_after = net::FindHeader(request.headers, "After");
+    // Ids of the shared blocks, of one digit each.
+    const auto blocks = net::FindHeader(request.headers, "Blocks");
+    if (!blocks.empty()) {
+      head.prompt = direct::Prompt{"m", 10, 10, {}};
+      for (const char id : blocks) {
+        head.prompt->blocks.push_back({static_cast<std::uint64_t>(id - '0'), 1});
+      }
+      head.prompt->blocks.push_back({1000, 1});
+    }
     const auto shared = net::FindHeader(request.headers, "Shared-Tokens");
     if (!shared.empty()) {
       const auto tokens = static_cast<std::uint32_t>(std::stoul(std::string(shared)));
@@ -185,6 +194,17 @@
   auto operator=(const RawReplica&) -> RawReplica& = delete;
 
   auto Connections() const -> int { return this->connections; }
+  auto Requests() const -> int { return this->requests; }
+
+  // Ends all connections and refuses new ones, as the crash of the replica's process does. May be
+  // called by `serve`.
+  auto Crash() -> void {
+    const std::lock_guard lock(this->mutex);
+    this->crashed = true;
+    ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+    for (auto& socket : this->sockets) ::shutdown(socket.native_handle(), SHUT_RDWR);
+  }
+  auto HasCrashed() const -> bool { return this->crashed; }
 
   const std::string id;
 
@@ -195,6 +215,7 @@
       boost::asio::ip::tcp::socket socket(this->io);
       this->acceptor.accept(socket, error);
       if (error) return;
+      const std::lock_guard lock(this->mutex);
       ++this->connections;
       this->sockets.push_back(std::move(socket));
       this->threads.emplace_back(
@@ -228,6 +249,9 @@
   const Serve serve;
   std::atomic<int> connections = 0;
   std::atomic<int> requests = 0;
+  std::atomic<bool> crashed = false;
+  // Guards `sockets`.
+  std::mutex mutex;
   std::list<boost::asio::ip::tcp::socket> sockets;
   std::vector<std::thread> threads;
   std::thread listener;
