Refuse prompts with a block under which replicas crashed

Callers saw one replica a second end, each with some 35 responses, and sound requests that share a caller or a first block served half as often. Cause: a crash was held against the replica only; the next request with the block was sent like any other, and retried at a further replica.

An attempt whose response had just begun when its connection ended, at a replica that then refuses connections, is now evidence against the blocks of its prompt that other requests share (direct/quarantine.h). Sound responses offset it. From three crashes on, a prompt with all suspected blocks that the crashed prompts had in common is refused at once with prompt_quarantined (503, not_run), on arrival, in the queue and before a retry; attempts that wait at replicas are ended. Entries report the evidence to each other, and all of it on a new link, so that one that starts anew knows it.

--- a/libs/core/include/filbertstair/core/reason.h
+++ b/libs/core/include/filbertstair/core/reason.h
@@ -21,6 +21,7 @@
   invalid_idempotency_key,
   no_configuration,
   queue_full,
+  prompt_quarantined,
   deadline_exceeded,
   draining,
   no_endpoint,
@@ -42,7 +43,7 @@
   internal_error,
 };
 template <>
-inline constexpr NameTable<Reason, 30> kNames<Reason>{{
+inline constexpr NameTable<Reason, 31> kNames<Reason>{{
     {Reason::malformed_request, "malformed_request"},
     {Reason::request_too_large, "request_too_large"},
     {Reason::unknown_service, "unknown_service"},
@@ -54,6 +55,7 @@
     {Reason::invalid_idempotency_key, "invalid_idempotency_key"},
     {Reason::no_configuration, "no_configuration"},
     {Reason::queue_full, "queue_full"},
+    {Reason::prompt_quarantined, "prompt_quarantined"},
     {Reason::deadline_exceeded, "deadline_exceeded"},
     {Reason::draining, "draining"},
     {Reason::no_endpoint, "no_endpoint"},
@@ -76,7 +78,7 @@
 }};
 
 // HTTP status of a refusal, by reason. Lists the reasons in the order of the enum.
-inline constexpr std::array<std::pair<Reason, int>, 30> kHttpStatus{{
+inline constexpr std::array<std::pair<Reason, int>, 31> kHttpStatus{{
     {Reason::malformed_request, 400},
     {Reason::request_too_large, 413},
     {Reason::unknown_service, 404},
@@ -88,6 +90,7 @@
     {Reason::invalid_idempotency_key, 400},
     {Reason::no_configuration, 503},
     {Reason::queue_full, 429},
+    {Reason::prompt_quarantined, 503},
     {Reason::deadline_exceeded, 504},
     {Reason::draining, 503},
     {Reason::no_endpoint, 503},
--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -0,0 +1,131 @@
+#ifndef FILBERTSTAIR_DIRECT_QUARANTINE_H_
+#define FILBERTSTAIR_DIRECT_QUARANTINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "filbertstair/core/types.h"
+#include "filbertstair/direct/assignment.h"
+#include "filbertstair/direct/kept.h"
+
+// Decides which prompts are no longer sent to replicas because a block of theirs crashes them.
+namespace filbertstair::direct {
+
+// The end of a replica's process while requests ran there.
+struct ReplicaCrash {
+  std::string replica;
+  core::Time at{};
+
+  auto operator==(const ReplicaCrash&) const -> bool = default;
+};
+
+// What is known against one prompt block.
+struct BlockSuspicion {
+  // Crashes under prompts with the block that no sound response has offset yet, oldest first.
+  std::vector<ReplicaCrash> crashes;
+  // Blocks that the prompts of all these crashes have in common, this one included, in ascending
+  // order.
+  std::vector<std::uint64_t> common;
+};
+
+// Suspected blocks by id, and the time of the last sound response to a prompt with a block, by id.
+struct QuarantineTable {
+  std::map<std::uint64_t, BlockSuspicion> blocks;
+  std::unordered_map<std::uint64_t, core::Time> last_sound;
+};
+
+struct QuarantinePolicy {
+  // Crashes from which a block is quarantined, and from which a request with it is not sent again
+  // after an attempt that may have crashed a replica. Sound responses offset the crashes of a block
+  // that is merely popular before it gets there.
+  std::size_t crashes_to_quarantine = 3;
+  std::size_t crashes_to_stop_retries = 2;
+  // Factor for both if the last sound response was within `sound_memory`: when several replicas end
+  // at once, as with a rack, popular blocks were at all of them.
+  std::size_t sound_block_factor = 2;
+  core::Duration sound_memory = std::chrono::seconds(10);
+  // Time from the head of a response to a crash after which the response is not suspected.
+  core::Duration max_crash_delay = std::chrono::seconds(1);
+  // Time after the head of a response from which it counts as sound.
+  core::Duration sound_after = std::chrono::seconds(1);
+  // Reports of one replica within this time are of one crash; a replica takes longer to restart.
+  core::Duration same_crash_window = std::chrono::seconds(2);
+  // Time since the last crash for which a block stays quarantined. Afterwards one further crash
+  // quarantines it again.
+  core::Duration quarantine_time = std::chrono::minutes(10);
+  // Time after the last crash at which a block is forgotten.
+  core::Duration forget_after = std::chrono::hours(1);
+  std::size_t max_crashes_per_block = 8;
+  std::size_t max_blocks = 512;
+};
+
+// A crash as evidence against one block: the unit in which entries tell each other.
+struct CrashEvidence {
+  std::uint64_t block = 0;
+  ReplicaCrash crash;
+  // Blocks of the prompt that other requests may share, `block` included, in ascending order.
+  std::vector<std::uint64_t> common;
+};
+
+// Returns the ids of the prompt's blocks that other requests may share, in ascending order: all
+// except the last.
+auto SharedBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t>;
+
+// Returns whether an attempt whose connection ended may have crashed its replica: its response had
+// just begun, or no response had and the same request had lost another replica before.
+auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
+                    bool lost_replica_before, core::Time cut_at) -> bool;
+
+// Returns the evidence that the crash of a replica under the prompt gives against each of its
+// blocks.
+auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> std::vector<CrashEvidence>;
+
+// Adds evidence. Returns whether it was new.
+auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
+                 const CrashEvidence& evidence) -> bool;
+
+// Returns all evidence in the table, for an entry that has just started.
+auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
+
+// Records that a response to the prompt went well, which offsets one crash of each of its blocks: a
+// block that crashes replicas has no such response. Returns the blocks whose suspicion changed.
+auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
+    -> std::vector<std::uint64_t>;
+
+// Offsets the oldest crash of a block. Returns whether there was one.
+auto OffsetCrash(QuarantineTable& table, std::uint64_t block) -> bool;
+
+// A quarantined block and the end of its quarantine.
+struct Quarantine {
+  std::uint64_t block = 0;
+  std::size_t crashes = 0;
+  core::Time until{};
+};
+
+// Returns why a prompt must not be sent to a replica, or nothing if it may be. A prompt is held
+// back only if it has all suspected blocks that the crashed prompts had in common: a sound prompt
+// that shares some of them, for example the first one, is not.
+auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
+                    const Prompt& prompt, core::Time now) -> std::optional<Quarantine>;
+
+// Returns whether the block counts as quarantined at `now`.
+auto IsQuarantined(const QuarantineTable& table, const QuarantinePolicy& policy,
+                   std::uint64_t block, core::Time now) -> bool;
+
+// Returns whether a request with this prompt may be sent to another replica after an attempt that
+// may have crashed one.
+auto MayRetryAfterCrash(const QuarantineTable& table, const QuarantinePolicy& policy,
+                        const Prompt& prompt, core::Time now) -> bool;
+
+// Forgets crashes and sound responses that no longer matter.
+auto RemoveOldEvidence(QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
+    -> void;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_QUARANTINE_H_
--- /dev/null
+++ b/libs/direct/test/quarantine_test.cc
@@ -0,0 +1,230 @@
+#include "filbertstair/direct/quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kCommon = 1;
+constexpr std::uint64_t kDeadly = 2;
+constexpr std::uint64_t kOther = 3;
+
+// Prompt with these shared blocks and one of its own.
+auto MakePrompt(const std::vector<std::uint64_t>& shared) -> Prompt {
+  constexpr std::uint64_t own = 1000;
+  Prompt prompt;
+  for (const auto id : shared) prompt.blocks.push_back({id, 100});
+  prompt.blocks.push_back({own, 10});
+  return prompt;
+}
+
+class QuarantineTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuarantineTest);
+  CPPUNIT_TEST(testBlockIsQuarantinedAfterThreeCrashes);
+  CPPUNIT_TEST(testLastBlockIsNeverSuspected);
+  CPPUNIT_TEST(testOneCrashReportedByManyCountsOnce);
+  CPPUNIT_TEST(testSoundPromptsThatShareBlocksAreServed);
+  CPPUNIT_TEST(testBlockIsFoundUnderAnyBeginning);
+  CPPUNIT_TEST(testPopularBlockIsOffsetBySoundResponses);
+  CPPUNIT_TEST(testRackFailureQuarantinesNoPopularBlock);
+  CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
+  CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
+  CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
+  CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
+  CPPUNIT_TEST(testTableIsBounded);
+  CPPUNIT_TEST(testDeadlyBlocksAreFoundAmongRandomTraffic);
+  CPPUNIT_TEST_SUITE_END();
+
+  const QuarantinePolicy policy{};
+  const core::Time now{seconds(1000)};
+  QuarantineTable table;
+
+ public:
+  // Guards against requests of one kind that crash one replica after the other without end.
+  auto testBlockIsQuarantinedAfterThreeCrashes() -> void {
+    const auto prompt = MakePrompt({kCommon, kDeadly});
+    this->Crash(prompt, "a", seconds(0));
+    this->Crash(prompt, "b", seconds(1));
+    CPPUNIT_ASSERT(!this->Find(prompt, seconds(1)));
+    this->Crash(prompt, "c", seconds(2));
+    const auto quarantine = this->Find(prompt, seconds(2));
+    CPPUNIT_ASSERT(quarantine.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, quarantine->crashes);
+    CPPUNIT_ASSERT(this->now + seconds(2) + minutes(10) == quarantine->until);
+  }
+
+  auto testLastBlockIsNeverSuspected() -> void {
+    for (const auto* replica : {"a", "b", "c", "d"}) {
+      this->Crash(MakePrompt({}), replica, seconds(0));
+    }
+    CPPUNIT_ASSERT(this->table.blocks.empty());
+  }
+
+  // Guards against counting one crash once for each request or entry that lost its answer there.
+  auto testOneCrashReportedByManyCountsOnce() -> void {
+    const auto prompt = MakePrompt({kDeadly});
+    for (int i = 0; i < 5; ++i) this->Crash(prompt, "a", milliseconds(300 * i));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->table.blocks.at(kDeadly).crashes.size());
+    this->Crash(prompt, "a", seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->table.blocks.at(kDeadly).crashes.size());
+  }
+
+  // Guards against refusing sound requests for what they share with a deadly one, also if no
+  // response has shown yet that the shared block is sound.
+  auto testSoundPromptsThatShareBlocksAreServed() -> void {
+    for (const auto* replica : {"a", "b", "c", "d"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kCommon, kDeadly}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon}), seconds(0)));
+    // Once the shared block is known to be sound, the deadly one is held back alone.
+    for (int i = 0; i < 4; ++i) {
+      RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(0)));
+  }
+
+  auto testBlockIsFoundUnderAnyBeginning() -> void {
+    this->Crash(MakePrompt({10, kDeadly}), "a", seconds(0));
+    this->Crash(MakePrompt({kDeadly, 11}), "b", seconds(0));
+    this->Crash(MakePrompt({12, 13, kDeadly}), "c", seconds(0));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({14, kDeadly, 15}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({10, 11, 12, 13}), seconds(0)));
+  }
+
+  auto testPopularBlockIsOffsetBySoundResponses() -> void {
+    for (int i = 0; i < 20; ++i) {
+      this->Crash(MakePrompt({kCommon, kOther}), std::to_string(i), seconds(i));
+      RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now + seconds(i));
+      CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(i)));
+    }
+  }
+
+  // Guards against refusing what is asked for most when several replicas lose power at once.
+  auto testRackFailureQuarantinesNoPopularBlock() -> void {
+    const auto prompt = MakePrompt({kCommon});
+    RecordSoundResponse(this->table, prompt, this->now);
+    for (int i = 0; i < 5; ++i) this->Crash(prompt, std::to_string(i), milliseconds(100));
+    CPPUNIT_ASSERT(!this->Find(prompt, milliseconds(100)));
+    this->Crash(prompt, "5", milliseconds(200));
+    CPPUNIT_ASSERT(this->Find(prompt, milliseconds(200)));
+  }
+
+  // Guards against one request that crashes replica after replica by its own retries.
+  auto testRetriesStopBeforeTheQuarantine() -> void {
+    const auto prompt = MakePrompt({kDeadly});
+    this->Crash(prompt, "a", seconds(0));
+    CPPUNIT_ASSERT(MayRetryAfterCrash(this->table, this->policy, prompt, this->now));
+    this->Crash(prompt, "b", seconds(0));
+    CPPUNIT_ASSERT(!MayRetryAfterCrash(this->table, this->policy, prompt, this->now));
+    CPPUNIT_ASSERT(!this->Find(prompt, seconds(0)));
+  }
+
+  auto testQuarantineEndsAndReturnsWithOneCrash() -> void {
+    const auto prompt = MakePrompt({kDeadly});
+    for (const auto* replica : {"a", "b", "c"}) this->Crash(prompt, replica, seconds(0));
+    CPPUNIT_ASSERT(this->Find(prompt, minutes(9)));
+    CPPUNIT_ASSERT(!this->Find(prompt, minutes(10)));
+    this->Crash(prompt, "d", minutes(11));
+    CPPUNIT_ASSERT(this->Find(prompt, minutes(11)));
+    RemoveOldEvidence(this->table, this->policy, this->now + minutes(72));
+    CPPUNIT_ASSERT(this->table.blocks.empty());
+  }
+
+  auto testSuspectsAreThoseWhoseResponseJustBegan() -> void {
+    Assignment assignment;
+    const auto suspect = [&](bool lost_before, core::Time at) {
+      return IsCrashSuspect(this->policy, assignment, lost_before, at);
+    };
+    CPPUNIT_ASSERT(!suspect(false, this->now));
+    CPPUNIT_ASSERT(suspect(true, this->now));
+    RecordResponseHead(assignment, this->now);
+    CPPUNIT_ASSERT(suspect(false, this->now + milliseconds(50)));
+    CPPUNIT_ASSERT(!suspect(true, this->now + milliseconds(1500)));
+  }
+
+  // Guards against an entry that starts anew and sends what the others hold back.
+  auto testEvidenceOfATableReproducesIt() -> void {
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+    }
+    QuarantineTable copy;
+    for (const auto& evidence : ListEvidence(this->table)) {
+      CPPUNIT_ASSERT(AddEvidence(copy, this->policy, evidence));
+    }
+    for (const auto& evidence : ListEvidence(this->table)) {
+      CPPUNIT_ASSERT(!AddEvidence(copy, this->policy, evidence));
+    }
+    const auto prompt = MakePrompt({kCommon, kDeadly});
+    CPPUNIT_ASSERT(FindQuarantine(copy, this->policy, prompt, this->now));
+    CPPUNIT_ASSERT(!FindQuarantine(copy, this->policy, MakePrompt({kCommon, kOther}), this->now));
+  }
+
+  auto testTableIsBounded() -> void {
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kDeadly}), replica, seconds(0));
+    }
+    for (std::uint64_t id = 100; id < 2000; ++id) this->Crash(MakePrompt({id}), "x", seconds(1));
+    CPPUNIT_ASSERT_EQUAL(this->policy.max_blocks, this->table.blocks.size());
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
+  }
+
+  // Guards against deadly blocks that go unnoticed, and against sound ones that are held back,
+  // whatever the mix of the two and the number of requests beside the one that crashed.
+  auto testDeadlyBlocksAreFoundAmongRandomTraffic() -> void {
+    const bool held = rc::check([&] {
+      QuarantineTable random_table;
+      const auto deadly = *rc::gen::inRange<std::uint64_t>(100, 104);
+      int crashes = 0;
+      int time_ms = 0;
+      for (int step = 0; step < 400; ++step) {
+        time_ms += *rc::gen::inRange(5, 60);
+        const core::Time at{milliseconds(time_ms)};
+        const auto beginning = *rc::gen::inRange<std::uint64_t>(1, 4);
+        const bool is_deadly = *rc::gen::inRange(0, 20) == 0;
+        const auto middle = is_deadly ? deadly : *rc::gen::inRange<std::uint64_t>(10, 40);
+        const auto prompt = MakePrompt({beginning, middle});
+        const auto quarantine = FindQuarantine(random_table, this->policy, prompt, at);
+        RC_ASSERT(is_deadly || !quarantine);
+        if (quarantine) continue;
+        if (!is_deadly) {
+          RecordSoundResponse(random_table, prompt, at);
+          continue;
+        }
+        ++crashes;
+        // A few sound requests had just begun at the replica, too.
+        const ReplicaCrash crash{std::to_string(step), at};
+        const auto neighbor = MakePrompt({beginning, *rc::gen::inRange<std::uint64_t>(10, 40)});
+        for (const auto& lost : {prompt, neighbor}) {
+          for (const auto& evidence : CollectEvidence(lost, crash)) {
+            AddEvidence(random_table, this->policy, evidence);
+          }
+        }
+      }
+      RC_ASSERT(crashes <= 3);
+    });
+    CPPUNIT_ASSERT(held);
+  }
+
+ private:
+  auto Crash(const Prompt& prompt, const std::string& replica, core::Duration after) -> void {
+    for (const auto& evidence : CollectEvidence(prompt, {replica, this->now + after})) {
+      AddEvidence(this->table, this->policy, evidence);
+    }
+  }
+
+  auto Find(const Prompt& prompt, core::Duration after) const -> std::optional<Quarantine> {
+    return FindQuarantine(this->table, this->policy, prompt, this->now + after);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -77,6 +77,10 @@
   Progress progress = Progress::not_sent;
 };
 
+// Returns whether connections to `address` are refused, as after the end of the server's process.
+// Opens a connection and closes it; a server that does not answer within `timeout` does not refuse.
+auto RefusesConnections(const std::string& address, std::chrono::milliseconds timeout) -> bool;
+
 // Runs a complete exchange and stores the body in `body`. `timeout` holds for each step, not for
 // the whole exchange. Throws core::Error as HttpExchange does, and with Step::read for a
 // close-delimited response, since it can't be verified to be complete.
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -209,6 +209,15 @@
 
 auto HttpExchange::Cancel() -> void { this->connection->stream.close(); }
 
+auto RefusesConnections(const std::string& address, std::chrono::milliseconds timeout) -> bool {
+  detail::beast::tcp_stream stream{runtime::IoContext()};
+  stream.expires_after(timeout);
+  const auto endpoint = ParseAddress(address);
+  const auto result =
+      runtime::Await([&](auto handler) { stream.async_connect(endpoint, std::move(handler)); });
+  return result.error == boost::system::errc::connection_refused;
+}
+
 auto Fetch(const std::string& address, const HttpRequest& request,
            std::chrono::milliseconds timeout, std::string& body) -> HttpResponseHead {
   HttpExchange exchange;
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -1,8 +1,7 @@
 #include <algorithm>
-#include <array>
-#include <charconv>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/core/hex.h"
 #include "state.h"
 
 namespace filbertstair::relay {
@@ -44,13 +43,6 @@
 // Pieces of up to 16 KB that are still read after the deadline.
 constexpr int kMaxLateReads = 16;
 
-auto FormatBlockId(std::uint64_t id) -> std::string {
-  constexpr int hexadecimal = 16;
-  std::array<char, hexadecimal> digits{};
-  const auto end = std::to_chars(digits.begin(), digits.end(), id, hexadecimal).ptr;
-  return {digits.begin(), end};
-}
-
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
 }
@@ -153,7 +145,7 @@
   std::string text;
   const auto& blocks = call.head.prompt->blocks;
   for (std::size_t i = 0; i + 1 < blocks.size(); ++i) {
-    text += (i == 0 ? "" : ",") + FormatBlockId(blocks[i].id);
+    text += (i == 0 ? "" : ",") + core::FormatHex(blocks[i].id);
   }
   return text;
 }
@@ -271,6 +263,8 @@
 auto RelayEvents(Relay& relay, Call& call, Assignment& assignment,
                  const net::HttpResponseHead& response, net::Responder& responder) -> void {
   core::Time last{};
+  const auto sound_at = assignment.head_received_at + relay.policies.quarantine.sound_after;
+  bool is_sound = false;
   call.event_splitter.partial_event.clear();
   ReadDeadline read_limit{NextPartDeadline(call, true)};
   while (true) {
@@ -287,6 +281,10 @@
     ObservePartLatency(relay, call, last);
     BeginResponse(relay, call, response, responder);
     responder.Write(events);
+    if (!is_sound && last >= sound_at) {
+      is_sound = true;
+      RecordSoundResponse(relay, call);
+    }
     if (!call.exchange->IsBodyComplete()) WaitForBatch(relay, *call.route);
   }
   if (!call.event_splitter.partial_event.empty()) {
@@ -299,6 +297,7 @@
     throw core::Error(Step::read, assignment.address,
                       "the end of the resumed stream is not marked");
   }
+  if (!is_sound) RecordSoundResponse(relay, call);
   BeginResponse(relay, call, response, responder);
   responder.End();
 }
@@ -388,6 +387,26 @@
   return RelayBody(relay, call, assignment, response, responder);
 }
 
+// Handles that the connection to the replica failed during the attempt.
+auto HandleCutAttempt(Relay& relay, Call& call, const Assignment& assignment,
+                      const core::Error& error) -> Failure {
+  if (call.stopped) return Fail(Reason::draining, Outcome::unknown, error.GetStep(), kStopped);
+  if (call.quarantined) {
+    return Fail(Reason::connection_lost, Outcome::unknown, error.GetStep(),
+                "ended because a block of the prompt crashes replicas");
+  }
+  const bool in_time = node::Now() < call.deadline;
+  auto failure = Fail(in_time ? Reason::connection_lost : Reason::deadline_exceeded,
+                      Outcome::unknown, error.GetStep(), error.what());
+  if (call.caller_disconnected || !in_time) return failure;
+  LogCutAttempt(call, assignment, error);
+  failure.crashed_replica = RecordIfCrashed(relay, call, assignment);
+  CountFailure(relay, call, assignment,
+               failure.crashed_replica ? direct::ReplicaFault::unreachable
+                                       : direct::ReplicaFault::bad_answer);
+  return failure;
+}
+
 }  // namespace
 
 auto SendBufferedResponse(net::Responder& responder, const BufferedResponse& buffered) -> void {
@@ -409,7 +428,7 @@
     if (call.stopped) {
       failure->reason = Reason::draining;
       failure->message = kStopped;
-    } else if (failure->reason != Reason::overloaded) {
+    } else if (failure->reason != Reason::overloaded && !call.quarantined) {
       CountFailure(relay, call, assignment, direct::ReplicaFault::unreachable);
     }
     return failure;
@@ -421,6 +440,7 @@
     failure.reached_replica = false;
     return failure;
   }
+  std::optional<core::Error> cut;
   try {
     call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment), kSendTimeout);
     const auto response = ReadResponse(relay, call, assignment, reused);
@@ -435,14 +455,10 @@
   } catch (const core::Error& error) {
     call.exchange->Cancel();
     if (error.GetStep() == Step::respond) throw;
-    if (call.stopped) return Fail(Reason::draining, Outcome::unknown, error.GetStep(), kStopped);
-    if (!call.caller_disconnected && node::Now() < call.deadline) {
-      LogCutAttempt(call, assignment, error);
-      CountFailure(relay, call, assignment, direct::ReplicaFault::bad_answer);
-    }
-    return Fail(node::Now() < call.deadline ? Reason::connection_lost : Reason::deadline_exceeded,
-                Outcome::unknown, error.GetStep(), error.what());
+    cut = error;
   }
+  // Outside of the handler, because a fiber must not be suspended in one.
+  return HandleCutAttempt(relay, call, assignment, *cut);
 }
 
 }  // namespace filbertstair::relay
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -74,6 +74,24 @@
   ContinueRound(relay, table, service);
 }
 
+auto ResolveQuarantined(Relay& relay, DispatchTable& table) -> void {
+  const auto now = node::Now();
+  std::vector<direct::Ticket> tickets;
+  for (const auto& [ticket, pending] : table.pending) {
+    if (pending->prompt == nullptr) continue;
+    if (direct::FindQuarantine(table.quarantine, relay.policies.quarantine, *pending->prompt,
+                               now)) {
+      tickets.push_back(ticket);
+    }
+  }
+  for (const auto ticket : tickets) {
+    auto& pending = *table.pending.at(ticket);
+    pending.unassignable = true;
+    table.rounds[pending.service].skipped.erase(ticket);
+    ResolvePending(table, table.queues[pending.service], pending.workspace, ticket);
+  }
+}
+
 auto AcquireReplica(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment> {
   call.pending = std::make_shared<PendingRequest>();
   const auto pending = call.pending;
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -51,6 +51,8 @@
   core::RotationState rotation = core::RotationState::serving;
   // Value of DispatchTable::prefix_update_count at the last message.
   std::uint64_t prefix_update_count = 0;
+  // Value of DispatchTable::quarantine_update_count at the last message; empty before the first.
+  std::optional<std::uint64_t> quarantine_update_count;
   core::Time received_at{};
 };
 
@@ -115,6 +117,7 @@
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicaLoads(table, sent, message);
     CollectPrefixUpdates(table, sent, message);
+    CollectQuarantineUpdates(table, sent.quarantine_update_count, message);
     CollectAccounts(relay, table, sent, message, now);
   });
   if (period_over) {
@@ -124,7 +127,8 @@
     });
   }
   if (period_over || rotation_changed || !message.replicas.empty() ||
-      !message.cached_blocks.empty() || !message.accounts.empty()) {
+      !message.cached_blocks.empty() || !message.accounts.empty() || !message.crashes.empty() ||
+      !message.sound_blocks.empty()) {
     outbox.Push(std::move(message));
   }
 }
@@ -151,6 +155,7 @@
     }
   });
   if (capacity_freed) relay.capacity_freed.Notify();
+  ApplyQuarantineUpdates(relay, message);
   relay.peers.With([&](PeerTable& table) {
     const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
     table.confirmed_until[peer] = now + core::Duration(lease);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -5,6 +5,7 @@
 #include <boost/json/object.hpp>
 #include <limits>
 
+#include "filbertstair/core/hex.h"
 #include "filbertstair/net/address.h"
 #include "filbertstair/node/admin.h"
 #include "filbertstair/node/start.h"
@@ -132,6 +133,15 @@
       }
     }
     status["replicas"] = std::move(replicas);
+    boost::json::array blocks;
+    for (const auto& [block, suspicion] : table.quarantine.blocks) {
+      blocks.push_back(
+          {{"block", core::FormatHex(block)},
+           {"crashes", suspicion.crashes.size()},
+           {"quarantined",
+            direct::IsQuarantined(table.quarantine, relay.policies.quarantine, block, now)}});
+    }
+    status["suspected_blocks"] = std::move(blocks);
     boost::json::array accounts;
     for (const auto& [service, queue] : table.queues) {
       for (const auto& [workspace, account] : queue.accounts) {
@@ -145,6 +155,15 @@
   });
 }
 
+auto CountQuarantinedBlocks(Relay& relay) -> std::ptrdiff_t {
+  return relay.dispatch.With([&, now = node::Now()](const DispatchTable& table) {
+    const auto& blocks = table.quarantine.blocks;
+    return std::count_if(blocks.begin(), blocks.end(), [&](const auto& item) {
+      return direct::IsQuarantined(table.quarantine, relay.policies.quarantine, item.first, now);
+    });
+  });
+}
+
 auto StartAdmin(const std::shared_ptr<Relay>& relay) -> void {
   node::AdminHandlers handlers;
   handlers.is_ready = [relay] { return IsReady(*relay); };
@@ -153,6 +172,8 @@
     const auto waiting =
         relay->dispatch.With([](const DispatchTable& table) { return table.pending.size(); });
     relay->node.metrics.Set(Metric::waiting, static_cast<double>(waiting));
+    relay->node.metrics.Set(Metric::quarantined_blocks,
+                            static_cast<double>(CountQuarantinedBlocks(*relay)));
   };
   handlers.begin_drain = [relay] { Drain(*relay); };
   node::ListenAdmin(relay->node, handlers);
@@ -230,6 +251,7 @@
     if (runtime::WorkerIndex() != 0) continue;
     relay.dispatch.With([&](DispatchTable& table) {
       direct::RemoveExpiredReplicas(table.replicas, now);
+      direct::RemoveOldEvidence(table.quarantine, relay.policies.quarantine, now);
       for (auto& [service, queue] : table.queues) {
         AssignWaiting(relay, table, service);
         direct::RemoveIdleAccounts(queue, relay.policies.queue, now);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -3,6 +3,7 @@
 #include <functional>
 
 #include "filbertstair/core/error.h"
+#include "filbertstair/core/hex.h"
 #include "state.h"
 
 namespace filbertstair::relay {
@@ -146,6 +147,16 @@
                      kDrainRetryDelay);
 }
 
+// Refuses a request whose prompt would crash a replica.
+auto RefuseQuarantined(Relay& relay, const Call& call) -> std::optional<RequestRefusal> {
+  const auto quarantine = FindQuarantine(relay, call);
+  if (!quarantine) return std::nullopt;
+  return MakeRefusal(Reason::prompt_quarantined, Step::queue,
+                     std::to_string(quarantine->crashes) + " replicas crashed under block " +
+                         core::FormatHex(quarantine->block) + " of the prompt",
+                     quarantine->until - node::Now());
+}
+
 auto ResolveRequest(Relay& relay, const net::HttpRequest& request, Call& call)
     -> std::optional<RequestRefusal> {
   if (call.fleet == nullptr) {
@@ -218,11 +229,12 @@
 }
 
 // Returns whether the request may be sent to another replica after the failure.
-auto CanRetryAfter(const Call& call, const RequestProgress& progress, const Failure& failure)
-    -> bool {
+auto CanRetryAfter(Relay& relay, const Call& call, const RequestProgress& progress,
+                   const Failure& failure) -> bool {
   if (call.caller_disconnected || call.stopped || node::Now() >= call.deadline) return false;
   if (progress.unreached >= kMaxUnreached || failure.reason == Reason::overloaded) return false;
   if (!failure.reached_replica) return true;
+  if (failure.crashed_replica && !MayRetryAfterCrash(relay, call)) return false;
   if (call.tried.size() >= call.route->attempts) return false;
   if (call.response_started && !(call.route->streaming && call.route->resumable)) return false;
   return failure.outcome == Outcome::not_run || direct::IsRetryable(*call.route);
@@ -268,6 +280,10 @@
       if (assignment) ReleaseAssignment(relay, *assignment);
       return progress.last ? ToRefused(progress, call) : refused;
     }
+    if (auto refused = RefuseQuarantined(relay, call)) {
+      if (assignment) ReleaseAssignment(relay, *assignment);
+      return progress.may_have_run ? ToRefused(progress, call) : refused;
+    }
     if (!assignment) return ToRefused(progress, call);
     if (!call.tried.empty() && !ConsumeRetryBudget(relay, call)) {
       ReleaseAssignment(relay, *assignment);
@@ -294,7 +310,7 @@
     }
     progress.may_have_run = progress.may_have_run || failure->outcome != Outcome::not_run;
     progress.last = failure;
-    if (!CanRetryAfter(call, progress, *failure)) return ToRefused(progress, call);
+    if (!CanRetryAfter(relay, call, progress, *failure)) return ToRefused(progress, call);
     LogRetry(relay, call, *assignment, *failure);
   }
 }
@@ -328,6 +344,10 @@
     CountRefusal(relay, *call, refused->reason);
     return refused;
   }
+  if (auto refused = RefuseQuarantined(relay, *call)) {
+    CountRefusal(relay, *call, refused->reason);
+    return refused;
+  }
   if (!request.admitted) {
     if (auto refused = RefuseBeyondRate(relay, *call)) {
       CountRefusal(relay, *call, refused->reason);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -19,6 +19,7 @@
 #include "filbertstair/direct/fleet.h"
 #include "filbertstair/direct/intake.h"
 #include "filbertstair/direct/pressure.h"
+#include "filbertstair/direct/quarantine.h"
 #include "filbertstair/direct/queue.h"
 #include "filbertstair/direct/replicas.h"
 #include "filbertstair/direct/rotation.h"
@@ -32,6 +33,7 @@
 #include "filbertstair/relay/relay.h"
 #include "filbertstair/runtime/ranked_mutex.h"
 #include "filbertstair/runtime/signal.h"
+#include "filbertstair/wire/control.h"
 
 namespace filbertstair::relay {
 
@@ -63,6 +65,13 @@
   direct::PrefixCache::Block block;
 };
 
+// What this entry has learnt of suspected prompt blocks, for its peers: a crash as evidence against
+// a block, or else a sound response to a prompt with `sound_block`.
+struct QuarantineUpdate {
+  std::optional<direct::CrashEvidence> evidence;
+  std::uint64_t sound_block = 0;
+};
+
 // Max-min share of the service that this entry admits, in units of recent service, cached until
 // `valid_until`.
 struct CachedShare {
@@ -89,6 +98,10 @@
   // added.
   std::deque<PrefixUpdate> prefix_updates;
   std::uint64_t prefix_update_count = 0;
+  direct::QuarantineTable quarantine;
+  // The latest updates to report to other entries, and the number of all that were ever added.
+  std::deque<QuarantineUpdate> quarantine_updates;
+  std::uint64_t quarantine_update_count = 0;
   // Until this time a replica that is missing from the platform's list is kept, as it may be
   // missing only because the list was unavailable.
   core::Time delist_grace_until{};
@@ -142,6 +155,7 @@
   direct::OverloadPolicy overload;
   direct::AdmissionRatePolicy admission;
   direct::RotationPolicy rotation;
+  direct::QuarantinePolicy quarantine;
   core::DrainPolicy drain;
 };
 
@@ -176,6 +190,12 @@
   net::Framing framing = net::Framing::self_delimited;
 };
 
+// A replica that ended before it had begun the response to a request.
+struct UnansweredLoss {
+  direct::ReplicaCrash crash;
+  std::string address;
+};
+
 // A caller's request while the relay handles it. Used by the fiber that handles it and by the fiber
 // that detects that the caller has disconnected.
 struct Call {
@@ -195,6 +215,10 @@
   bool caller_disconnected = false;
   // Set when the request is ended because the process exits.
   bool stopped = false;
+  // Set when an attempt is ended because the prompt was quarantined meanwhile.
+  bool quarantined = false;
+  // The last attempt, if its replica may have ended before the response began.
+  std::optional<UnansweredLoss> unanswered_loss;
   // The replica of the last attempt, and all replicas that received the request.
   std::string replica;
   std::set<std::string> tried;
@@ -214,6 +238,8 @@
   std::string message;
   // Whether the replica was reached, so that the attempt counts against the limits on retries.
   bool reached_replica = true;
+  // Whether the replica ended, perhaps because of this request.
+  bool crashed_replica = false;
 };
 
 // Returns the state of the calling worker.
@@ -261,6 +287,32 @@
 // have free capacity that they did not have before. Call with the table locked.
 auto AssignWaiting(Relay& relay, DispatchTable& table, const std::string& service) -> void;
 
+// Resolves waiting requests whose prompts are quarantined without an assignment. Call with the
+// table locked.
+auto ResolveQuarantined(Relay& relay, DispatchTable& table) -> void;
+
+// Returns why the prompt of the request must not be sent to a replica, or nothing if it may be.
+auto FindQuarantine(Relay& relay, const Call& call) -> std::optional<direct::Quarantine>;
+
+// Handles that an attempt was cut. If the request may have crashed the replica and that refuses
+// connections, records this as evidence against the blocks of the prompt and returns true. Suspends
+// the fiber for a round trip to the replica.
+auto RecordIfCrashed(Relay& relay, Call& call, const Assignment& assignment) -> bool;
+
+// Returns whether the request may be sent to another replica although it may have crashed one.
+auto MayRetryAfterCrash(Relay& relay, const Call& call) -> bool;
+
+// Records that a response to the request went well.
+auto RecordSoundResponse(Relay& relay, const Call& call) -> void;
+
+// Adds to the message what a link has not been sent yet of the suspected blocks. `sent_count` is
+// empty for a new link and updated.
+auto CollectQuarantineUpdates(const DispatchTable& table, std::optional<std::uint64_t>& sent_count,
+                              wire::EntryState& message) -> void;
+
+// Applies what another entry reports of suspected blocks.
+auto ApplyQuarantineUpdates(Relay& relay, const wire::EntryState& message) -> void;
+
 // Accepts links from other entries on the calling worker.
 auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
 
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -69,6 +69,10 @@
 class QuarantineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantineTest);
   CPPUNIT_TEST(testPromptThatCrashesReplicasIsHeldBack);
+  CPPUNIT_TEST(testEntryThatStartsLaterHoldsThePromptBack);
+  CPPUNIT_TEST(testAttemptsAtReplicasEndWithTheQuarantine);
+  CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
+  CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -77,9 +81,7 @@
   auto testPromptThatCrashesReplicasIsHeldBack() -> void {
     FragileReplicas replicas(10);
     TestEntry first;
-    auto settings = MakeSettings("entry-2");
-    settings.seeds = {first.node.settings.peers};
-    TestEntry second(settings);
+    TestEntry second(LinkedTo(first));
     for (auto* entry : {&first, &second}) {
       entry->Configure(MakeFleetConfig());
       replicas.ListAt(*entry);
@@ -99,6 +101,104 @@
     CPPUNIT_ASSERT(last.body.find("\"outcome\":\"not_run\"") != std::string::npos);
     CPPUNIT_ASSERT(!net::FindHeader(last.headers, "Retry-After").empty());
   }
+
+  // Guards against an entry that was restarted sending what the others hold back.
+  auto testEntryThatStartsLaterHoldsThePromptBack() -> void {
+    FragileReplicas replicas(6);
+    TestEntry first;
+    first.Configure(MakeFleetConfig());
+    replicas.ListAt(first);
+    CrashReplicas(first);
+    TestEntry second(LinkedTo(first));
+    second.Configure(MakeFleetConfig());
+    replicas.ListAt(second);
+    std::this_thread::sleep_for(milliseconds(1500));
+    const auto sent_before = replicas.CountDeadlyRequests();
+    CPPUNIT_ASSERT_EQUAL(503, second.Call(PromptRequest("deadly-9", kDeadlyBlocks)).status);
+    CPPUNIT_ASSERT_EQUAL(sent_before, replicas.CountDeadlyRequests());
+    CPPUNIT_ASSERT_EQUAL(200, second.Call(PromptRequest("sound-9", kSoundBlocks)).status);
+  }
+
+  // Guards against requests that reached a replica before the quarantine crashing it later: the
+  // attempt is ended, and its caller is told that the request may have run.
+  auto testAttemptsAtReplicasEndWithTheQuarantine() -> void {
+    std::atomic<int> waiting = 0;
+    RawReplica busy("busy", [&](int, const std::string&, const RawReplica::Writer&) {
+      ++waiting;
+      std::this_thread::sleep_for(milliseconds(100));
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(busy);
+    auto sent = std::async(std::launch::async,
+                           [&] { return entry.Call(PromptRequest("deadly-sent", kDeadlyBlocks)); });
+    while (waiting == 0) std::this_thread::sleep_for(milliseconds(5));
+    FragileReplicas replicas(4);
+    AcceptDelisting(*entry.relay, "busy");
+    replicas.ListAt(entry);
+    TestEntry second(LinkedTo(entry));
+    second.Configure(MakeFleetConfig());
+    replicas.ListAt(second);
+    CrashReplicas(second);
+    CPPUNIT_ASSERT(sent.wait_for(seconds(2)) == std::future_status::ready);
+    CPPUNIT_ASSERT_EQUAL(502, sent.get().status);
+  }
+
+  // Guards against prompts that crash replicas before any response begins.
+  auto testReplicaThatCrashesBeforeItAnswers() -> void {
+    std::vector<std::unique_ptr<RawReplica>> replicas;
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    for (int i = 0; i < 8; ++i) {
+      replicas.push_back(std::make_unique<RawReplica>(
+          "r" + std::to_string(i),
+          [&replicas, i](int, const std::string&, const auto&) { replicas[i]->Crash(); }));
+      entry.List(*replicas.back());
+    }
+    for (int i = 0; i < 4; ++i) entry.Call(PromptRequest("deadly-" + std::to_string(i), "13"));
+    const auto crashed = std::count_if(replicas.begin(), replicas.end(),
+                                       [](const auto& r) { return r->HasCrashed(); });
+    CPPUNIT_ASSERT(crashed < 5);
+  }
+
+  // Guards against refusing sound prompts because replicas that live on broke off responses.
+  auto testCutResponsesOfLiveReplicasAreNoEvidence() -> void {
+    RawReplica replica("a", [](int, const std::string& id, const RawReplica::Writer& write) {
+      write(StreamHead(id));
+      if (id.starts_with("cut")) {
+        write.Close();
+        return;
+      }
+      write(EventChunk());
+      write("0\r\n\r\n");
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    for (int i = 0; i < 6; ++i) {
+      CPPUNIT_ASSERT_EQUAL(
+          502, entry.Call(PromptRequest("cut-" + std::to_string(i), kSoundBlocks)).status);
+    }
+    std::this_thread::sleep_for(seconds(1));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(PromptRequest("sound", kSoundBlocks)).status);
+  }
+
+ private:
+  static auto LinkedTo(const TestEntry& entry) -> settings::Settings {
+    auto settings = MakeSettings("entry-2");
+    settings.seeds = {entry.node.settings.peers};
+    return settings;
+  }
+
+  // Sends requests that crash replicas until the entry holds them back.
+  static auto CrashReplicas(TestEntry& entry) -> void {
+    for (int i = 0; i < 4; ++i) {
+      if (entry.Call(PromptRequest("deadly-" + std::to_string(i), kDeadlyBlocks)).status == 503) {
+        return;
+      }
+    }
+    CPPUNIT_FAIL("the prompt is not held back");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -30,6 +30,7 @@
   peer_refused = 303,
   replica_changed = 304,
   replica_set_aside = 305,
+  block_quarantined = 306,
   request_refused = 400,
   request_retried = 401,
   request_finished = 402,
@@ -45,7 +46,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 32> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 33> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -69,6 +70,7 @@
     {telemetry::Event::peer_refused, "peer_refused"},
     {telemetry::Event::replica_changed, "replica_changed"},
     {telemetry::Event::replica_set_aside, "replica_set_aside"},
+    {telemetry::Event::block_quarantined, "block_quarantined"},
     {telemetry::Event::request_refused, "request_refused"},
     {telemetry::Event::request_retried, "request_retried"},
     {telemetry::Event::request_finished, "request_finished"},
--- a/libs/telemetry/include/filbertstair/telemetry/metrics.h
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -32,6 +32,7 @@
   config_conflicts,
   platform_calls,
   members,
+  quarantined_blocks,
 };
 
 // Description of a metric. `label` is the name of its single label; empty for none.
@@ -43,7 +44,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 19> kMetrics{{
+inline constexpr std::array<MetricInfo, 20> kMetrics{{
     {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
      "Requests answered, by outcome"},
     {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
@@ -82,6 +83,8 @@
      "Calls to the platform, by result: ok or failed"},
     {Metric::members, MetricKind::gauge, "filbertstair_members", "state",
      "Known processes, by state"},
+    {Metric::quarantined_blocks, MetricKind::gauge, "filbertstair_quarantined_blocks", "",
+     "Prompt blocks that are quarantined because replicas crashed under them"},
 }};
 
 namespace detail {
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -142,6 +142,16 @@
   std::uint32_t tokens = 0;
 };
 
+// Crash of a replica as evidence against a prompt block.
+struct BlockCrash {
+  std::uint64_t block = 0;
+  std::string replica;
+  // Time since the crash.
+  core::Duration age{};
+  // Shared blocks of the prompts that crashed replicas, `block` included.
+  std::vector<std::uint64_t> common;
+};
+
 // State of an entry that dispatches directly to replicas. Contains only the rows that changed since
 // the last message.
 struct EntryState {
@@ -153,6 +163,10 @@
   std::vector<AccountUse> accounts;
   // Blocks newly cached by replicas for requests of the sender.
   std::vector<CachedPrefixBlock> cached_blocks;
+  // Crashes that the sender observed, and suspected blocks that a sound response to the sender
+  // speaks for, once per response. A new link starts with all crashes that the sender knows of.
+  std::vector<BlockCrash> crashes;
+  std::vector<std::uint64_t> sound_blocks;
   // Remaining time in microseconds for which the sender's configuration counts as confirmed.
   std::uint64_t lease_us = 0;
   // The sender's failure domain, the CPU quota of its VM in thousandths of a core, and whether it
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -122,6 +122,14 @@
     out->set_key(row.key);
     out->set_tokens(row.tokens);
   }
+  for (const auto& row : from.crashes) {
+    auto* out = to.add_crashes();
+    out->set_block(row.block);
+    out->set_replica(row.replica);
+    out->set_age_us(static_cast<std::uint64_t>(row.age.count()));
+    for (const auto block : row.common) out->add_common(block);
+  }
+  for (const auto block : from.sound_blocks) to.add_sound_blocks(block);
   for (const auto& row : from.replicas) {
     auto* out = to.add_replicas();
     out->set_replica(row.replica);
@@ -188,6 +196,13 @@
   for (const auto& row : from.kept()) {
     to.cached_blocks.push_back({row.replica(), row.key(), row.tokens()});
   }
+  for (const auto& row : from.crashes()) {
+    to.crashes.push_back({row.block(),
+                          row.replica(),
+                          ToDuration(row.age_us()),
+                          {row.common().begin(), row.common().end()}});
+  }
+  to.sound_blocks.assign(from.sound_blocks().begin(), from.sound_blocks().end());
   for (const auto& row : from.accounts()) {
     to.accounts.push_back({row.service(), row.workspace(), row.used(), row.waiting()});
   }
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -64,6 +64,8 @@
     state.replicas = {{"r", 1, 2}};
     state.accounts = {{"s", "w", 3, true}};
     state.cached_blocks = {{"r", 4, 5}};
+    state.crashes = {{7, "r", std::chrono::seconds(3), {6, 7}}};
+    state.sound_blocks = {8, 8};
     state.lease_us = 6;
     state.failure_domain = "d";
     state.millicores = 90;
@@ -78,6 +80,12 @@
     const auto& account = copy.accounts.at(0);
     CPPUNIT_ASSERT(account.service == "s" && account.workspace == "w" && account.used == 3);
     CPPUNIT_ASSERT(account.waiting);
+    const auto& crash = copy.crashes.at(0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, crash.block);
+    CPPUNIT_ASSERT_EQUAL(std::string("r"), crash.replica);
+    CPPUNIT_ASSERT(crash.age == std::chrono::seconds(3));
+    CPPUNIT_ASSERT(state.crashes.at(0).common == crash.common);
+    CPPUNIT_ASSERT(state.sound_blocks == copy.sound_blocks);
     const auto& part = copy.cached_blocks.at(0);
     CPPUNIT_ASSERT(part.replica == "r" && part.key == 4 && part.tokens == 5);
   }
