Heed what replicas say of themselves: leaving, and Retry-After

Callers' requests went on to replicas that had said in a response that they leave, as long as the list said ready, and to replicas that had asked for none for a time. Cause: neither was read; a 503 was a refusal like any other, after which the next request in the queue was sent at once.

Any head counts at the moment it is read, also that of a refusal, a cut response or a late one to another request: the connection leads to the same process. Not after a misdirected request, whose response speaks of another replica. Leaving ends only with a later start, not with a listing, a lapse or a new address; entries tell each other, all of it on a new link. Retry-After closes the replica for this entry without counting as a failure; a longer time stays in force; at its end one request at a time is let in, doubled with each success. If all replicas are closed past the time a request may wait, it is refused at once with the earliest reopening. A request that was assigned and not written is not sent.

--- /dev/null
+++ b/libs/direct/include/filbertstair/direct/availability.h
@@ -0,0 +1,54 @@
+#ifndef FILBERTSTAIR_DIRECT_AVAILABILITY_H_
+#define FILBERTSTAIR_DIRECT_AVAILABILITY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "filbertstair/core/types.h"
+#include "filbertstair/direct/replicas.h"
+
+// What replicas say of themselves in their responses: that they leave, or that they want no
+// requests for a time.
+namespace filbertstair::direct {
+
+struct AvailabilityPolicy {
+  // Longest time for which a replica can close itself with one response; longer values count as
+  // this one.
+  core::Duration max_closed_time = std::chrono::minutes(10);
+  // Time for which the leaving of a replica is remembered, also after it was removed from the list:
+  // a delayed listing may still name it.
+  core::Duration remember_leaving = std::chrono::hours(1);
+};
+
+// Records that the replica said that it leaves, at its start `started_ms`. It gets no new requests
+// until it is listed with a later start. Returns whether that was unknown.
+auto RecordLeaving(ReplicaTable& table, const std::string& id, std::int64_t started_ms,
+                   core::Time now) -> bool;
+
+// Forgets replicas that said long ago that they leave.
+auto ForgetLeaving(ReplicaTable& table, const AvailabilityPolicy& policy, core::Time now) -> void;
+
+// Records that the replica wants no requests for `delay`. An earlier, longer time stays in force.
+// When it ends, the replica gets one request at a time, and twice as many after each success.
+auto RecordClosed(Replica& replica, const AvailabilityPolicy& policy, core::Duration delay,
+                  core::Time now) -> void;
+
+// Returns whether the replica wants no requests now.
+auto IsClosed(const Replica& replica, core::Time now) -> bool;
+
+// Returns the time at which the first replica of the service reopens, or nothing if one is open or
+// none will.
+auto FindReopening(const ReplicaTable& table, std::string_view service, core::Time now)
+    -> std::optional<core::Time>;
+
+// Returns whether a request that was assigned to the replica may still be sent there.
+auto MaySend(const Replica& replica, core::Time now) -> bool;
+
+// Raises the number of requests that a reopened replica gets at a time.
+auto RecordReopeningSuccess(Replica& replica) -> void;
+
+}  // namespace filbertstair::direct
+
+#endif  // FILBERTSTAIR_DIRECT_AVAILABILITY_H_
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -53,6 +53,14 @@
   std::uint32_t failures = 0;
   core::Time ejected_until{};
   PrefixCache prefix_cache;
+  // Whether the replica has said that it leaves; it gets no more requests.
+  bool told_leaving = false;
+  // End of the time for which the replica wants no requests, and the number of requests of this
+  // entry that it gets at a time after that; 0 for no limit.
+  core::Time closed_until{};
+  std::uint32_t max_in_flight = 0;
+  // Whether an invalid closing time of this start of the replica was logged.
+  bool retry_after_ignored = false;
   // Set if the platform no longer lists the replica; it gets no more requests.
   bool removed = false;
   // Time until which a delisted replica is still used, because the platform's list was unavailable
@@ -68,6 +76,12 @@
   auto operator==(const ReplicaLoad&) const -> bool = default;
 };
 
+// A start of a replica that has said that it leaves.
+struct LeavingReplica {
+  std::int64_t started_ms = 0;
+  core::Time recorded_at{};
+};
+
 struct ReplicaTable {
   // By service and id.
   std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
@@ -77,6 +91,8 @@
   // entries, by replica.
   std::map<std::string, std::map<std::string, ReplicaLoad>> peers;
   std::unordered_map<std::string, ReplicaLoad> peer_load;
+  // Replicas that have said that they leave, by id. Kept when a replica is removed from the list.
+  std::map<std::string, LeavingReplica> leaving;
 };
 
 struct ReplicaPolicy {
@@ -130,6 +146,10 @@
   std::map<std::string, std::string> regions;
 };
 
+// Returns whether the listing is of a start of the replica that has said that it leaves, or of an
+// earlier one.
+auto IsLeaving(const ReplicaTable& table, const Listing& listing) -> bool;
+
 auto UpsertReplica(ReplicaTable& table, Listing listing) -> void;
 
 // Handles that the platform no longer lists the replica. It is used until `until`, or not at all if
@@ -157,9 +177,12 @@
   // Whether the request may still wait for the cache owner of its shared blocks; see
   // MaxCacheOwnerWait.
   bool may_wait_for_cache_owner = false;
+  // Time until which the request may wait for a replica.
+  core::Time wait_until{};
 };
 
-enum class ChoiceStatus { chosen, full, none };
+// `closed` means that the replicas that could be used want no requests until `reopens_at`.
+enum class ChoiceStatus { chosen, full, closed, none };
 
 struct ReplicaChoice {
   ChoiceStatus status = ChoiceStatus::none;
@@ -170,6 +193,8 @@
   std::string address;
   // Prompt tokens that the replica is expected to prefill.
   std::uint64_t prefill_tokens = 0;
+  // If the status is `closed`, the time at which the first replica wants requests again.
+  core::Time reopens_at{};
 };
 
 // Returns the maximum time for which a request with this prompt, which may wait in the queue for
--- a/libs/direct/include/filbertstair/direct/round.h
+++ b/libs/direct/include/filbertstair/direct/round.h
@@ -35,7 +35,7 @@
 };
 
 // A waiting request with the replica to which it is assigned, or with the status `none` if there is
-// no usable replica for it.
+// no usable replica for it, or `closed` if none reopens while it may wait.
 struct ResolvedRequest {
   std::string workspace;
   Ticket ticket = 0;
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "filbertstair/core/rendezvous.h"
+#include "filbertstair/direct/availability.h"
 
 namespace filbertstair::direct {
 namespace {
@@ -28,6 +29,7 @@
 
 auto IsUsable(const Replica& replica, const PlacementRequest& request, core::Time now) -> bool {
   if (replica.listing.state != ReplicaState::ready || replica.removed) return false;
+  if (replica.told_leaving) return false;
   if (replica.delisted_until != core::Time{} && replica.delisted_until <= now) return false;
   return request.tried == nullptr || !request.tried->contains(replica.listing.id);
 }
@@ -62,6 +64,7 @@
 
 auto HasSlot(const Replica& replica, const ReplicaPolicy& policy, const ReplicaLoad& load,
              double capacity_share) -> bool {
+  if (replica.max_in_flight > 0 && replica.in_flight >= replica.max_in_flight) return false;
   const double full =
       std::max(1.0, std::floor(replica.listing.slots * policy.max_slot_share * capacity_share));
   return load.in_flight + 1 <= full;
@@ -116,7 +119,8 @@
              policy.recompute_cost_ms;
 }
 
-// Replicas that may be chosen, and the ejected one whose ejection ends first.
+// Replicas that may be chosen, the ejected one whose ejection ends first, and the time at which the
+// first of those that want no requests reopens; zero if there is none.
 struct Candidates {
   struct Candidate {
     const Replica* replica = nullptr;
@@ -125,6 +129,7 @@
   // For a prompt with shared blocks, ordered by the rank in which replicas should cache them.
   std::vector<Candidate> items;
   const Replica* ejected = nullptr;
+  core::Time reopens_at{};
 };
 
 auto FindCandidates(const std::map<std::string, Replica>& replicas, const PlacementRequest& request,
@@ -135,6 +140,11 @@
   out.items.reserve(replicas.size());
   for (const auto& [id, replica] : replicas) {
     if (!IsUsable(replica, request, now)) continue;
+    if (IsClosed(replica, now)) {
+      const bool first = out.reopens_at == core::Time{} || replica.closed_until < out.reopens_at;
+      if (first) out.reopens_at = replica.closed_until;
+      continue;
+    }
     if (replica.ejected_until > now) {
       const bool first =
           out.ejected == nullptr || replica.ejected_until < out.ejected->ejected_until;
@@ -158,6 +168,11 @@
 
 }  // namespace
 
+auto IsLeaving(const ReplicaTable& table, const Listing& listing) -> bool {
+  const auto found = table.leaving.find(listing.id);
+  return found != table.leaving.end() && listing.started_ms <= found->second.started_ms;
+}
+
 auto UpsertReplica(ReplicaTable& table, Listing listing) -> void {
   const auto id = listing.id;
   const auto previous = table.service_of.find(id);
@@ -173,6 +188,12 @@
     replica.failures = 0;
     replica.ejected_until = {};
   }
+  if (replica.listing.started_ms != listing.started_ms) {
+    replica.closed_until = {};
+    replica.max_in_flight = 0;
+    replica.retry_after_ignored = false;
+  }
+  replica.told_leaving = IsLeaving(table, listing);
   replica.listing = std::move(listing);
   replica.removed = false;
   replica.delisted_until = {};
@@ -271,15 +292,24 @@
     return {.status = ChoiceStatus::full};
   }
   const auto* ejected = candidates.ejected;
-  if (choice.status != ChoiceStatus::none || ejected == nullptr) return choice;
+  if (choice.status != ChoiceStatus::none) return choice;
+  if (ejected == nullptr && candidates.reopens_at != core::Time{}) {
+    choice.status = ChoiceStatus::closed;
+    choice.reopens_at = candidates.reopens_at;
+    return choice;
+  }
+  if (ejected == nullptr) return choice;
   // If every replica is ejected, use the one whose ejection ends first.
   const auto estimate = EstimatePrefill(*ejected, prompt, blocks, shared_tokens, false);
   const auto load = TotalLoad(table, *ejected, policy, now);
   const bool has_capacity =
       !IsReserved(*ejected, request) &&
       HasCapacity(*ejected, policy, estimate, shared_tokens, load, request.capacity_share);
-  return {has_capacity ? ChoiceStatus::chosen : ChoiceStatus::full, ejected->listing.id,
-          ejected->listing.address, estimate.prefill_tokens};
+  return {has_capacity ? ChoiceStatus::chosen : ChoiceStatus::full,
+          ejected->listing.id,
+          ejected->listing.address,
+          estimate.prefill_tokens,
+          {}};
 }
 
 auto RecordAssignment(Replica& replica, const ReplicaPolicy& policy, const Prompt& prompt,
@@ -329,6 +359,7 @@
 auto RecordSuccess(Replica& replica) -> void {
   replica.failures = 0;
   replica.ejected_until = {};
+  RecordReopeningSuccess(replica);
 }
 
 auto RecordFailure(Replica& replica, const ReplicaPolicy& policy, ReplicaFault fault,
--- a/libs/direct/src/round.cc
+++ b/libs/direct/src/round.cc
@@ -28,7 +28,9 @@
     request.reserved = &round.reserved;
     const auto choice =
         ChooseReplica(input.replicas, input.replica_policy, input.origin, request, now);
-    if (choice.status != ChoiceStatus::full) {
+    const bool waits_for_reopening =
+        choice.status == ChoiceStatus::closed && choice.reopens_at < request.wait_until;
+    if (choice.status != ChoiceStatus::full && !waits_for_reopening) {
       return ResolvedRequest{workspace, next->waiter->ticket, choice};
     }
     if (!choice.id.empty()) round.reserved.insert(choice.id);
--- /dev/null
+++ b/libs/direct/test/availability_test.cc
@@ -0,0 +1,144 @@
+#include "filbertstair/direct/availability.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace filbertstair::direct {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+class AvailabilityTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AvailabilityTest);
+  CPPUNIT_TEST(testLeavingLastsUntilALaterStart);
+  CPPUNIT_TEST(testLeavingIsForgottenOnceItCannotMatter);
+  CPPUNIT_TEST(testShorterClosingDoesNotCutALongerOne);
+  CPPUNIT_TEST(testClosingIsBounded);
+  CPPUNIT_TEST(testClosingIsNoFailure);
+  CPPUNIT_TEST(testClosedReplicaIsNotALastResort);
+  CPPUNIT_TEST(testRequestsAreLetInStepByStep);
+  CPPUNIT_TEST(testEarliestReopening);
+  CPPUNIT_TEST_SUITE_END();
+
+  const AvailabilityPolicy policy{};
+  const ReplicaPolicy replica_policy{};
+  const core::Time now{seconds(10000)};
+  ReplicaTable table;
+
+ public:
+  auto setUp() -> void override {
+    for (const auto* id : {"a", "b"}) this->List(id, 5);
+  }
+
+  auto testLeavingLastsUntilALaterStart() -> void {
+    CPPUNIT_ASSERT(RecordLeaving(this->table, "a", 5, this->now));
+    CPPUNIT_ASSERT(!RecordLeaving(this->table, "a", 5, this->now));
+    CPPUNIT_ASSERT(!MaySend(this->Get("a"), this->now));
+    DelistReplica(this->table, "a", core::Time{});
+    RemoveExpiredReplicas(this->table, this->now);
+    for (const std::int64_t started_ms : {5, 3}) {
+      this->List("a", started_ms);
+      CPPUNIT_ASSERT(!MaySend(this->Get("a"), this->now));
+    }
+    this->List("a", 6);
+    CPPUNIT_ASSERT(MaySend(this->Get("a"), this->now));
+    // A late word of the start before has no effect on this one.
+    RecordLeaving(this->table, "a", 5, this->now);
+    CPPUNIT_ASSERT(MaySend(this->Get("a"), this->now));
+  }
+
+  auto testLeavingIsForgottenOnceItCannotMatter() -> void {
+    RecordLeaving(this->table, "a", 5, this->now);
+    ForgetLeaving(this->table, this->policy, this->now + hours(2));
+    CPPUNIT_ASSERT(this->table.leaving.contains("a"));
+    DelistReplica(this->table, "a", core::Time{});
+    ForgetLeaving(this->table, this->policy, this->now + minutes(59));
+    CPPUNIT_ASSERT(this->table.leaving.contains("a"));
+    ForgetLeaving(this->table, this->policy, this->now + minutes(61));
+    CPPUNIT_ASSERT(this->table.leaving.empty());
+  }
+
+  auto testShorterClosingDoesNotCutALongerOne() -> void {
+    RecordClosed(this->Get("a"), this->policy, seconds(5), this->now);
+    RecordClosed(this->Get("a"), this->policy, seconds(1), this->now + seconds(1));
+    CPPUNIT_ASSERT(IsClosed(this->Get("a"), this->now + milliseconds(4999)));
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now + seconds(5)));
+  }
+
+  auto testClosingIsBounded() -> void {
+    RecordClosed(this->Get("a"), this->policy, hours(24), this->now);
+    CPPUNIT_ASSERT(IsClosed(this->Get("a"), this->now + minutes(9)));
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now + minutes(10)));
+  }
+
+  auto testClosingIsNoFailure() -> void {
+    for (int i = 0; i < 5; ++i) RecordClosed(this->Get("a"), this->policy, seconds(1), this->now);
+    CPPUNIT_ASSERT_EQUAL(0u, this->Get("a").failures);
+    CPPUNIT_ASSERT(this->Get("a").ejected_until == core::Time{});
+  }
+
+  // Guards against using a closed replica when all others are ejected or leave.
+  auto testClosedReplicaIsNotALastResort() -> void {
+    RecordClosed(this->Get("a"), this->policy, seconds(3), this->now);
+    RecordFailure(this->Get("b"), this->replica_policy, ReplicaFault::unreachable, this->now);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), this->Choose().id);
+    RecordLeaving(this->table, "b", 5, this->now);
+    const auto choice = this->Choose();
+    CPPUNIT_ASSERT(choice.status == ChoiceStatus::closed);
+    CPPUNIT_ASSERT(this->now + seconds(3) == choice.reopens_at);
+  }
+
+  // Guards against everything that waited reaching a replica at once when it reopens.
+  auto testRequestsAreLetInStepByStep() -> void {
+    RecordLeaving(this->table, "b", 5, this->now);
+    auto& replica = this->Get("a");
+    RecordClosed(replica, this->policy, seconds(1), this->now - seconds(2));
+    for (const std::uint32_t allowed : {1, 2, 4, 8}) {
+      std::uint32_t sent = 0;
+      while (sent < 12 && this->Choose().status == ChoiceStatus::chosen) {
+        RecordAssignment(replica, this->replica_policy, {}, 0);
+        ++sent;
+      }
+      CPPUNIT_ASSERT_EQUAL(allowed, sent);
+      for (std::uint32_t i = 0; i < sent; ++i) ReleaseSlot(replica);
+      RecordSuccess(replica);
+    }
+    CPPUNIT_ASSERT_EQUAL(0u, replica.max_in_flight);
+  }
+
+  auto testEarliestReopening() -> void {
+    const auto find = [&] { return FindReopening(this->table, "llm", this->now); };
+    RecordClosed(this->Get("a"), this->policy, seconds(5), this->now);
+    CPPUNIT_ASSERT(!find());
+    RecordClosed(this->Get("b"), this->policy, seconds(2), this->now);
+    CPPUNIT_ASSERT(this->now + seconds(2) == find());
+    RecordLeaving(this->table, "b", 5, this->now);
+    CPPUNIT_ASSERT(this->now + seconds(5) == find());
+    RecordLeaving(this->table, "a", 5, this->now);
+    CPPUNIT_ASSERT(!find());
+  }
+
+ private:
+  auto List(const std::string& id, std::int64_t started_ms) -> void {
+    UpsertReplica(this->table, {.id = id,
+                                .service = "llm",
+                                .address = "127.0.0.1:1",
+                                .failure_domain = "n1",
+                                .slots = 16,
+                                .started_ms = started_ms});
+  }
+
+  auto Get(const std::string& id) -> Replica& { return *FindReplica(this->table, "llm", id); }
+
+  auto Choose() const -> ReplicaChoice {
+    return ChooseReplica(this->table, this->replica_policy, {"n1", {}}, {.service = "llm"},
+                         this->now);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AvailabilityTest);
+
+}  // namespace
+}  // namespace filbertstair::direct
--- a/libs/relay/include/filbertstair/relay/dialect.h
+++ b/libs/relay/include/filbertstair/relay/dialect.h
@@ -50,6 +50,12 @@
   // rejected.
   bool is_encoded = false;
   std::optional<direct::LoadReport> load;
+  // Whether the replica says that it leaves and wants no further requests.
+  bool leaving = false;
+  // Time for which a replica that turned the request away wants no further ones, if it states one,
+  // and whether it states one that can't be understood.
+  std::optional<core::Duration> closed_for;
+  bool invalid_closed_for = false;
   // Time for which the replica keeps an idle connection open, if it states one.
   std::optional<core::Duration> keep_alive;
 };
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -222,6 +222,7 @@
     out.after_stray = stray > 0;
     out.http = call.exchange->ReadHead(RoundUpToMilliseconds(read_until - node::Now()));
     out.head = relay.dialect.parse_response(out.http);
+    ApplyAvailability(relay, call, assignment, out.head);
     if (out.head.request_id == call.head.request_id) return out;
     if (out.head.request_id.empty() && out.head.refused && !reused) return out;
     if (!DiscardBody(*call.exchange, assignment, read_until)) break;
@@ -440,6 +441,14 @@
     failure.reached_replica = false;
     return failure;
   }
+  // The replica may have said meanwhile, to another request, that it wants no more.
+  if (!MaySend(relay, assignment)) {
+    call.exchange->Cancel();
+    auto failure = Fail(Reason::no_room, Outcome::not_run, Step::queue,
+                        "the replica has asked for no further requests");
+    failure.reached_replica = false;
+    return failure;
+  }
   std::optional<core::Error> cut;
   try {
     call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment), kSendTimeout);
@@ -448,7 +457,7 @@
     auto failure = RelayResponse(relay, call, assignment, response, responder);
     // A replica that sends responses without a request may do so again, and the next may have no
     // id.
-    if (response.after_stray) call.exchange->Cancel();
+    if (response.after_stray || response.head.leaving) call.exchange->Cancel();
     StoreIdleConnection(relay, assignment.address, std::move(call.exchange),
                         response.head.keep_alive, MaxIdleConnections(call));
     return failure;
--- a/libs/relay/src/connections.cc
+++ b/libs/relay/src/connections.cc
@@ -42,6 +42,13 @@
   worker.idle[address].push_back({std::move(exchange), node::Now() + limit});
 }
 
+auto CloseIdleConnections(WorkerState& worker, const std::string& address) -> void {
+  const auto found = worker.idle.find(address);
+  if (found == worker.idle.end()) return;
+  for (const auto& connection : found->second) connection.exchange->Cancel();
+  worker.idle.erase(found);
+}
+
 auto CloseExpiredConnections(WorkerState& worker, core::Time now) -> void {
   for (auto& [address, connections] : worker.idle) {
     while (!connections.empty() && connections.front().expires_at <= now) {
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -50,7 +50,8 @@
         .service = service,
         .prompt = pending.prompt,
         .tried = pending.tried,
-        .may_wait_for_cache_owner = now < pending.cache_owner_wait_until};
+        .may_wait_for_cache_owner = now < pending.cache_owner_wait_until,
+        .wait_until = pending.latest};
   };
   const direct::AssignmentInput input{queue,          relay.policies.queue,
                                       table.replicas, relay.policies.replicas,
@@ -100,6 +101,7 @@
   pending->tried = &call.tried;
   pending->workspace = call.workspace;
   pending->cost = call.cost;
+  pending->latest = latest;
   pending->cache_owner_wait_until = node::Now();
   if (pending->prompt != nullptr) {
     pending->cache_owner_wait_until += direct::MaxCacheOwnerWait(
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -17,7 +17,7 @@
 
 auto LogListing(std::string_view id, std::string_view service, std::string_view state) -> void {
   telemetry::Log(Level::info, Event::replica_changed,
-                 {{"peer", id}, {"service", service}, {"state", state}});
+                 {{"peer", id}, {"service", service}, {"state", state}, {"source", "list"}});
 }
 
 // Delists a replica, at once or after the grace period. Call with the table locked.
--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -53,6 +53,8 @@
   std::uint64_t prefix_update_count = 0;
   // Value of DispatchTable::quarantine_update_count at the last message; empty before the first.
   std::optional<std::uint64_t> quarantine_update_count;
+  // Starts of replicas that were reported as leaving, by id.
+  std::map<std::string, std::int64_t> leaving;
   core::Time received_at{};
 };
 
@@ -81,6 +83,18 @@
   sent.prefix_update_count = table.prefix_update_count;
 }
 
+auto CollectLeaving(const DispatchTable& table, SentState& sent, wire::EntryState& message)
+    -> void {
+  const auto& leaving = table.replicas.leaving;
+  std::erase_if(sent.leaving, [&](const auto& item) { return !leaving.contains(item.first); });
+  for (const auto& [id, replica] : leaving) {
+    const auto [reported, is_new] = sent.leaving.emplace(id, replica.started_ms);
+    if (!is_new && reported->second == replica.started_ms) continue;
+    reported->second = replica.started_ms;
+    message.leaving.push_back({id, replica.started_ms});
+  }
+}
+
 auto CollectAccounts(const Relay& relay, const DispatchTable& table, SentState& sent,
                      wire::EntryState& message, core::Time now) -> void {
   if (now - sent.accounts_sent_at < kMinAccountInterval) return;
@@ -117,6 +131,7 @@
   relay.dispatch.With([&](const DispatchTable& table) {
     CollectReplicaLoads(table, sent, message);
     CollectPrefixUpdates(table, sent, message);
+    CollectLeaving(table, sent, message);
     CollectQuarantineUpdates(table, sent.quarantine_update_count, message);
     CollectAccounts(relay, table, sent, message, now);
   });
@@ -128,7 +143,7 @@
   }
   if (period_over || rotation_changed || !message.replicas.empty() ||
       !message.cached_blocks.empty() || !message.accounts.empty() || !message.crashes.empty() ||
-      !message.sound_blocks.empty()) {
+      !message.sound_blocks.empty() || !message.leaving.empty()) {
     outbox.Push(std::move(message));
   }
 }
@@ -156,6 +171,7 @@
   });
   if (capacity_freed) relay.capacity_freed.Notify();
   ApplyQuarantineUpdates(relay, message);
+  ApplyLeaving(relay, message.leaving);
   relay.peers.With([&](PeerTable& table) {
     const auto lease = std::min<std::uint64_t>(message.lease_us, direct::kCredentialLease.count());
     table.confirmed_until[peer] = now + core::Duration(lease);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -129,7 +129,9 @@
                             {"unread_tokens", replica.prefill_tokens},
                             {"kept_tokens", replica.prefix_cache.tokens},
                             {"elsewhere", has_peer_load ? peer_load->second.in_flight : 0},
-                            {"set_aside", replica.ejected_until > now}});
+                            {"set_aside", replica.ejected_until > now},
+                            {"told_leaving", replica.told_leaving},
+                            {"closed", direct::IsClosed(replica, now)}});
       }
     }
     status["replicas"] = std::move(replicas);
@@ -251,6 +253,7 @@
     if (runtime::WorkerIndex() != 0) continue;
     relay.dispatch.With([&](DispatchTable& table) {
       direct::RemoveExpiredReplicas(table.replicas, now);
+      direct::ForgetLeaving(table.replicas, relay.policies.availability, now);
       direct::RemoveOldEvidence(table.quarantine, relay.policies.quarantine, now);
       for (auto& [service, queue] : table.queues) {
         AssignWaiting(relay, table, service);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -32,6 +32,9 @@
 // balancer knows of the stop by the time most of these refusals are given.
 constexpr core::Duration kDrainRetryDelay = std::chrono::milliseconds(100);
 
+// Minimum retry delay for callers that come back when a replica reopens.
+constexpr core::Duration kMinReopenRetryDelay = std::chrono::milliseconds(50);
+
 auto MakeRefusal(Reason reason, Step step, std::string message,
                  core::Duration retry_after = std::chrono::seconds(1)) -> RequestRefusal {
   return {reason, Outcome::not_run, step, "", std::move(message), retry_after};
@@ -205,19 +208,24 @@
          " requests of the service were queued on arrival";
 }
 
-auto ToRefused(const RequestProgress& progress, const Call& call) -> RequestRefusal {
+auto ToRefused(Relay& relay, const RequestProgress& progress, const Call& call) -> RequestRefusal {
   RequestRefusal refused;
   refused.peer = call.replica;
   refused.retry_after = call.route->latency_objective;
+  const auto reopens_at = relay.dispatch.With([&](const DispatchTable& table) {
+    return direct::FindReopening(table.replicas, call.service, node::Now());
+  });
   if (progress.last) {
     refused.reason = progress.last->reason;
     refused.step = progress.last->step;
     refused.message = progress.last->message;
   } else {
-    refused.reason = call.pending->unassignable ? Reason::no_endpoint : Reason::no_room;
+    const bool has_replica = reopens_at || !call.pending->unassignable;
+    refused.reason = has_replica ? Reason::no_room : Reason::no_endpoint;
     refused.step = Step::queue;
-    refused.message =
-        call.pending->unassignable ? "the service has no usable replica" : DescribeWait(call);
+    refused.message = "the service has no usable replica";
+    if (has_replica) refused.message = DescribeWait(call);
+    if (reopens_at) refused.message = "all replicas of the service have asked for no requests now";
   }
   refused.outcome = progress.may_have_run ? Outcome::unknown : Outcome::not_run;
   // A status that promises that the request did not run is sent if and only if that is certain.
@@ -225,6 +233,9 @@
   if (promises_not_run && progress.may_have_run) refused.reason = Reason::connection_lost;
   if (!promises_not_run && !progress.may_have_run) refused.reason = Reason::no_room;
   if (refused.reason == Reason::draining) refused.retry_after = kDrainRetryDelay;
+  if (reopens_at) {
+    refused.retry_after = std::max(*reopens_at - node::Now(), kMinReopenRetryDelay);
+  }
   return refused;
 }
 
@@ -278,17 +289,17 @@
     }
     if (auto refused = RefuseIfDraining(relay, call)) {
       if (assignment) ReleaseAssignment(relay, *assignment);
-      return progress.last ? ToRefused(progress, call) : refused;
+      return progress.last ? ToRefused(relay, progress, call) : refused;
     }
     if (auto refused = RefuseQuarantined(relay, call)) {
       if (assignment) ReleaseAssignment(relay, *assignment);
-      return progress.may_have_run ? ToRefused(progress, call) : refused;
+      return progress.may_have_run ? ToRefused(relay, progress, call) : refused;
     }
-    if (!assignment) return ToRefused(progress, call);
+    if (!assignment) return ToRefused(relay, progress, call);
     if (!call.tried.empty() && !ConsumeRetryBudget(relay, call)) {
       ReleaseAssignment(relay, *assignment);
       if (progress.last) progress.last->message += "; the retry budget is exhausted";
-      return ToRefused(progress, call);
+      return ToRefused(relay, progress, call);
     }
     if (call.tried.empty()) {
       relay.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
@@ -310,7 +321,7 @@
     }
     progress.may_have_run = progress.may_have_run || failure->outcome != Outcome::not_run;
     progress.last = failure;
-    if (!CanRetryAfter(relay, call, progress, *failure)) return ToRefused(progress, call);
+    if (!CanRetryAfter(relay, call, progress, *failure)) return ToRefused(relay, progress, call);
     LogRetry(relay, call, *assignment, *failure);
   }
 }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -14,6 +14,7 @@
 
 #include "filbertstair/core/drain.h"
 #include "filbertstair/direct/assignment.h"
+#include "filbertstair/direct/availability.h"
 #include "filbertstair/direct/budget.h"
 #include "filbertstair/direct/events.h"
 #include "filbertstair/direct/fleet.h"
@@ -55,8 +56,10 @@
   // Requests of the service that were queued when this one arrived.
   std::size_t queued_ahead = 0;
   std::optional<Assignment> assignment;
-  // Set if no replica remains that the request could be sent to.
+  // Set if no replica remains that the request could be sent to while it may wait.
   bool unassignable = false;
+  // Time until which the request may wait.
+  core::Time latest{};
 };
 
 // A shared prefix block that a replica caches when it runs a request of this entry.
@@ -156,6 +159,7 @@
   direct::AdmissionRatePolicy admission;
   direct::RotationPolicy rotation;
   direct::QuarantinePolicy quarantine;
+  direct::AvailabilityPolicy availability;
   core::DrainPolicy drain;
 };
 
@@ -343,6 +347,20 @@
 auto StoreIdleConnection(Relay& relay, const std::string& address, Exchange exchange,
                          std::optional<core::Duration> keep_alive, std::size_t max_idle) -> void;
 
+// Closes all idle connections of the worker to the address.
+auto CloseIdleConnections(WorkerState& worker, const std::string& address) -> void;
+
+// Applies what a replica says of itself in the head of a response: that it leaves, or wants no
+// requests for a time.
+auto ApplyAvailability(Relay& relay, const Call& call, const Assignment& assignment,
+                       const ResponseHead& head) -> void;
+
+// Applies what another entry reports of replicas that leave.
+auto ApplyLeaving(Relay& relay, const std::vector<wire::LeavingReplica>& leaving) -> void;
+
+// Returns whether the assigned request may still be sent to its replica.
+auto MaySend(Relay& relay, const Assignment& assignment) -> bool;
+
 // Closes idle connections of the worker that have expired.
 auto CloseExpiredConnections(WorkerState& worker, core::Time now) -> void;
 
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -71,6 +71,12 @@
     head.request_id = net::FindHeader(answer.headers, "Id");
     head.refused = !net::FindHeader(answer.headers, "Not-Run").empty();
     head.has_receipt = !net::FindHeader(answer.headers, "Receipt").empty();
+    head.leaving = !net::FindHeader(answer.headers, "Leaving").empty();
+    const auto retry_after = net::FindHeader(answer.headers, "Retry-After");
+    if (!retry_after.empty()) {
+      const std::chrono::duration<double> time(std::stod(std::string(retry_after)));
+      head.closed_for = std::chrono::duration_cast<core::Duration>(time);
+    }
     return head;
   };
   dialect.make_response_headers = [](const net::HttpResponseHead& answer) {
--- a/libs/telemetry/include/filbertstair/telemetry/event.h
+++ b/libs/telemetry/include/filbertstair/telemetry/event.h
@@ -31,6 +31,8 @@
   replica_changed = 304,
   replica_set_aside = 305,
   block_quarantined = 306,
+  replica_closed = 307,
+  retry_after_ignored = 308,
   request_refused = 400,
   request_retried = 401,
   request_finished = 402,
@@ -46,7 +48,7 @@
 
 namespace filbertstair::core {
 template <>
-inline constexpr NameTable<telemetry::Event, 33> kNames<telemetry::Event>{{
+inline constexpr NameTable<telemetry::Event, 35> kNames<telemetry::Event>{{
     {telemetry::Event::started, "started"},
     {telemetry::Event::stopping, "stopping"},
     {telemetry::Event::stopped, "stopped"},
@@ -71,6 +73,8 @@
     {telemetry::Event::replica_changed, "replica_changed"},
     {telemetry::Event::replica_set_aside, "replica_set_aside"},
     {telemetry::Event::block_quarantined, "block_quarantined"},
+    {telemetry::Event::replica_closed, "replica_closed"},
+    {telemetry::Event::retry_after_ignored, "retry_after_ignored"},
     {telemetry::Event::request_refused, "request_refused"},
     {telemetry::Event::request_retried, "request_retried"},
     {telemetry::Event::request_finished, "request_finished"},
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -152,6 +152,15 @@
   std::vector<std::uint64_t> common;
 };
 
+// Start of a replica that has said that it leaves.
+struct LeavingReplica {
+  std::string replica;
+  // Milliseconds since 1970; 0 if not known.
+  std::int64_t started_ms = 0;
+
+  auto operator==(const LeavingReplica&) const -> bool = default;
+};
+
 // State of an entry that dispatches directly to replicas. Contains only the rows that changed since
 // the last message.
 struct EntryState {
@@ -167,6 +176,7 @@
   // speaks for, once per response. A new link starts with all crashes that the sender knows of.
   std::vector<BlockCrash> crashes;
   std::vector<std::uint64_t> sound_blocks;
+  std::vector<LeavingReplica> leaving;
   // Remaining time in microseconds for which the sender's configuration counts as confirmed.
   std::uint64_t lease_us = 0;
   // The sender's failure domain, the CPU quota of its VM in thousandths of a core, and whether it
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -130,6 +130,11 @@
     for (const auto block : row.common) out->add_common(block);
   }
   for (const auto block : from.sound_blocks) to.add_sound_blocks(block);
+  for (const auto& row : from.leaving) {
+    auto* out = to.add_leaving();
+    out->set_replica(row.replica);
+    out->set_started_ms(row.started_ms);
+  }
   for (const auto& row : from.replicas) {
     auto* out = to.add_replicas();
     out->set_replica(row.replica);
@@ -202,6 +207,9 @@
                           ToDuration(row.age_us()),
                           {row.common().begin(), row.common().end()}});
   }
+  for (const auto& row : from.leaving()) {
+    to.leaving.push_back({row.replica(), row.started_ms()});
+  }
   to.sound_blocks.assign(from.sound_blocks().begin(), from.sound_blocks().end());
   for (const auto& row : from.accounts()) {
     to.accounts.push_back({row.service(), row.workspace(), row.used(), row.waiting()});
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -66,6 +66,7 @@
     state.cached_blocks = {{"r", 4, 5}};
     state.crashes = {{7, "r", std::chrono::seconds(3), {6, 7}}};
     state.sound_blocks = {8, 8};
+    state.leaving = {{"r", 9}};
     state.lease_us = 6;
     state.failure_domain = "d";
     state.millicores = 90;
@@ -86,6 +87,7 @@
     CPPUNIT_ASSERT(crash.age == std::chrono::seconds(3));
     CPPUNIT_ASSERT(state.crashes.at(0).common == crash.common);
     CPPUNIT_ASSERT(state.sound_blocks == copy.sound_blocks);
+    CPPUNIT_ASSERT(state.leaving == copy.leaving);
     const auto& part = copy.cached_blocks.at(0);
     CPPUNIT_ASSERT(part.replica == "r" && part.key == 4 && part.tokens == 5);
   }
