Treat an event stream that ends before its first event as cut

A replica that crashes as it begins a response without a length and without chunks leaves a head and a closed connection. Callers got this as a whole, empty stream. It is now a cut attempt: retried where the route allows it, or 502 with the outcome unknown.

relay.cut_answer_test testStreamWithoutAnEventIsCut failed before.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -291,6 +291,11 @@
   if (!call.event_splitter.partial_event.empty()) {
     throw core::Error(Step::read, assignment.address, "stream ended in the middle of an event");
   }
+  // A replica that ends as it begins to respond leaves a head and nothing else.
+  if (response.framing == net::Framing::close_delimited &&
+      assignment.stage != direct::AttemptStage::content) {
+    throw core::Error(Step::read, assignment.address, "stream ended before its first event");
+  }
   // The caller would take a final chunk as proof that the stream is complete, but only the closed
   // replica connection marked its end.
   if (call.response_started && call.framing == net::Framing::self_delimited &&
--- a/libs/relay/test/cut_answer_test.cc
+++ b/libs/relay/test/cut_answer_test.cc
@@ -96,6 +96,7 @@
   CPPUNIT_TEST(testInterimAnswers);
   CPPUNIT_TEST(testEndlessInterimAnswers);
   CPPUNIT_TEST(testLineEndsWithoutCarriageReturn);
+  CPPUNIT_TEST(testStreamWithoutAnEventIsCut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -378,6 +379,16 @@
     CPPUNIT_ASSERT_EQUAL(502, answer.status);
   }
 
+  // Guards against passing on a crash as a whole stream: a response whose end only the connection
+  // marks, with a head and nothing else, is what a replica leaves that ends as it begins.
+  auto testStreamWithoutAnEventIsCut() -> void {
+    for (const auto& target : kStreams) {
+      const auto answer = CallTruncated(
+          target, [](const auto& id) { return Head(id) + "\r\n"; }, Ending::closed);
+      CPPUNIT_ASSERT(!IsWholeSuccess(answer));
+    }
+  }
+
  private:
   static auto TruncateHeads(bool kept) -> void {
     for (const auto ending : kEndings) {
