Let endpoint processes heed what their replica says of itself

An endpoint process offered the slots of a replica that had said that it leaves until the VM list said so, and those of one that wanted no requests for a time; the 503 of a replica that had not run a request was the caller's answer.

Not built: an entry does not know when the replicas behind endpoint processes reopen, so requests wait in its queue until their timeout if all are closed.

--- a/libs/admission/include/filbertstair/admission/admission.h
+++ b/libs/admission/include/filbertstair/admission/admission.h
@@ -110,6 +110,12 @@
 auto IssueNextGrant(AdmissionState& state, const DemandKey& key, std::uint32_t allowance,
                     core::Duration time_to_live, const ClockReading& now) -> std::optional<Grant>;
 
+// Revokes and returns all outstanding grants.
+auto RevokeAllGrants(AdmissionState& state) -> std::vector<Grant>;
+
+// Accepts submissions again after DrainAdmission.
+auto ResumeAdmission(AdmissionState& state) -> void;
+
 // Refuses all further submissions; staged and running attempts continue. Revokes and returns the
 // outstanding grants.
 auto DrainAdmission(AdmissionState& state) -> std::vector<Grant>;
--- a/libs/admission/include/filbertstair/admission/slots.h
+++ b/libs/admission/include/filbertstair/admission/slots.h
@@ -2,11 +2,15 @@
 #define FILBERTSTAIR_ADMISSION_SLOTS_H_
 
 #include <cstdint>
+#include <limits>
 
 #include "filbertstair/core/types.h"
 
 namespace filbertstair::admission {
 
+// Value of Slots::requested_limit if the replica asks for no limit.
+inline constexpr std::uint32_t kNoRequestedLimit = std::numeric_limits<std::uint32_t>::max();
+
 // Slot counts of one endpoint process. Each request takes one slot.
 struct Slots {
   // Maximum number of running requests. Lowering it below `running` interrupts no request; none
@@ -17,8 +21,17 @@
   std::uint32_t staged = 0;
   // Outstanding grants.
   std::uint32_t granted = 0;
+  // Limit that the replica itself asks for: 0 while it wants no requests, rising from 1 afterwards.
+  std::uint32_t requested_limit = kNoRequestedLimit;
 };
 
+// Returns the lower one of both limits.
+auto EffectiveLimit(const Slots& slots) -> std::uint32_t;
+
+// Raises the limit that the replica asked for after it accepted a request. Does nothing while it
+// wants none.
+auto RaiseRequestedLimit(Slots& slots) -> void;
+
 // Returns the number of slots not claimed by a running or staged request or by a grant.
 auto FreeSlots(const Slots& slots) -> std::uint32_t;
 
--- a/libs/admission/src/admission.cc
+++ b/libs/admission/src/admission.cc
@@ -138,8 +138,7 @@
                     now.steady + time_to_live);
 }
 
-auto DrainAdmission(AdmissionState& state) -> std::vector<Grant> {
-  state.attempts.draining = true;
+auto RevokeAllGrants(AdmissionState& state) -> std::vector<Grant> {
   std::vector<Grant> ended;
   while (!state.grants.outstanding.empty()) {
     const auto& grant = state.grants.outstanding.begin()->second;
@@ -150,6 +149,13 @@
   return ended;
 }
 
+auto DrainAdmission(AdmissionState& state) -> std::vector<Grant> {
+  state.attempts.draining = true;
+  return RevokeAllGrants(state);
+}
+
+auto ResumeAdmission(AdmissionState& state) -> void { state.attempts.draining = false; }
+
 auto OpenEntryStream(AdmissionState& state, const std::string& entry, core::Incarnation incarnation,
                      std::uint64_t stream, const std::string& region)
     -> std::optional<std::vector<Grant>> {
--- a/libs/admission/src/slots.cc
+++ b/libs/admission/src/slots.cc
@@ -24,17 +24,30 @@
 
 }  // namespace
 
+auto EffectiveLimit(const Slots& slots) -> std::uint32_t {
+  return std::min(slots.limit, slots.requested_limit);
+}
+
+auto RaiseRequestedLimit(Slots& slots) -> void {
+  if (slots.requested_limit == 0 || slots.requested_limit == kNoRequestedLimit) return;
+  slots.requested_limit *= 2;
+  if (slots.requested_limit >= slots.limit) slots.requested_limit = kNoRequestedLimit;
+}
+
 auto FreeSlots(const Slots& slots) -> std::uint32_t {
-  return slots.limit - std::min(slots.limit, ClaimedSlots(slots));
+  const auto limit = EffectiveLimit(slots);
+  return limit - std::min(limit, ClaimedSlots(slots));
 }
 
-auto CanStartAttempt(const Slots& slots) -> bool { return slots.running < slots.limit; }
+auto CanStartAttempt(const Slots& slots) -> bool { return slots.running < EffectiveLimit(slots); }
 
 auto CanAdmitWithoutGrant(const Slots& slots, bool demand_waits) -> bool {
   return !demand_waits && FreeSlots(slots) > 0;
 }
 
 auto CanIssueGrant(const Slots& slots, std::uint32_t allowance) -> bool {
+  // While the replica asks for fewer requests, none is offered in advance.
+  if (slots.requested_limit != kNoRequestedLimit) return FreeSlots(slots) > 0;
   return ClaimedSlots(slots) < slots.limit + allowance;
 }
 
--- a/libs/admission/test/slots_test.cc
+++ b/libs/admission/test/slots_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(SlotsTest);
   CPPUNIT_TEST(testClaims);
   CPPUNIT_TEST(testLoweredLimit);
+  CPPUNIT_TEST(testRequestedLimit);
   CPPUNIT_TEST(testAllowance);
   CPPUNIT_TEST(testCompletionRate);
   CPPUNIT_TEST_SUITE_END();
@@ -39,6 +40,24 @@
     CPPUNIT_ASSERT(!CanStartAttempt(slots));
   }
 
+  // Guards against offering slots of a replica that wants no requests, and against offering all of
+  // them at once when it wants some again.
+  auto testRequestedLimit() -> void {
+    Slots slots{.limit = 8, .running = 0, .staged = 0, .granted = 0, .requested_limit = 0};
+    RaiseRequestedLimit(slots);
+    CPPUNIT_ASSERT_EQUAL(0U, FreeSlots(slots));
+    CPPUNIT_ASSERT(!CanStartAttempt(slots));
+    CPPUNIT_ASSERT(!CanIssueGrant(slots, 4));
+    CPPUNIT_ASSERT(!CanAdmitWithoutGrant(slots, false));
+    slots.requested_limit = 1;
+    for (const std::uint32_t expected : {1, 2, 4, 8}) {
+      CPPUNIT_ASSERT_EQUAL(expected, FreeSlots(slots));
+      RaiseRequestedLimit(slots);
+    }
+    CPPUNIT_ASSERT_EQUAL(kNoRequestedLimit, slots.requested_limit);
+    CPPUNIT_ASSERT(CanIssueGrant({.limit = 1, .running = 1, .staged = 0, .granted = 0}, 1));
+  }
+
   // Guards against slots that idle for a round trip after each completion, and against requests
   // that are sent to an endpoint long before it can run them.
   auto testAllowance() -> void {
--- a/libs/endpoint/src/control.cc
+++ b/libs/endpoint/src/control.cc
@@ -24,7 +24,7 @@
     const auto& slots = table.admission.slots;
     const bool has_demand = admission::HasDemand(table.admission.demand);
     return wire::Load{slots.limit, has_demand ? 0 : admission::FreeSlots(slots),
-                      endpoint.node.draining.load()};
+                      endpoint.node.draining || endpoint.replica_leaving};
   });
 }
 
--- a/libs/endpoint/src/request.cc
+++ b/libs/endpoint/src/request.cc
@@ -152,11 +152,13 @@
 // Waits until the staged request gets a slot. Returns false if it expired or was cancelled first.
 auto WaitForSlot(Endpoint& endpoint, Call& call) -> bool {
   auto& pending = *call.pending;
-  while (!pending.started && !pending.expired && !pending.cancelled && !pending.stopped) {
-    pending.changed.Wait();
-  }
+  const auto is_resolved = [&] {
+    return pending.started || pending.expired || pending.cancelled || pending.closed ||
+           pending.stopped;
+  };
+  while (!is_resolved()) pending.changed.Wait();
   if (pending.started) return true;
-  if (pending.cancelled || pending.stopped) {
+  if (!pending.expired) {
     endpoint.admission.With([&](AdmissionTable& table) {
       admission::WithdrawSubmission(table.admission, table.policy, call.submit.attempt,
                                     call.submit.endpoint, ReadClocks());
@@ -165,6 +167,12 @@
   return false;
 }
 
+// Returns why a staged request got no slot.
+auto ReasonWithoutSlot(const PendingRequest& pending) -> core::Reason {
+  if (pending.stopped) return core::Reason::draining;
+  return pending.closed ? core::Reason::no_room : core::Reason::deadline_exceeded;
+}
+
 auto ToHttpRequest(const wire::Submit& submit) -> net::HttpRequest {
   net::HttpRequest request;
   request.method = submit.method;
@@ -183,7 +191,8 @@
 }
 
 // Sends the request to the replica and streams the response to the entry as it arrives.
-auto RelayResponse(Endpoint& endpoint, Call& call, net::HttpExchange& exchange) -> void {
+// Returns false if the replica refused the request without running it.
+auto RelayResponse(Endpoint& endpoint, Call& call, net::HttpExchange& exchange) -> bool {
   if (call.pending->stopped) {
     throw core::Error(core::Step::connect, call.stream->Peer(),
                       "the endpoint process was stopped before the request was sent");
@@ -194,11 +203,15 @@
   const auto response = exchange.StartRequest(
       settings::FormatAddress(endpoint.node.settings.replica), ToHttpRequest(call.submit),
       std::min(kConnectTimeout, remaining), remaining);
+  const auto word = ReadReplicaWord(response);
+  ApplyReplicaWord(endpoint, word);
+  if (word.refused) return false;
   call.pending->response_started = true;
   SendMessage(*call.stream, wire::Head{response.status, response.headers});
   for (auto chunk = exchange.ReadBody(idle); !chunk.empty(); chunk = exchange.ReadBody(idle)) {
     SendMessage(*call.stream, wire::Chunk{std::move(chunk)});
   }
+  return true;
 }
 
 auto OutcomeOf(net::Progress progress) -> core::Outcome {
@@ -239,7 +252,9 @@
     shares::StartCharge(shares, call.charge, call.started_at);
   });
   try {
-    RelayResponse(endpoint, call, exchange);
+    if (!RelayResponse(endpoint, call, exchange)) {
+      end = {false, core::Reason::no_room, core::Outcome::not_run, 0, "the replica refused"};
+    }
   } catch (const core::Error& error) {
     end.complete = false;
     end.outcome = OutcomeOf(exchange.GetProgress());
@@ -293,9 +308,7 @@
     });
     if (!WaitForSlot(endpoint, call)) {
       FinishCall(endpoint, call, core::Outcome::not_run);
-      RefuseCall(endpoint, call,
-                 call.pending->stopped ? core::Reason::draining : core::Reason::deadline_exceeded,
-                 core::Outcome::not_run);
+      RefuseCall(endpoint, call, ReasonWithoutSlot(*call.pending), core::Outcome::not_run);
       return;
     }
   }
--- a/libs/endpoint/src/state.h
+++ b/libs/endpoint/src/state.h
@@ -30,6 +30,8 @@
   // Set if the request was dropped before it got a slot.
   std::atomic<bool> expired = false;
   std::atomic<bool> cancelled = false;
+  // Set if the replica wants no requests for a time.
+  std::atomic<bool> closed = false;
   // The members below are accessed by the request's own worker only.
   // Set when the request is cancelled because the process is about to exit.
   bool stopped = false;
@@ -64,6 +66,8 @@
   std::map<std::string, EntryLink> entries;
   std::uint64_t last_stream = 0;
   std::uint64_t last_charge = 0;
+  // End of the time for which the replica wants no requests.
+  core::Time closed_until{};
   // Time of issue and charge of each outstanding grant.
   std::map<admission::GrantId, std::pair<core::Time, shares::ChargeId>> grant_charges;
   // Time of the last control message from any entry. After a quiet period without one, this process
@@ -95,6 +99,8 @@
   // its pool.
   std::atomic<bool> was_listed = false;
   std::atomic<bool> pool_was_named = false;
+  // Whether the replica has said that it leaves. Ends with its next start.
+  std::atomic<bool> replica_leaving = false;
 };
 
 // Reads the steady clock and the wall clock, the latter in milliseconds.
@@ -136,6 +142,20 @@
 // replica fail, and responses that have started are aborted if `scope` is `all`.
 auto CancelWorkerRequests(WorkerState& worker, node::StopScope scope) -> void;
 
+// What the head of a response tells of the replica and of the request.
+struct ReplicaWord {
+  // Whether the replica turned the request away without running it.
+  bool refused = false;
+  bool leaving = false;
+  // Time for which it wants no requests.
+  std::optional<core::Duration> closed_for;
+};
+
+auto ReadReplicaWord(const net::HttpResponseHead& head) -> ReplicaWord;
+
+// Applies what the replica says of itself: offers are withdrawn while it leaves or is closed.
+auto ApplyReplicaWord(Endpoint& endpoint, const ReplicaWord& word) -> void;
+
 // Serves the control stream of an entry until it ends.
 auto ServeControlStream(Endpoint& endpoint, const std::shared_ptr<net::Stream>& stream) -> void;
 
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -183,9 +183,10 @@
   // Receives the number of the request at this replica, from 1, and the request id.
   using Serve = std::function<void(int, const std::string&, const Writer&)>;
 
-  RawReplica(std::string id, Serve serve)
+  // Listens on `port` of the loopback address, or on any free one.
+  RawReplica(std::string id, Serve serve, std::uint16_t port = 0)
       : id(std::move(id)),
-        acceptor(this->io, {boost::asio::ip::address_v4::loopback(), 0}),
+        acceptor(this->io, {boost::asio::ip::address_v4::loopback(), port}),
         address("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port())),
         serve(std::move(serve)),
         listener([this] { this->Accept(); }) {}
