Retry after a draining endpoint process without using the retry budget

Calls got retry_budget_exhausted, not_run, right after an endpoint process began to drain: the entry sends to it until it has read the new load, each refusal took a token, and a workspace has few at first.

Such a refusal comes before any work, as no_room does, and is still bounded by max_attempts. testBudgetsAreSeparate exhausted the budget with draining; it now uses endpoint_unreachable, the check is the same.

--- a/libs/routing/include/filbertstair/routing/retry.h
+++ b/libs/routing/include/filbertstair/routing/retry.h
@@ -51,7 +51,8 @@
 
 // Decides whether a request may be retried after `failure` and, if so, takes a token from the
 // budget. `attempts` is the number of attempts made so far. After no_room the request returns to
-// the queue without using a token, because the endpoint refused it before doing any work.
+// the queue without using a token, because the endpoint refused it before doing any work; so did
+// one that is draining, whose refusals otherwise use up the budget before its state is known here.
 auto DecideRetry(RetryTable& table, const std::string& service, const std::string& workspace,
                  const document::Retries& rules, core::CallClass call_class, std::uint32_t attempts,
                  const Failure& failure) -> RetryVerdict;
--- a/libs/routing/src/retry.cc
+++ b/libs/routing/src/retry.cc
@@ -51,6 +51,9 @@
   if (!IsRetryAllowed(call_class, failure)) return RetryVerdict::not_allowed;
   if (failure.reason == core::Reason::no_room) return RetryVerdict::retry;
   if (attempts >= rules.max_attempts) return RetryVerdict::too_many;
+  const bool refused_by_process =
+      failure.reason == core::Reason::draining && failure.outcome == core::Outcome::not_run;
+  if (refused_by_process) return RetryVerdict::retry;
   auto& budget = FindOrAddBudget(table, service, workspace);
   if (budget.tokens < 1) return RetryVerdict::budget_exhausted;
   budget.tokens -= 1;
--- a/libs/routing/test/retry_test.cc
+++ b/libs/routing/test/retry_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(testNothingIsRepeatedAfterTheAnswerBegan);
   CPPUNIT_TEST(testFinalRefusalsAreNotRepeated);
   CPPUNIT_TEST(testRetriesStayWithinTheBudget);
+  CPPUNIT_TEST(testDrainingEndpointCostsNoBudget);
   CPPUNIT_TEST(testBudgetsAreSeparate);
   CPPUNIT_TEST(testNotRunNeedsProofForEveryAttempt);
   CPPUNIT_TEST(testBackoffIsBounded);
@@ -90,10 +91,23 @@
     CPPUNIT_ASSERT(retries >= 90);
   }
 
+  // Guards against calls that fail because refusals of a draining endpoint process, which come
+  // before the entry knows of its state, have used up the retry budget.
+  auto testDrainingEndpointCostsNoBudget() -> void {
+    RetryTable table;
+    const Failure failure{Reason::draining, Outcome::not_run, false};
+    for (int i = 0; i < 1000; ++i) {
+      CPPUNIT_ASSERT(DecideRetry(table, "s", "w", kRules, CallClass::once, 1, failure) ==
+                     RetryVerdict::retry);
+    }
+    CPPUNIT_ASSERT(DecideRetry(table, "s", "w", kRules, CallClass::once, kRules.max_attempts,
+                               failure) == RetryVerdict::too_many);
+  }
+
   // Guards against one workspace using up the retry budget of another.
   auto testBudgetsAreSeparate() -> void {
     RetryTable table;
-    const Failure failure{Reason::draining, Outcome::not_run, false};
+    const Failure failure{Reason::endpoint_unreachable, Outcome::not_run, false};
     while (DecideRetry(table, "s", "a", kRules, CallClass::once, 1, failure) ==
            RetryVerdict::retry) {
     }
