Count sound plain responses, and name sources by one table

Found in the read-through: only event streams offset crashes of a block, so that popular blocks of plain routes would have been quarantined after three crashes. relay.quarantine_test testSoundPlainResponsesOffsetCrashes plays it; it was written with the fix and not run before it. The sources in events 304 and 306 come from one enum with a table of names. An entry that stops tells its own short Retry-After also while all replicas are closed.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -390,7 +390,9 @@
     return std::nullopt;
   }
   MarkResponseStarted(relay, assignment);
-  return RelayBody(relay, call, assignment, response, responder);
+  auto failure = RelayBody(relay, call, assignment, response, responder);
+  if (!failure && IsSuccess(response.http.status)) RecordSoundResponse(relay, call);
+  return failure;
 }
 
 // Handles that the connection to the replica failed during the attempt.
--- a/libs/relay/src/availability.cc
+++ b/libs/relay/src/availability.cc
@@ -10,16 +10,10 @@
 // at with the regular sweep.
 constexpr core::Duration kMaxReopenTimer = std::chrono::seconds(10);
 
-enum class LeavingSource { replica, peer };
-
-constexpr auto SourceName(LeavingSource source) -> std::string_view {
-  return source == LeavingSource::replica ? "replica" : "peer";
-}
-
 // Records that a replica leaves. Requests that wait for it are assigned to others, and its idle
 // connections are closed; its requests in progress go on.
 auto HandleLeaving(Relay& relay, const std::string& id, std::int64_t started_ms,
-                   LeavingSource source) -> bool {
+                   ReportSource source) -> bool {
   std::string service;
   std::string address;
   const bool is_new = relay.dispatch.With([&](DispatchTable& table) {
@@ -34,7 +28,7 @@
   if (!is_new) return false;
   telemetry::Log(
       Level::info, Event::replica_changed,
-      {{"peer", id}, {"service", service}, {"state", "leaving"}, {"source", SourceName(source)}});
+      {{"peer", id}, {"service", service}, {"state", "leaving"}, {"source", core::Name(source)}});
   if (address.empty()) return true;
   for (std::size_t i = 0; i < relay.workers.size(); ++i) {
     relay.node.pool.Post(i,
@@ -83,7 +77,7 @@
           direct::FindReplica(table.replicas, assignment.service, assignment.replica);
       return replica == nullptr ? 0 : replica->listing.started_ms;
     });
-    if (HandleLeaving(relay, assignment.replica, started_ms, LeavingSource::replica)) {
+    if (HandleLeaving(relay, assignment.replica, started_ms, ReportSource::replica)) {
       WakePeers(relay);
     }
   }
@@ -93,7 +87,7 @@
 
 auto ApplyLeaving(Relay& relay, const std::vector<wire::LeavingReplica>& leaving) -> void {
   for (const auto& row : leaving) {
-    HandleLeaving(relay, row.replica, row.started_ms, LeavingSource::peer);
+    HandleLeaving(relay, row.replica, row.started_ms, ReportSource::peer);
   }
 }
 
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -17,7 +17,10 @@
 
 auto LogListing(std::string_view id, std::string_view service, std::string_view state) -> void {
   telemetry::Log(Level::info, Event::replica_changed,
-                 {{"peer", id}, {"service", service}, {"state", state}, {"source", "list"}});
+                 {{"peer", id},
+                  {"service", service},
+                  {"state", state},
+                  {"source", core::Name(ReportSource::list)}});
 }
 
 // Delists a replica, at once or after the grace period. Call with the table locked.
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -18,13 +18,6 @@
 constexpr core::Duration kMaxCrashAge = std::chrono::hours(1);
 constexpr std::size_t kMaxCommonBlocks = 64;
 
-// Where the last evidence against a block came from.
-enum class EvidenceSource { observed, reported };
-
-constexpr auto SourceName(EvidenceSource source) -> std::string_view {
-  return source == EvidenceSource::observed ? "observed" : "reported";
-}
-
 auto JoinBlocks(const std::vector<std::uint64_t>& blocks) -> std::string {
   std::string text;
   for (const auto block : blocks) text += (text.empty() ? "" : ",") + core::FormatHex(block);
@@ -32,7 +25,7 @@
 }
 
 auto LogQuarantine(const direct::BlockSuspicion& suspicion, std::uint64_t block,
-                   EvidenceSource source) -> void {
+                   ReportSource source) -> void {
   std::string replicas;
   for (const auto& crash : suspicion.crashes) {
     replicas += (replicas.empty() ? "" : ",") + crash.replica;
@@ -42,7 +35,7 @@
                   {"crashes", std::to_string(suspicion.crashes.size())},
                   {"replicas", replicas},
                   {"common", JoinBlocks(suspicion.common)},
-                  {"source", SourceName(source)}});
+                  {"source", core::Name(source)}});
 }
 
 // A block that has just been quarantined.
@@ -85,7 +78,7 @@
 
 // Applies new quarantines to the requests that wait or are at a replica.
 auto ApplyQuarantines(Relay& relay, const std::vector<NewQuarantine>& quarantined,
-                      EvidenceSource source) -> void {
+                      ReportSource source) -> void {
   if (quarantined.empty()) return;
   for (const auto& item : quarantined) LogQuarantine(item.suspicion, item.block, source);
   relay.dispatch.With([&](DispatchTable& table) { ResolveQuarantined(relay, table); });
@@ -103,7 +96,7 @@
       AppendUpdate(table, {.evidence = evidence});
     }
   });
-  ApplyQuarantines(relay, quarantined, EvidenceSource::observed);
+  ApplyQuarantines(relay, quarantined, ReportSource::replica);
   WakePeers(relay);
 }
 
@@ -204,7 +197,7 @@
     }
     for (const auto block : message.sound_blocks) direct::OffsetCrash(table.quarantine, block);
   });
-  ApplyQuarantines(relay, quarantined, EvidenceSource::reported);
+  ApplyQuarantines(relay, quarantined, ReportSource::peer);
 }
 
 }  // namespace filbertstair::relay
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -232,10 +232,10 @@
   const bool promises_not_run = core::HttpStatus(refused.reason) == 503;
   if (promises_not_run && progress.may_have_run) refused.reason = Reason::connection_lost;
   if (!promises_not_run && !progress.may_have_run) refused.reason = Reason::no_room;
-  if (refused.reason == Reason::draining) refused.retry_after = kDrainRetryDelay;
   if (reopens_at) {
     refused.retry_after = std::max(*reopens_at - node::Now(), kMinReopenRetryDelay);
   }
+  if (refused.reason == Reason::draining) refused.retry_after = kDrainRetryDelay;
   return refused;
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -68,6 +68,10 @@
   direct::PrefixCache::Block block;
 };
 
+// Who told this entry something of a replica: the platform's list, the replica itself by its
+// responses or its end, or another entry.
+enum class ReportSource { list, replica, peer };
+
 // What this entry has learnt of suspected prompt blocks, for its peers: a crash as evidence against
 // a block, or else a sound response to a prompt with `sound_block`.
 struct QuarantineUpdate {
@@ -366,4 +370,12 @@
 
 }  // namespace filbertstair::relay
 
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<relay::ReportSource, 3> kNames<relay::ReportSource>{
+    {{relay::ReportSource::list, "list"},
+     {relay::ReportSource::replica, "replica"},
+     {relay::ReportSource::peer, "peer"}}};
+}  // namespace filbertstair::core
+
 #endif  // FILBERTSTAIR_RELAY_SRC_STATE_H_
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(testAttemptsAtReplicasEndWithTheQuarantine);
   CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
+  CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -183,6 +184,26 @@
     CPPUNIT_ASSERT_EQUAL(200, entry.Call(PromptRequest("sound", kSoundBlocks)).status);
   }
 
+  // Guards against quarantining popular blocks of routes whose responses are not streams.
+  auto testSoundPlainResponsesOffsetCrashes() -> void {
+    FragileReplicas replicas(4);
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    replicas.ListAt(entry);
+    entry.Call(PromptRequest("deadly-1", kDeadlyBlocks));
+    const auto is_suspected = [&](const std::string& block) {
+      const auto status = entry.Call(Get("/status"), true).body;
+      return status.find("\"block\":\"" + block + "\"") != std::string::npos;
+    };
+    CPPUNIT_ASSERT(is_suspected("1") && is_suspected("3"));
+    for (const auto* id : {"sound-1", "sound-2"}) {
+      auto request = PromptRequest(id, kSoundBlocks);
+      request.target = "/again/x";
+      CPPUNIT_ASSERT_EQUAL(200, entry.Call(request).status);
+    }
+    CPPUNIT_ASSERT(!is_suspected("1") && is_suspected("3"));
+  }
+
  private:
   static auto LinkedTo(const TestEntry& entry) -> settings::Settings {
     auto settings = MakeSettings("entry-2");
