--- a/libs/core/include/filbertstair/core/hex.h
+++ b/libs/core/include/filbertstair/core/hex.h
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace filbertstair::core {
 
@@ -16,6 +17,16 @@
   return {digits.begin(), end};
 }
 
+// Formats the numbers in hexadecimal, separated by commas.
+inline auto FormatHexList(const std::vector<std::uint64_t>& numbers) -> std::string {
+  std::string text;
+  for (const auto number : numbers) {
+    if (!text.empty()) text += ',';
+    text += FormatHex(number);
+  }
+  return text;
+}
+
 }  // namespace filbertstair::core
 
 #endif  // FILBERTSTAIR_CORE_HEX_H_
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -139,22 +139,13 @@
   });
 }
 
-// Lists the ids of the prompt's shared blocks in hexadecimal.
-auto FormatSharedBlocks(const Call& call) -> std::string {
-  if (!call.head.prompt) return "";
-  std::string text;
-  const auto& blocks = call.head.prompt->blocks;
-  for (std::size_t i = 0; i + 1 < blocks.size(); ++i) {
-    text += (i == 0 ? "" : ",") + core::FormatHex(blocks[i].id);
-  }
-  return text;
-}
-
 auto LogCutAttempt(const Call& call, const Assignment& assignment, const core::Error& error)
     -> void {
   const auto head_age = assignment.stage == direct::AttemptStage::sent
                             ? core::Duration::zero()
                             : node::Now() - assignment.head_received_at;
+  const auto blocks =
+      call.head.prompt ? direct::SharedBlockIds(*call.head.prompt) : std::vector<std::uint64_t>();
   telemetry::Log(
       Level::info, Event::attempt_cut,
       {{"request", call.id},
@@ -163,7 +154,7 @@
        {"stage", core::Name(assignment.stage)},
        {"head_age_ms",
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(head_age).count())},
-       {"blocks", FormatSharedBlocks(call)},
+       {"blocks", core::FormatHexList(blocks)},
        {"error", error.what()}});
 }
 
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -18,12 +18,6 @@
 constexpr core::Duration kMaxCrashAge = std::chrono::hours(1);
 constexpr std::size_t kMaxCommonBlocks = 64;
 
-auto JoinBlocks(const std::vector<std::uint64_t>& blocks) -> std::string {
-  std::string text;
-  for (const auto block : blocks) text += (text.empty() ? "" : ",") + core::FormatHex(block);
-  return text;
-}
-
 auto LogQuarantine(const direct::BlockSuspicion& suspicion, std::uint64_t block,
                    ReportSource source) -> void {
   std::string replicas;
@@ -34,7 +28,7 @@
                  {{"block", core::FormatHex(block)},
                   {"crashes", std::to_string(suspicion.crashes.size())},
                   {"replicas", replicas},
-                  {"common", JoinBlocks(suspicion.common)},
+                  {"common", core::FormatHexList(suspicion.common)},
                   {"source", core::Name(source)}});
 }
 
