--- a/libs/relay/test/availability_test.cc
+++ b/libs/relay/test/availability_test.cc
@@ -239,8 +239,10 @@
     entry.Configure(std::move(fleet));
     entry.List(busy);
     entry.Call(Get("/again/x", "first"));
+    constexpr int callers = 6;
     std::vector<std::future<int>> statuses;
-    for (int i = 0; i < 6; ++i) {
+    statuses.reserve(callers);
+    for (int i = 0; i < callers; ++i) {
       statuses.push_back(std::async(std::launch::async, [&entry, i] {
         net::HttpRequest request = Get("/again/x", "w" + std::to_string(i));
         return entry.Call(request).status;
