--- a/libs/direct/test/quarantine_property_test.cc
+++ b/libs/direct/test/quarantine_property_test.cc
@@ -2,21 +2,13 @@
 #include <rapidcheck.h>
 
 #include "filbertstair/direct/quarantine.h"
+#include "make_prompt.h"
 
 namespace filbertstair::direct {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Prompt with these shared blocks and one of its own.
-auto MakePrompt(const std::vector<std::uint64_t>& shared) -> Prompt {
-  constexpr std::uint64_t own = 1000;
-  Prompt prompt;
-  for (const auto id : shared) prompt.blocks.push_back({id, 100});
-  prompt.blocks.push_back({own, 10});
-  return prompt;
-}
-
 // Kept apart from the other tests of the quarantine, so that KNOWN-RED.txt can name it alone.
 class QuarantinePropertyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantinePropertyTest);
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "make_prompt.h"
+
 namespace filbertstair::direct {
 namespace {
 
@@ -13,15 +15,6 @@
 constexpr std::uint64_t kDeadly = 2;
 constexpr std::uint64_t kOther = 3;
 
-// Prompt with these shared blocks and one of its own.
-auto MakePrompt(const std::vector<std::uint64_t>& shared) -> Prompt {
-  constexpr std::uint64_t own = 1000;
-  Prompt prompt;
-  for (const auto id : shared) prompt.blocks.push_back({id, 100});
-  prompt.blocks.push_back({own, 10});
-  return prompt;
-}
-
 class QuarantineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantineTest);
   CPPUNIT_TEST(testBlockIsQuarantinedAfterThreeCrashes);
