--- a/review/standins/burst.cc
+++ b/review/standins/burst.cc
@@ -33,7 +33,7 @@
   const auto text = RequestText(
       {.id = id, .target = "/upload/x", .key = "key-1", .body = body, .deadline_ms = 15000});
   for (std::size_t at = 0; at < text.size(); at += kPieceBytes) {
-    if (!connection->Send(std::string_view(text).substr(at, kPieceBytes))) return 0;
+    if (!connection->Send(text.substr(at, kPieceBytes))) return 0;
     SleepMs(static_cast<int>(kPieceBytes / kUploadBytesPerMs));
   }
   return Status(connection->Read(true, milliseconds(16000)));
--- a/review/standins/odd.cc
+++ b/review/standins/odd.cc
@@ -56,8 +56,10 @@
 
   std::atomic<int> served = 0;
   std::atomic<int> at_foreign = 0;
+  constexpr int client_count = 8;
   std::vector<std::thread> clients;
-  for (int client = 0; client < 8; ++client) {
+  clients.reserve(client_count);
+  for (int client = 0; client < client_count; ++client) {
     clients.emplace_back([&, client] {
       for (int i = 0; i < 25; ++i) {
         const auto id = "stamp-" + std::to_string(client) + "-" + std::to_string(i);
--- a/review/standins/smuggle.cc
+++ b/review/standins/smuggle.cc
@@ -62,13 +62,15 @@
     const auto framing = HasTrouble() ? "Transfer-Encoding: " + coding
                                       : "Content-Length: " + std::to_string(inner.size());
     const auto id = "outer-" + number;
-    record.Line("send " + id + " with " + framing + " and a body of " +
-                std::to_string(inner.size()) + " bytes");
-    Exchange(entry.Front(),
-             "POST /stamp/outer HTTP/1.1\r\nHost: a.example\r\nX-Filbertstair-Attempt-Id: " + id +
-                 "\r\nX-Filbertstair-Deadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\n" +
-                 framing + "\r\n\r\n" + inner,
-             record);
+    std::ostringstream text;
+    text << "POST /stamp/outer HTTP/1.1\r\nHost: a.example\r\nX-Filbertstair-Attempt-Id: " << id
+         << "\r\nX-Filbertstair-Deadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\n"
+         << framing << "\r\n\r\n"
+         << inner;
+    std::ostringstream note;
+    note << "send " << id << " with " << framing << " and a body of " << inner.size() << " bytes";
+    record.Line(note.str());
+    Exchange(entry.Front(), text.str(), record);
     const std::lock_guard lock(runs.mutex);
     const auto outer = runs.by_id.find(id);
     if (outer != runs.by_id.end() && outer->second.body != inner) {
