--- a/review/standins/smuggle.cc
+++ b/review/standins/smuggle.cc
@@ -79,7 +79,7 @@
     }
     if (runs.by_id.contains("inner-" + number)) {
       ++broken;
-      record.Line("inner-" + number + " ran, which was the body of " + id);
+      record.Line("the body of " + id + " ran as a request of its own");
     }
     if (!HasTrouble() && outer == runs.by_id.end()) throw std::runtime_error(id + " did not run");
   }
