--- a/review/standins/kit.h
+++ b/review/standins/kit.h
@@ -223,6 +223,9 @@
     return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
   }
 
+  // Ends the connection for the peer; may be called from another thread.
+  auto Abort() const -> void { shutdown(this->fd, SHUT_RDWR); }
+
   auto Reset() -> void {
     const linger option{1, 0};
     setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
