--- a/review/standins/deadly.cc
+++ b/review/standins/deadly.cc
@@ -211,7 +211,8 @@
     batch.started_ms = record.NowMs();
     record.Line("batch " + std::to_string(number));
     for (int i = 0; i < kBatchSize; ++i) {
-      const bool deadly = HasTrouble() && number >= kFirstDeadlyBatch && i % kDeadlyOneIn == kDeadlyOneIn / 2;
+      const bool deadly =
+          HasTrouble() && number >= kFirstDeadlyBatch && i % kDeadlyOneIn == kDeadlyOneIn / 2;
       const int port = (i / 2 % 2 == 0 ? first : second).Front();
       const auto id = std::to_string(number) + "-" + std::to_string(i);
       callers.emplace_back([&, port, id, deadly, number_of_call = ++serial] {
