--- a/review/standins/deadly.cc
+++ b/review/standins/deadly.cc
@@ -13,7 +13,7 @@
 constexpr int kAwayMs = 3000;     // a crashed replica is back after that
 constexpr int kEvents = 40;
 constexpr int kEventMs = 50;
-constexpr int kContactMs = 4000;
+constexpr std::int64_t kContactMs = 4000;
 
 const std::vector<RouteSpec> kRoutes = {{.prefix = "/report/",
                                          .type = "streaming",
