--- a/review/standins/deadly.cc
+++ b/review/standins/deadly.cc
@@ -10,7 +10,8 @@
 constexpr int kBatchIntervalMs = 15000;
 constexpr int kFirstDeadlyBatch = 2;
 constexpr int kDeadlyOneIn = 20;  // `poison`: share = 0.05, for_s = 22
-constexpr int kAwayMs = 3000;     // a crashed replica is back after that
+constexpr int kAwayMs = 4000;     // a crashed replica is back then; its entry has lapsed
+constexpr int kDeadlineMs = 15000;
 constexpr int kEvents = 40;
 constexpr int kEventMs = 50;
 constexpr std::int64_t kContactMs = 4000;
@@ -159,20 +160,23 @@
   std::atomic<int> begun = 0;
 };
 
-// Sends a request, and once more if it fails.
+// Sends a request, and once more if it fails: at once, or when a refusal says so, but after a third
+// of the time that is left at the latest.
 auto Call(int port, const std::string& id, bool deadly, int serial, Batch& batch, Runs& runs,
           Record& record) -> void {
+  const auto deadline_ms = record.NowMs() + kDeadlineMs;
   const auto middle = deadly ? "dead" : std::to_string(10 + serial % 20);
+  std::ostringstream headers;
+  headers << "X-Filbertstair-Model: m\r\nX-Filbertstair-Token-Count: 250,80\r\n"
+          << "X-Filbertstair-Prompt-Prefix: 5:100," << middle << ":100," << 1000 + serial
+          << ":50\r\n";
   for (int attempt = 1; attempt <= 2; ++attempt) {
     const auto attempt_id = id + "-" + std::to_string(attempt);
-    std::ostringstream headers;
-    headers << "X-Filbertstair-Model: m\r\nX-Filbertstair-Token-Count: 250,80\r\n"
-            << "X-Filbertstair-Prompt-Prefix: 5:100," << middle << ":100," << 1000 + serial
-            << attempt << ":50\r\n";
+    const auto left_ms = static_cast<int>(deadline_ms - record.NowMs());
     const auto answer = Request(port, {.id = attempt_id,
                                        .target = "/report/x",
                                        .key = "key-1",
-                                       .deadline_ms = 15000,
+                                       .deadline_ms = left_ms,
                                        .headers = headers.str()});
     const bool whole = Status(answer) == 200 && answer.complete;
     bool begun = false;
@@ -189,6 +193,10 @@
       batch.begun += begun ? 1 : 0;
     }
     if (whole) return;
+    const auto retry_after = Find(answer.headers, "Retry-After");
+    const auto wait_ms = retry_after.empty() ? 0.0 : std::stod(retry_after) * 1000;
+    const auto most_ms = static_cast<double>(deadline_ms - record.NowMs()) / 3;
+    SleepMs(static_cast<int>(std::min(wait_ms, std::max(most_ms, 0.0))));
   }
 }
 
