--- a/review/standins/odd.cc
+++ b/review/standins/odd.cc
@@ -1,10 +1,12 @@
 #include "kit.h"
 
-// Another writer's entry without the field `version` stands among those of the replicas. Its server
-// belongs to another system, which runs whatever it is sent.
+// Another writer overwrites the entry of a replica of another service, and leaves fields out. The
+// replica writes its own entry again with its next check-in.
 namespace review {
 namespace {
 
+constexpr int kCheckInMs = 1200;  // heartbeat-ms of the sites
+
 const std::vector<RouteSpec> kRoutes = {{.prefix = "/stamp/",
                                          .type = "non_idempotent",
                                          .service = "cert",
@@ -37,31 +39,23 @@
     replica.on_run = [&, id](const Message& request) { note(id, request); };
     store.Put(replica.Key(), replica.Listing());
   }
-  const auto& foreign = Keep<Listener>([&](const std::shared_ptr<Connection>& connection) {
-    while (true) {
-      const auto request = connection->Read(false, std::chrono::hours(1));
-      if (request.first.empty() || !request.complete) return;
-      note("the foreign server", request);
-      if (!connection->Send(Answer(200, "done elsewhere"))) return;
-    }
-  });
-  if (HasTrouble()) {
-    store.Put("servers/x-1", R"({"service":"cert","address":")" + AddressOf(foreign.Port()) +
-                                 R"(","zone":"north-cr","capacity":16,"state":"ready"})");
-    record.Line("an entry without version, cold-left-ms and call-seq was written");
-  }
-  store.Put("op/config", ConfigJson(1, kRoutes, {"cert"}, {{"team", {"key-1"}}}));
+  // No route leads to this replica's service.
+  auto& archive = Keep<Replica>("i-9", "archive", AnswerLater);
+  archive.on_run = [&](const Message& request) { note("i-9 of archive", request); };
+  store.Put(archive.Key(), archive.Listing());
+  store.Put("op/config", ConfigJson(1, kRoutes, {"cert", "archive"}, {{"team", {"key-1"}}}));
   const Entry entry("edge-1", directory.Path(), store.Port());
   entry.AwaitReady();
 
   std::atomic<int> served = 0;
-  std::atomic<int> at_foreign = 0;
+  std::atomic<int> at_archive = 0;
+  std::atomic<bool> done = false;
   constexpr int client_count = 8;
   std::vector<std::thread> clients;
   clients.reserve(client_count);
   for (int client = 0; client < client_count; ++client) {
     clients.emplace_back([&, client] {
-      for (int i = 0; i < 25; ++i) {
+      for (int i = 0; !done; ++i) {
         const auto id = "stamp-" + std::to_string(client) + "-" + std::to_string(i);
         const auto answer = Request(
             entry.Front(),
@@ -69,15 +63,28 @@
         served += Status(answer) == 200 ? 1 : 0;
         record.Line("sent " + id + ": status " + std::to_string(Status(answer)));
         const std::lock_guard lock(runs.mutex);
-        at_foreign += runs.server_of[id] == "the foreign server" ? 1 : 0;
+        at_archive += runs.server_of[id] == "i-9 of archive" ? 1 : 0;
       }
     });
   }
+  SleepMs(kCheckInMs);
+  if (HasTrouble()) {
+    auto odd = archive.Listing();
+    odd.replace(odd.find("archive"), std::string_view("archive").size(), "cert");
+    odd.replace(odd.find(R"("version":"1",)"), std::string_view(R"("version":"1",)").size(), "");
+    store.Put(archive.Key(), odd);
+    record.Line("another writer: " + archive.Key() + " = " + odd);
+  }
+  SleepMs(kCheckInMs);
+  store.Put(archive.Key(), archive.Listing());
+  record.Line("check-in of i-9");
+  SleepMs(kCheckInMs);
+  done = true;
   for (auto& client : clients) client.join();
-  record.Line(std::to_string(served) + " served, " + std::to_string(at_foreign) +
-              " run by a server that is no replica");
+  record.Line(std::to_string(served) + " served, " + std::to_string(at_archive) +
+              " run by a replica of another service");
   if (served == 0) throw std::runtime_error("nothing was served");
-  return at_foreign > 0;
+  return at_archive > 0;
 }
 
 }  // namespace
