Bound what is kept of a response or request that is not parsed yet

What callers saw: a replica that answers with bytes without a line end where a chunk's size is due took an entry over 260 MB within 2 s.

Cause: Beast takes a chunk's size line and a trailer only as a whole and limits neither; while one is incomplete, the read goes on into a flat_buffer without a maximum size. The limits of the relay count decoded bytes only. The server side had the same fault for a caller's chunked body, and replies of the platform were kept without limit.

Change: the client's input buffer holds 16 KiB, the server's 64 KiB beyond the header's limit. A longer incomplete part is a read error, or 400 for a caller. ReadWholeBody bounds bodies that are kept as a whole, in bytes and time.

Why it works: what the parser cannot use stays in that buffer only, and a full buffer ends the read with buffer_overflow.

--- a/libs/net/include/filbertstair/net/http_client.h
+++ b/libs/net/include/filbertstair/net/http_client.h
@@ -2,6 +2,7 @@
 #define FILBERTSTAIR_NET_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -70,6 +71,9 @@
   // ReadBody waits.
   auto Cancel() -> void;
 
+  // Address of the last Connect.
+  auto GetAddress() const -> const std::string&;
+
   auto GetProgress() const -> Progress { return this->progress; }
 
  private:
@@ -81,9 +85,21 @@
 // Opens a connection and closes it; a server that does not answer within `timeout` does not refuse.
 auto RefusesConnections(const std::string& address, std::chrono::milliseconds timeout) -> bool;
 
-// Runs a complete exchange and stores the body in `body`. `timeout` holds for each step, not for
-// the whole exchange. Throws core::Error as HttpExchange does, and with Step::read for a
-// close-delimited response, since it can't be verified to be complete.
+// Limits on reading a body that is kept as a whole.
+struct BodyLimits {
+  std::size_t max_bytes = 0;
+  // Longest wait for the next part, and for the whole body.
+  std::chrono::milliseconds max_pause{};
+  std::chrono::milliseconds max_time{};
+};
+
+// Reads the rest of a response's body. Throws core::Error (Step::read) as ReadBody does, and if the
+// body exceeds a limit.
+auto ReadWholeBody(HttpExchange& exchange, const BodyLimits& limits) -> std::string;
+
+// Runs a complete exchange and stores the body, of at most 16 MiB, in `body`. `timeout` holds for
+// each step, and for the whole body. Throws core::Error as HttpExchange and ReadWholeBody do, and
+// with Step::read for a close-delimited response, since it can't be verified to be complete.
 auto Fetch(const std::string& address, const HttpRequest& request,
            std::chrono::milliseconds timeout, std::string& body) -> HttpResponseHead;
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/net/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -19,6 +20,9 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBufferBytes = std::size_t{16} * 1024;
+// Maximum number of bytes kept that the parser can't use yet: an incomplete head, chunk size line
+// or trailer. Beast limits only the head, to half of this.
+constexpr std::size_t kMaxUnparsedBytes = std::size_t{16} * 1024;
 // Maximum number of interim (1xx) responses to one request. Servers send one or two; more
 // would delay the caller.
 constexpr int kMaxInterimResponses = 8;
@@ -26,7 +30,7 @@
 struct ClientConnection {
   std::string address;
   beast::tcp_stream stream{runtime::IoContext()};
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   // Replaced for each response.
   std::optional<http::response_parser<http::buffer_body>> parser;
   bool is_head_request = false;
@@ -42,6 +46,8 @@
 namespace http = detail::http;
 
 constexpr unsigned kSwitchingProtocols = 101;
+// Maximum size of a body that Fetch returns. The configuration service holds values of up to 1 MB.
+constexpr std::size_t kMaxFetchedBytes = std::size_t{16} << 20;
 
 auto ThrowOnError(const boost::system::error_code& error, core::Step step, const std::string& peer)
     -> void {
@@ -207,6 +213,8 @@
   return parser && parser->is_done();
 }
 
+auto HttpExchange::GetAddress() const -> const std::string& { return this->connection->address; }
+
 auto HttpExchange::Cancel() -> void { this->connection->stream.close(); }
 
 auto RefusesConnections(const std::string& address, std::chrono::milliseconds timeout) -> bool {
@@ -218,6 +226,25 @@
   return result.error == boost::system::errc::connection_refused;
 }
 
+auto ReadWholeBody(HttpExchange& exchange, const BodyLimits& limits) -> std::string {
+  using Clock = std::chrono::steady_clock;
+  const auto fail = [&](const std::string& message) {
+    return core::Error(core::Step::read, exchange.GetAddress(), message);
+  };
+  const auto deadline = Clock::now() + limits.max_time;
+  std::string body;
+  while (true) {
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(deadline - Clock::now());
+    if (remaining <= std::chrono::milliseconds::zero()) throw fail("body timed out");
+    const auto part = exchange.ReadBody(std::min(limits.max_pause, remaining));
+    if (part.empty()) return body;
+    if (part.size() > limits.max_bytes - body.size()) {
+      throw fail("body of more than " + std::to_string(limits.max_bytes) + " bytes");
+    }
+    body += part;
+  }
+}
+
 auto Fetch(const std::string& address, const HttpRequest& request,
            std::chrono::milliseconds timeout, std::string& body) -> HttpResponseHead {
   HttpExchange exchange;
@@ -226,11 +253,7 @@
     throw core::Error(core::Step::read, address,
                       "response has no Content-Length and is not chunked");
   }
-  body.clear();
-  for (std::string part = exchange.ReadBody(timeout); !part.empty();
-       part = exchange.ReadBody(timeout)) {
-    body += part;
-  }
+  body = ReadWholeBody(exchange, {kMaxFetchedBytes, timeout, timeout});
   return head;
 }
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -82,9 +83,9 @@
 
 auto ClassifyReadError(const boost::system::error_code& error) -> RequestFault {
   if (error == http::error::body_limit) return RequestFault::body_too_large;
-  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-    return RequestFault::header_too_large;
-  }
+  if (error == http::error::header_limit) return RequestFault::header_too_large;
+  // A chunk size line or trailer without end. The header's limit is below that of the buffer.
+  if (error == http::error::buffer_overflow) return RequestFault::malformed;
   if (error.category() == http::make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream && error != http::error::partial_message) {
     return RequestFault::malformed;
@@ -108,6 +109,11 @@
 namespace detail {
 namespace {
 
+// Maximum number of bytes beyond the header's limit that are kept until the parser can use them.
+// Beast limits neither the line that states the size of a chunk nor the trailer. Larger than what
+// screening may have read from the connection.
+constexpr std::size_t kReadAheadBytes = std::size_t{64} << 10;
+
 // Waits for the first bytes of the next request unless some are already buffered.
 auto WaitForRequest(HttpListener::State& listener, const HttpLimits& limits,
                     beast::tcp_stream& stream, beast::flat_buffer& buffer)
@@ -134,6 +140,7 @@
   const auto limits = CurrentLimits(listener);
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
+  buffer.max_size(std::max(limits.max_header_bytes + kReadAheadBytes, buffer.size()));
   if (const auto error = WaitForRequest(listener, limits, stream, buffer)) return error;
   stream.expires_after(limits.max_header_time);
   auto result = runtime::Await(
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -76,6 +76,24 @@
   return received;
 }
 
+constexpr std::size_t kMaxFloodBytes = std::size_t{64} << 20;
+
+// Sends the bytes and then further ones, without a line end, until the server closes the connection
+// or kMaxFloodBytes have been sent. Returns the number of the further bytes.
+auto WriteUntilClosed(const std::string& address, const std::string& bytes) -> std::size_t {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(ParseAddress(address));
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  const std::string text(std::size_t{64} << 10, 'x');
+  boost::system::error_code error;
+  std::size_t sent = 0;
+  while (!error && sent < kMaxFloodBytes) {
+    sent += boost::asio::write(socket, boost::asio::buffer(text), error);
+  }
+  return sent;
+}
+
 // Refuses requests to "/refused", and all requests on a full listener. Admits the others.
 auto RefuseSome(const HttpRequest& request, bool full) -> ScreenResult {
   if (request.target != "/refused" && !full) return {.admitted = true};
@@ -153,6 +171,7 @@
   CPPUNIT_TEST(testCutAnswerIsAnError);
   CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
+  CPPUNIT_TEST(testEndlessChunkedBodyIsRefused);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
   CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
@@ -286,6 +305,19 @@
             });
   }
 
+  // Guards against a caller whose bytes are kept without bound: a line that states a chunk's size,
+  // or a trailer, that never ends counts neither as header nor as body.
+  auto testEndlessChunkedBodyIsRefused() -> void {
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body : {"", "5;name=", "0\r\nLong: "}) {
+      RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
+              [&](const std::string& address) {
+                CPPUNIT_ASSERT_MESSAGE(body,
+                                       WriteUntilClosed(address, head + body) < kMaxFloodBytes);
+              });
+    }
+  }
+
   // Guards against an overloaded entry that spends all of its time on refusals: a request that
   // arrived before its connection was accepted is refused without starting a fiber.
   auto testScreenedRequestIsAnsweredAtOnce() -> void {
--- a/libs/relay/test/bad_answer_test.cc
+++ b/libs/relay/test/bad_answer_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(testEndlessAnswerToAnotherRequest);
   CPPUNIT_TEST(testEndlessRefusal);
   CPPUNIT_TEST(testEndlessHead);
+  CPPUNIT_TEST(testEndlessChunkFraming);
   CPPUNIT_TEST(testEndlessEvent);
   CPPUNIT_TEST(testEndlessBody);
   CPPUNIT_TEST(testSlowEndlessBytes);
@@ -113,6 +114,22 @@
     CPPUNIT_ASSERT_EQUAL(502, answer.status);
   }
 
+  // Guards against unbounded memory use by a chunk's size line or a trailer that never ends.
+  auto testEndlessChunkFraming() -> void {
+    for (const std::string begin : {"", "0\r\nLong: "}) {
+      for (const std::string target : {"/once/x", "/stream-once/x"}) {
+        const auto answer = CallWithin(
+            target,
+            [&](int, const std::string& id, const RawReplica::Writer& write) {
+              write(Head("200 OK", id) + "Receipt: r\r\n" + kChunked + begin);
+              while (write(std::string(1024, 'x'))) std::this_thread::sleep_for(milliseconds(1));
+            },
+            seconds(1));
+        CPPUNIT_ASSERT_EQUAL(502, answer.status);
+      }
+    }
+  }
+
   // Guards against unbounded memory use by an endless event.
   auto testEndlessEvent() -> void {
     const auto answer = CallWithin(
