Refuse unknown credentials also when no credential is left

Change: FleetConfig::requires_credential, set where the configuration has tenants, decides alone. The lease of credentials now also holds while there are none.

--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -64,7 +64,10 @@
   std::vector<Route> routes;
   std::map<std::string, ServiceSpec, std::less<>> services;
   Limits limits;
-  // Workspace by credential. If empty, requests need no credential.
+  // Whether requests need a credential, except on public routes. Holds also while there are no
+  // credentials, when all such requests are refused.
+  bool requires_credential = false;
+  // Workspace by credential.
   std::unordered_map<std::string, std::string> credentials;
 };
 
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -50,7 +50,7 @@
 // Finds the workspace that owns the request's credential.
 auto Authorize(Relay& relay, const Call& call, std::string& workspace)
     -> std::optional<RequestRefusal> {
-  if (call.route->is_public || call.fleet->credentials.empty()) return std::nullopt;
+  if (call.route->is_public || !call.fleet->requires_credential) return std::nullopt;
   if (!HasCurrentFleet(relay)) return RefuseStaleConfiguration(call);
   const auto* owner = direct::FindWorkspace(*call.fleet, call.head.credential);
   if (owner == nullptr) {
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -355,6 +355,7 @@
 inline auto MakeFleetConfig() -> direct::FleetConfig {
   direct::FleetConfig fleet;
   fleet.version = 1;
+  fleet.requires_credential = true;
   fleet.credentials["k"] = "w";
   fleet.routes.push_back(MakeRoute("/once/"));
   fleet.routes.push_back(MakeRoute("/open/"));
--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(testStaleConfigurationRefuses);
   CPPUNIT_TEST(testReplicasThatLapsedAreKeptForAWhile);
   CPPUNIT_TEST(testVersionNeverGoesBack);
+  CPPUNIT_TEST(testNoCredentialWorksAfterTheLastIsRevoked);
   CPPUNIT_TEST(testOnceCallRunsOnce);
   CPPUNIT_TEST(testRepeatableCallIsRepeated);
   CPPUNIT_TEST(testRefusingReplicaProvesNotRun);
@@ -123,6 +124,25 @@
     CPPUNIT_ASSERT_EQUAL(401, entry.Call(Get("/once/x")).status);
   }
 
+  // Guards against running requests of anyone once a configuration has revoked the last credential.
+  auto testNoCredentialWorksAfterTheLastIsRevoked() -> void {
+    FakeReplica replica("a", RespondOk);
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/once/x")).status);
+    auto revoked = MakeFleetConfig();
+    revoked.version = 2;
+    revoked.credentials.clear();
+    entry.Configure(revoked);
+    for (const std::string credential : {"k", "never held", ""}) {
+      auto request = Get("/once/x");
+      request.headers = {{"Id", "1"}, {"Key", credential}};
+      CPPUNIT_ASSERT_EQUAL(401, entry.Call(request).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/open/x")).status);
+  }
+
   // Guards against running a call twice when its response was lost, and against a status that
   // promises that it did not run.
   auto testOnceCallRunsOnce() -> void {
