Refuse bodies in transfer codings that are not decoded, and TRACE and CONNECT

Cause: the parser takes a request without a length that is not chunked for one without a body, whatever its coding. Two codings before or after chunked were passed on undecoded.

Change: a request or response has no transfer coding or exactly "chunked". Other requests, TRACE and CONNECT get 400 and the connection is closed; other responses are read errors.

--- a/libs/net/src/beast_request.h
+++ b/libs/net/src/beast_request.h
@@ -1,13 +1,34 @@
 #ifndef FILBERTSTAIR_NET_SRC_BEAST_REQUEST_H_
 #define FILBERTSTAIR_NET_SRC_BEAST_REQUEST_H_
 
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <iterator>
 #include <string>
 
 #include "filbertstair/net/http_server.h"
 
 namespace filbertstair::net::detail {
 
+// Returns whether the message has no transfer coding, or only the one that is decoded here. A body
+// in another coding has no end that a reader of this message and the next one would agree on (RFC
+// 9112, section 6.1).
+template <typename Fields>
+auto HasKnownCoding(const Fields& fields) -> bool {
+  const auto codings = fields.equal_range(boost::beast::http::field::transfer_encoding);
+  if (codings.first == codings.second) return true;
+  return std::next(codings.first) == codings.second &&
+         boost::beast::iequals(codings.first->value(), "chunked");
+}
+
+// Returns whether requests with the method are served. A TRACE has no body and is answered with the
+// request itself, credentials included; a CONNECT asks for a tunnel.
+inline auto IsServed(boost::beast::http::verb method) -> bool {
+  return method != boost::beast::http::verb::trace && method != boost::beast::http::verb::connect;
+}
+
 // Returns the request without its body.
 template <typename Fields>
 auto ToHead(const boost::beast::http::request_header<Fields>& header, const std::string& peer)
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "beast_request.h"
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
 #include "filbertstair/runtime/await.h"
@@ -152,6 +153,9 @@
   if (c.parser->get().result_int() == kSwitchingProtocols) {
     throw core::Error(core::Step::read, c.address, "unexpected switch of protocols");
   }
+  if (!detail::HasKnownCoding(c.parser->get())) {
+    throw core::Error(core::Step::read, c.address, "unknown transfer coding");
+  }
   this->progress = Progress::head_received;
 
   HttpResponseHead head;
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -146,6 +146,8 @@
   auto result = runtime::Await(
       [&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
   if (result.error) return result.error;
+  if (!HasKnownCoding(parser.get())) return http::error::bad_transfer_encoding;
+  if (!IsServed(parser.get().method())) return http::error::bad_method;
   if (parser.get()[http::field::expect] == "100-continue") {
     const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     runtime::Await([&](auto handler) {
--- a/libs/net/src/screen.cc
+++ b/libs/net/src/screen.cc
@@ -46,8 +46,11 @@
   parser.body_limit(limits.max_body_bytes);
   boost::system::error_code error;
   const auto head_size = parser.put(boost::asio::buffer(received), error);
-  if (error || !parser.is_header_done() || parser.chunked()) return std::nullopt;
+  if (error || !parser.is_header_done()) return std::nullopt;
   const auto& head = parser.get();
+  if (head.count(http::field::transfer_encoding) > 0 || !IsServed(head.method())) {
+    return std::nullopt;
+  }
   if (head.method() == http::verb::head || head.count(http::field::expect) > 0) return std::nullopt;
   if (received.size() - head_size != parser.content_length().value_or(0)) return std::nullopt;
   return ToHead(head, "");
--- a/libs/net/test/http_client_test.cc
+++ b/libs/net/test/http_client_test.cc
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(testEndlessFramingIsGivenUp);
   CPPUNIT_TEST(testEndlessBodyIsNotKept);
   CPPUNIT_TEST(testSlowBodyEndsInTime);
+  CPPUNIT_TEST(testUnknownCodingIsNoResponse);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -148,6 +149,17 @@
     server.sent.get();
   }
 
+  // Guards against passing on a body whose end is not known as a whole one.
+  auto testUnknownCodingIsNoResponse() -> void {
+    for (const std::string coding : {"gzip", "gzip, chunked"}) {
+      std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+      head.append(coding).append("\r\n\r\n");
+      EndlessServer server({head, "x"});
+      CPPUNIT_ASSERT_MESSAGE(coding, RunClient([&] { return FailsToRead(server.address); }));
+      CPPUNIT_ASSERT_MESSAGE(coding, server.sent.get() < kMaxSentBytes);
+    }
+  }
+
  private:
   // Runs `client` on a worker and returns its result.
   static auto RunClient(const std::function<bool()>& client) -> bool {
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <future>
 #include <string_view>
 #include <thread>
+#include <vector>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/net/address.h"
@@ -78,13 +80,14 @@
 
 constexpr std::size_t kMaxFloodBytes = std::size_t{64} << 20;
 
-// Sends the bytes and then further ones, without a line end, until the server closes the connection
-// or kMaxFloodBytes have been sent. Returns the number of the further bytes.
-auto WriteUntilClosed(const std::string& address, const std::string& bytes) -> std::size_t {
+// Sends the parts and then further bytes, without a line end, until the server closes the
+// connection or kMaxFloodBytes have been sent. Returns the number of the further bytes.
+auto WriteUntilClosed(const std::string& address, const std::vector<std::string>& parts)
+    -> std::size_t {
   boost::asio::io_context io;
   boost::asio::ip::tcp::socket socket(io);
   socket.connect(ParseAddress(address));
-  boost::asio::write(socket, boost::asio::buffer(bytes));
+  for (const auto& part : parts) boost::asio::write(socket, boost::asio::buffer(part));
   const std::string text(std::size_t{64} << 10, 'x');
   boost::system::error_code error;
   std::size_t sent = 0;
@@ -172,6 +175,8 @@
   CPPUNIT_TEST(testAnswerUpToTheEndOfTheConnection);
   CPPUNIT_TEST(testOversizedBody);
   CPPUNIT_TEST(testEndlessChunkedBodyIsRefused);
+  CPPUNIT_TEST(testBodyInUnknownCodingIsNoRequest);
+  CPPUNIT_TEST(testUnservedMethodsAreRefused);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
   CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
@@ -310,10 +315,45 @@
   auto testEndlessChunkedBodyIsRefused() -> void {
     const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
     for (const std::string body : {"", "5;name=", "0\r\nLong: "}) {
+      RunPair(
+          [](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
+          [&](const std::string& address) {
+            CPPUNIT_ASSERT_MESSAGE(body, WriteUntilClosed(address, {head, body}) < kMaxFloodBytes);
+          });
+    }
+  }
+
+  // Guards against running the body of a request as a request of its own, because its end is not
+  // known: whoever shares a connection could add requests to those of others.
+  auto testBodyInUnknownCodingIsNoRequest() -> void {
+    const std::string inner = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const std::string coding : {"gzip", "identity", "x", "gzip, chunked", "chunked, chunked",
+                                     "chunked\r\nTransfer-Encoding: gzip"}) {
+      std::atomic<int> requests = 0;
+      RunPair(
+          [&](const HttpRequest&, Responder& responder) {
+            ++requests;
+            responder.Respond(200, {}, "");
+          },
+          [&](const std::string& address) {
+            std::string outer = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: ";
+            outer.append(coding).append("\r\n\r\n").append(inner);
+            const auto response = ExchangeBytes(address, outer);
+            CPPUNIT_ASSERT_MESSAGE(coding, response.starts_with("HTTP/1.1 400 "));
+          });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(coding, 0, requests.load());
+    }
+  }
+
+  // Guards against a request whose forwarding ends in an exception of the HTTP library.
+  auto testUnservedMethodsAreRefused() -> void {
+    for (const std::string line : {"TRACE /", "CONNECT h:1"}) {
       RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
               [&](const std::string& address) {
-                CPPUNIT_ASSERT_MESSAGE(body,
-                                       WriteUntilClosed(address, head + body) < kMaxFloodBytes);
+                auto request = line;
+                request.append(" HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx");
+                const auto response = ExchangeBytes(address, request);
+                CPPUNIT_ASSERT_MESSAGE(line, response.starts_with("HTTP/1.1 400 "));
               });
     }
   }
