--- a/libs/relay/test/bad_answer_test.cc
+++ b/libs/relay/test/bad_answer_test.cc
@@ -121,7 +121,8 @@
         const auto answer = CallWithin(
             target,
             [&](int, const std::string& id, const RawReplica::Writer& write) {
-              write(Head("200 OK", id) + "Receipt: r\r\n" + kChunked + begin);
+              write(Head("200 OK", id) + "Receipt: r\r\n" + kChunked);
+              write(begin);
               while (write(std::string(1024, 'x'))) std::this_thread::sleep_for(milliseconds(1));
             },
             seconds(1));
