Quarantine only the prompt blocks that explain the crashes

Cause: a crash counted against every block of every prompt that it cut. What saved a popular block was a sound response within 10 s, or the deadly block in the intersection of the cut prompts, and neither is there when requests come in batches; once it is held back, no response can speak for it. Ruled out: that the deadly block is recognised under what sound requests share; the refusals named the first block.

Change: a greedy cover of the crashes. A block needs three that no block before it explains, six with a sound response in the last 10 minutes; of equal ones the one with fewer sound responses comes first, then the one further from the beginning of its prompts. Blocks that are alike in all of this take one more crash.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -28,15 +28,20 @@
 struct BlockSuspicion {
   // Crashes under prompts with the block that no sound response has offset yet, oldest first.
   std::vector<ReplicaCrash> crashes;
-  // Blocks that the prompts of all these crashes have in common, this one included, in ascending
-  // order.
-  std::vector<std::uint64_t> common;
+  // Shared blocks of such a prompt up to and including this one, in the prompt's order.
+  std::vector<std::uint64_t> prefix;
 };
 
-// Suspected blocks by id, and the time of the last sound response to a prompt with a block, by id.
+// Recent sound responses to prompts with a block.
+struct SoundRecord {
+  std::size_t count = 0;
+  core::Time last{};
+};
+
+// Suspected blocks, and blocks with recent sound responses, by id.
 struct QuarantineTable {
   std::map<std::uint64_t, BlockSuspicion> blocks;
-  std::unordered_map<std::uint64_t, core::Time> last_sound;
+  std::unordered_map<std::uint64_t, SoundRecord> sound;
 };
 
 struct QuarantinePolicy {
@@ -45,10 +50,11 @@
   // that is merely popular before it gets there.
   std::size_t crashes_to_quarantine = 3;
   std::size_t crashes_to_stop_retries = 2;
-  // Factor for both if the last sound response was within `sound_memory`: when several replicas end
-  // at once, as with a rack, popular blocks were at all of them.
+  // Factor for both if the block has recent sound responses: when several replicas end at once, as
+  // with a rack, popular blocks were at all of them.
   std::size_t sound_block_factor = 2;
-  core::Duration sound_memory = std::chrono::seconds(10);
+  // Time for which a sound response is recent. Prompts may come in batches minutes apart.
+  core::Duration sound_memory = std::chrono::minutes(10);
   // Time from the head of a response to a crash after which the response is not suspected.
   core::Duration max_crash_delay = std::chrono::seconds(1);
   // Time after the head of a response from which it counts as sound.
@@ -62,18 +68,24 @@
   core::Duration forget_after = std::chrono::hours(1);
   std::size_t max_crashes_per_block = 8;
   std::size_t max_blocks = 512;
+  // Blocks whose sound responses are remembered, of about 60 bytes each. Beyond that a quarter is
+  // dropped, the least popular first: scanning them takes processor time from requests.
+  std::size_t max_sound_blocks = 4096;
 };
 
 // A crash as evidence against one block: the unit in which entries tell each other.
 struct CrashEvidence {
   std::uint64_t block = 0;
   ReplicaCrash crash;
-  // Blocks of the prompt that other requests may share, `block` included, in ascending order.
-  std::vector<std::uint64_t> common;
+  // Shared blocks of the prompt up to and including `block`, in the prompt's order.
+  std::vector<std::uint64_t> prefix;
+  // Recent sound responses to prompts with the block at the entry that reports the evidence.
+  // Callers of a block may all use one entry.
+  std::size_t sound = 0;
 };
 
-// Returns the ids of the prompt's blocks that other requests may share, in ascending order: all
-// except the last.
+// Returns the ids of the prompt's blocks that other requests may share, each once and in the
+// prompt's order: all except the last.
 auto SharedBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t>;
 
 // Returns whether an attempt whose connection ended may have crashed its replica: its response had
@@ -89,6 +101,9 @@
 auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
                  const CrashEvidence& evidence) -> bool;
 
+// Returns the number of recent sound responses to prompts with the block.
+auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::size_t;
+
 // Returns all evidence in the table, for an entry that has just started.
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
 
@@ -107,22 +122,25 @@
   core::Time until{};
 };
 
-// Returns why a prompt must not be sent to a replica, or nothing if it may be. A prompt is held
-// back only if it has all suspected blocks that the crashed prompts had in common: a sound prompt
-// that shares some of them, for example the first one, is not.
+// Returns the blocks that are quarantined at `now`: the fewest that explain the crashes, since a
+// crash has one cause however many prompts it cut. Of blocks that explain the same crashes, takes
+// the one with fewer sound responses, then the one further from the beginning of its prompts, as
+// fewer prompts share it. Blocks that are alike in all of this stay in use until they have one more
+// crash.
+auto ListQuarantines(const QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
+    -> std::vector<Quarantine>;
+
+// Returns why a prompt must not be sent to a replica, or nothing if it may be.
 auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
                     const Prompt& prompt, core::Time now) -> std::optional<Quarantine>;
 
-// Returns whether the block counts as quarantined at `now`.
-auto IsQuarantined(const QuarantineTable& table, const QuarantinePolicy& policy,
-                   std::uint64_t block, core::Time now) -> bool;
-
 // Returns whether a request with this prompt may be sent to another replica after an attempt that
 // may have crashed one.
 auto MayRetryAfterCrash(const QuarantineTable& table, const QuarantinePolicy& policy,
                         const Prompt& prompt, core::Time now) -> bool;
 
-// Forgets crashes and sound responses that no longer matter.
+// Forgets crashes and sound responses that no longer matter. Of the latter keeps at most
+// `max_sound_blocks` blocks.
 auto RemoveOldEvidence(QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
     -> void;
 
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace filbertstair::direct {
 namespace {
@@ -10,59 +12,123 @@
   return a.replica == b.replica && std::chrono::abs(a.at - b.at) < window;
 }
 
-auto Intersect(const std::vector<std::uint64_t>& a, const std::vector<std::uint64_t>& b)
-    -> std::vector<std::uint64_t> {
-  std::vector<std::uint64_t> out;
-  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(out));
+auto IsRecent(const SoundRecord& record, const QuarantinePolicy& policy, core::Time now) -> bool {
+  return now - record.last < policy.sound_memory;
+}
+
+// Returns the number of sound responses to prompts with the block, if they are recent.
+auto CountRecentSound(const QuarantineTable& table, const QuarantinePolicy& policy,
+                      std::uint64_t block, core::Time now) -> std::size_t {
+  const auto found = table.sound.find(block);
+  if (found == table.sound.end() || !IsRecent(found->second, policy, now)) return 0;
+  return found->second.count;
+}
+
+// What is done with blocks that nothing tells apart.
+enum class Ambiguity { release, suspect };
+
+// A suspected block as an explanation of crashes.
+struct Explanation {
+  Quarantine quarantine;
+  const std::vector<ReplicaCrash>* crashes = nullptr;
+  // Crashes that no other block explains better, from which the block counts as their cause.
+  std::size_t required = 0;
+  std::size_t sound = 0;
+  std::size_t depth = 0;
+};
+
+// Crashes that an explanation accounts for beyond the required number, negative if there are fewer,
+// and what decides between equal ones; larger is better.
+using Strength = std::tuple<std::ptrdiff_t, std::ptrdiff_t, std::size_t>;
+
+auto ListExplanations(const QuarantineTable& table, const QuarantinePolicy& policy,
+                      std::size_t min_crashes, core::Time now) -> std::vector<Explanation> {
+  std::vector<Explanation> out;
+  for (const auto& [block, suspicion] : table.blocks) {
+    const auto& crashes = suspicion.crashes;
+    const auto until = crashes.back().at + policy.quarantine_time;
+    if (crashes.size() < min_crashes || until <= now) continue;
+    const auto sound = CountRecentSound(table, policy, block, now);
+    const auto factor = sound > 0 ? policy.sound_block_factor : 1;
+    out.push_back({{block, crashes.size(), until},
+                   &crashes,
+                   min_crashes * factor,
+                   sound,
+                   suspicion.prefix.size()});
+  }
   return out;
 }
 
-auto IsSuspected(const QuarantineTable& table, std::uint64_t block) -> bool {
-  return table.blocks.contains(block);
+auto Contains(const std::vector<ReplicaCrash>& crashes, const ReplicaCrash& crash,
+              core::Duration window) -> bool {
+  return std::any_of(crashes.begin(), crashes.end(),
+                     [&](const auto& other) { return IsSameCrash(crash, other, window); });
 }
 
-// Returns whether the prompt has all blocks that are suspected together with this one.
-auto HasAllCommonBlocks(const QuarantineTable& table, const BlockSuspicion& suspicion,
-                        const std::vector<std::uint64_t>& blocks) -> bool {
-  return std::all_of(suspicion.common.begin(), suspicion.common.end(), [&](std::uint64_t block) {
-    return !IsSuspected(table, block) || std::binary_search(blocks.begin(), blocks.end(), block);
-  });
+// Returns the crashes of the explanation that are not among `explained`.
+auto ListUnexplained(const Explanation& explanation, const std::vector<ReplicaCrash>& explained,
+                     core::Duration window) -> std::vector<ReplicaCrash> {
+  std::vector<ReplicaCrash> out;
+  std::copy_if(explanation.crashes->begin(), explanation.crashes->end(), std::back_inserter(out),
+               [&](const auto& crash) { return !Contains(explained, crash, window); });
+  return out;
 }
 
-// Returns the factor by which the block needs more crashes than others to be suspected.
-auto CrashFactor(const QuarantineTable& table, const QuarantinePolicy& policy, std::uint64_t block,
-                 core::Time now) -> std::size_t {
-  const auto sound = table.last_sound.find(block);
-  const bool recently_sound =
-      sound != table.last_sound.end() && now - sound->second < policy.sound_memory;
-  return recently_sound ? policy.sound_block_factor : 1;
+auto StrengthOf(const Explanation& explanation, std::size_t unexplained) -> Strength {
+  return {
+      static_cast<std::ptrdiff_t>(unexplained) - static_cast<std::ptrdiff_t>(explanation.required),
+      -static_cast<std::ptrdiff_t>(explanation.sound), explanation.depth};
 }
 
-// Returns what is held against the block by at least `min_crashes`, whatever the prompt.
-auto JudgeBlock(const QuarantineTable& table, const QuarantinePolicy& policy, std::uint64_t block,
-                std::size_t min_crashes, core::Time now) -> std::optional<Quarantine> {
-  const auto found = table.blocks.find(block);
-  if (found == table.blocks.end()) return std::nullopt;
-  const auto& crashes = found->second.crashes;
-  const auto until = crashes.back().at + policy.quarantine_time;
-  if (until <= now) return std::nullopt;
-  if (crashes.size() < min_crashes * CrashFactor(table, policy, block, now)) return std::nullopt;
-  return Quarantine{block, crashes.size(), until};
-}
-
-// Returns the block with the most crashes, of those with at least `min_crashes`, that stands
-// against the prompt.
-auto FindSuspect(const QuarantineTable& table, const QuarantinePolicy& policy, const Prompt& prompt,
-                 std::size_t min_crashes, core::Time now) -> std::optional<Quarantine> {
-  if (table.blocks.empty()) return std::nullopt;
-  const auto blocks = SharedBlockIds(prompt);
-  std::optional<Quarantine> worst;
-  for (const auto block : blocks) {
-    const auto judged = JudgeBlock(table, policy, block, min_crashes, now);
-    if (!judged || (worst && worst->crashes >= judged->crashes)) continue;
-    if (HasAllCommonBlocks(table, table.blocks.at(block), blocks)) worst = judged;
+// Returns the blocks that explain the crashes, the strongest first: a greedy cover of the crashes.
+auto ExplainCrashes(const QuarantineTable& table, const QuarantinePolicy& policy,
+                    std::size_t min_crashes, Ambiguity ambiguity, core::Time now)
+    -> std::vector<Quarantine> {
+  const auto window = policy.same_crash_window;
+  const auto explanations = ListExplanations(table, policy, min_crashes, now);
+  std::vector<Quarantine> causes;
+  std::vector<ReplicaCrash> explained;
+  while (true) {
+    std::optional<Strength> best;
+    std::vector<const Explanation*> equals;
+    for (const auto& explanation : explanations) {
+      const auto unexplained = ListUnexplained(explanation, explained, window).size();
+      const auto strength = StrengthOf(explanation, unexplained);
+      if (unexplained < explanation.required || (best && strength < *best)) continue;
+      if (!best || strength > *best) equals.clear();
+      best = strength;
+      equals.push_back(&explanation);
+    }
+    if (equals.empty()) return causes;
+    const auto crashes = ListUnexplained(*equals.front(), explained, window);
+    // Equally strong blocks with crashes of their own are further causes, found in a later round.
+    std::erase_if(equals, [&](const auto* other) {
+      return !std::all_of(crashes.begin(), crashes.end(), [&](const auto& crash) {
+        return Contains(*other->crashes, crash, window);
+      });
+    });
+    explained.insert(explained.end(), crashes.begin(), crashes.end());
+    const bool is_clear = equals.size() == 1 || std::get<0>(*best) > 0;
+    if (!is_clear && ambiguity == Ambiguity::release) continue;
+    for (const auto* cause : equals) causes.push_back(cause->quarantine);
   }
-  return worst;
+}
+
+// Returns the strongest cause of crashes that the prompt has.
+auto FindCause(const QuarantineTable& table, const QuarantinePolicy& policy, const Prompt& prompt,
+               std::size_t min_crashes, Ambiguity ambiguity, core::Time now)
+    -> std::optional<Quarantine> {
+  const auto blocks = SharedBlockIds(prompt);
+  const bool is_suspected = std::any_of(blocks.begin(), blocks.end(), [&](std::uint64_t block) {
+    const auto found = table.blocks.find(block);
+    return found != table.blocks.end() && found->second.crashes.size() >= min_crashes;
+  });
+  if (!is_suspected) return std::nullopt;
+  const auto causes = ExplainCrashes(table, policy, min_crashes, ambiguity, now);
+  const auto found = std::find_if(causes.begin(), causes.end(), [&](const auto& cause) {
+    return std::find(blocks.begin(), blocks.end(), cause.block) != blocks.end();
+  });
+  return found == causes.end() ? std::nullopt : std::optional(*found);
 }
 
 // Makes a place for another block: drops the one with the fewest crashes, of these the one whose
@@ -78,13 +144,30 @@
   if (least != table.blocks.end()) table.blocks.erase(least);
 }
 
+// If more than `max_blocks` blocks have sound responses, drops a quarter of the limit and what is
+// above it: the blocks with the fewest, of these the oldest.
+auto LimitSoundRecords(QuarantineTable& table, std::size_t max_blocks) -> void {
+  if (table.sound.size() <= max_blocks) return;
+  using Item = std::pair<SoundRecord, std::uint64_t>;
+  std::vector<Item> items;
+  items.reserve(table.sound.size());
+  for (const auto& [block, record] : table.sound) items.emplace_back(record, block);
+  const auto dropped = items.size() - (max_blocks - max_blocks / 4);
+  const auto end = items.begin() + static_cast<std::ptrdiff_t>(dropped);
+  std::nth_element(items.begin(), end, items.end(), [](const Item& a, const Item& b) {
+    return std::tie(a.first.count, a.first.last) < std::tie(b.first.count, b.first.last);
+  });
+  std::for_each(items.begin(), end, [&](const Item& item) { table.sound.erase(item.second); });
+}
+
 }  // namespace
 
 auto SharedBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
   std::vector<std::uint64_t> ids;
-  for (std::size_t i = 0; i + 1 < prompt.blocks.size(); ++i) ids.push_back(prompt.blocks[i].id);
-  std::sort(ids.begin(), ids.end());
-  ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+  for (std::size_t i = 0; i + 1 < prompt.blocks.size(); ++i) {
+    const auto id = prompt.blocks[i].id;
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) ids.push_back(id);
+  }
   return ids;
 }
 
@@ -99,23 +182,26 @@
   const auto ids = SharedBlockIds(prompt);
   std::vector<CrashEvidence> evidence;
   evidence.reserve(ids.size());
-  for (const auto id : ids) evidence.push_back({id, crash, ids});
+  for (auto id = ids.begin(); id != ids.end(); ++id) {
+    evidence.push_back({*id, crash, {ids.begin(), id + 1}, 0});
+  }
   return evidence;
 }
 
 auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
                  const CrashEvidence& evidence) -> bool {
-  if (!IsSuspected(table, evidence.block) && table.blocks.size() >= policy.max_blocks) {
+  if (!table.blocks.contains(evidence.block) && table.blocks.size() >= policy.max_blocks) {
     DropLeastSuspected(table);
   }
   auto& suspicion = table.blocks[evidence.block];
   auto& crashes = suspicion.crashes;
-  const bool known = std::any_of(crashes.begin(), crashes.end(), [&](const auto& crash) {
-    return IsSameCrash(crash, evidence.crash, policy.same_crash_window);
-  });
-  suspicion.common =
-      crashes.empty() ? evidence.common : Intersect(suspicion.common, evidence.common);
-  if (known) return false;
+  if (evidence.prefix.size() > suspicion.prefix.size()) suspicion.prefix = evidence.prefix;
+  if (evidence.sound > 0) {
+    auto& record = table.sound[evidence.block];
+    record.count = std::max(record.count, evidence.sound);
+    record.last = std::max(record.last, evidence.crash.at);
+  }
+  if (Contains(crashes, evidence.crash, policy.same_crash_window)) return false;
   const auto later = std::find_if(crashes.begin(), crashes.end(),
                                   [&](const auto& crash) { return crash.at > evidence.crash.at; });
   crashes.insert(later, evidence.crash);
@@ -123,11 +209,16 @@
   return true;
 }
 
+auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::size_t {
+  const auto found = table.sound.find(block);
+  return found == table.sound.end() ? 0 : found->second.count;
+}
+
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence> {
   std::vector<CrashEvidence> evidence;
   for (const auto& [block, suspicion] : table.blocks) {
     for (const auto& crash : suspicion.crashes) {
-      evidence.push_back({block, crash, suspicion.common});
+      evidence.push_back({block, crash, suspicion.prefix, CountSound(table, block)});
     }
   }
   return evidence;
@@ -136,7 +227,11 @@
 auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
     -> std::vector<std::uint64_t> {
   auto ids = SharedBlockIds(prompt);
-  for (const auto id : ids) table.last_sound[id] = now;
+  for (const auto id : ids) {
+    auto& record = table.sound[id];
+    ++record.count;
+    record.last = now;
+  }
   std::erase_if(ids, [&](std::uint64_t id) { return !OffsetCrash(table, id); });
   return ids;
 }
@@ -150,19 +245,19 @@
   return true;
 }
 
-auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
-                    const Prompt& prompt, core::Time now) -> std::optional<Quarantine> {
-  return FindSuspect(table, policy, prompt, policy.crashes_to_quarantine, now);
+auto ListQuarantines(const QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
+    -> std::vector<Quarantine> {
+  return ExplainCrashes(table, policy, policy.crashes_to_quarantine, Ambiguity::release, now);
 }
 
-auto IsQuarantined(const QuarantineTable& table, const QuarantinePolicy& policy,
-                   std::uint64_t block, core::Time now) -> bool {
-  return JudgeBlock(table, policy, block, policy.crashes_to_quarantine, now).has_value();
+auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
+                    const Prompt& prompt, core::Time now) -> std::optional<Quarantine> {
+  return FindCause(table, policy, prompt, policy.crashes_to_quarantine, Ambiguity::release, now);
 }
 
 auto MayRetryAfterCrash(const QuarantineTable& table, const QuarantinePolicy& policy,
                         const Prompt& prompt, core::Time now) -> bool {
-  return !FindSuspect(table, policy, prompt, policy.crashes_to_stop_retries, now);
+  return !FindCause(table, policy, prompt, policy.crashes_to_stop_retries, Ambiguity::suspect, now);
 }
 
 auto RemoveOldEvidence(QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
@@ -170,8 +265,8 @@
   std::erase_if(table.blocks, [&](const auto& item) {
     return now - item.second.crashes.back().at > policy.forget_after;
   });
-  std::erase_if(table.last_sound,
-                [&](const auto& item) { return now - item.second >= policy.sound_memory; });
+  std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
+  LimitSoundRecords(table, policy.max_sound_blocks);
 }
 
 }  // namespace filbertstair::direct
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -24,6 +24,12 @@
   CPPUNIT_TEST(testBlockIsFoundUnderAnyBeginning);
   CPPUNIT_TEST(testPopularBlockIsOffsetBySoundResponses);
   CPPUNIT_TEST(testRackFailureQuarantinesNoPopularBlock);
+  CPPUNIT_TEST(testBlockOfABatchIsNotHeldWithADeadlyOne);
+  CPPUNIT_TEST(testFewestBlocksExplainTheCrashes);
+  CPPUNIT_TEST(testPeersTellWhichBlocksAreSound);
+  CPPUNIT_TEST(testTwoDeadlyBlocksAreBothFound);
+  CPPUNIT_TEST(testBlocksThatAreAlikeTakeOneMoreCrash);
+  CPPUNIT_TEST(testSoundRecordsAreBounded);
   CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
@@ -107,6 +113,106 @@
     CPPUNIT_ASSERT(this->Find(prompt, milliseconds(200)));
   }
 
+  // Guards against refusing all requests of a workspace that come in batches: in one of them three
+  // replicas crash under a deadly block, and of the sound requests that were cut with it nothing is
+  // left in common but the block that all have.
+  auto testBlockOfABatchIsNotHeldWithADeadlyOne() -> void {
+    for (int i = 0; i < 40; ++i) {
+      RecordSoundResponse(this->table, MakePrompt({kCommon, 10u + i % 20}), this->now);
+    }
+    RemoveOldEvidence(this->table, this->policy, this->now + seconds(15));
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(15));
+      for (std::uint64_t id = 10; id < 14; ++id) {
+        this->Crash(MakePrompt({kCommon, id}), replica, seconds(15));
+      }
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kCommon, kDeadly}), seconds(16)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, 20}), seconds(30)));
+  }
+
+  // Guards against holding back a block for crashes that another block explains as well, and for
+  // one more that has another cause.
+  auto testFewestBlocksExplainTheCrashes() -> void {
+    RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kOther}), replica, seconds(0));
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+    }
+    this->Crash(MakePrompt({kCommon, 20}), "d", seconds(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         ListQuarantines(this->table, this->policy, this->now).size());
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(0)));
+  }
+
+  // Guards against sparing a deadly block because it looks like one that only other entries know to
+  // be sound, as all of its callers use them.
+  auto testPeersTellWhichBlocksAreSound() -> void {
+    QuarantineTable peer;
+    RecordSoundResponse(peer, MakePrompt({kCommon, kOther}), this->now);
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+      for (const auto& evidence :
+           CollectEvidence(MakePrompt({kCommon, kOther}), {replica, this->now})) {
+        AddEvidence(peer, this->policy, evidence);
+      }
+    }
+    for (const auto& evidence : ListEvidence(peer)) {
+      AddEvidence(this->table, this->policy, evidence);
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(0)));
+  }
+
+  auto testTwoDeadlyBlocksAreBothFound() -> void {
+    RecordSoundResponse(this->table, MakePrompt({kCommon, 20}), this->now);
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+      this->Crash(MakePrompt({kCommon, kOther}), replica, seconds(5));
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(5)));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kOther}), seconds(5)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, 20}), seconds(5)));
+  }
+
+  // Guards against a sound block that nothing tells apart from a deadly one being held back with
+  // it, and against sparing both without end.
+  auto testBlocksThatAreAlikeTakeOneMoreCrash() -> void {
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+      this->Crash(MakePrompt({kCommon, kOther}), replica, seconds(0));
+    }
+    for (const auto block : {kCommon, kDeadly, kOther}) {
+      CPPUNIT_ASSERT(!this->Find(MakePrompt({block}), seconds(0)));
+    }
+    CPPUNIT_ASSERT(
+        !MayRetryAfterCrash(this->table, this->policy, MakePrompt({kDeadly}), this->now));
+    auto apart = this->table;
+    this->Crash(MakePrompt({kCommon, kDeadly}), "d", seconds(1));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kOther}), seconds(1)));
+    // A sound response tells them apart as well.
+    RecordSoundResponse(apart, MakePrompt({kCommon, kOther}), this->now);
+    CPPUNIT_ASSERT(FindQuarantine(apart, this->policy, MakePrompt({kDeadly}), this->now));
+    CPPUNIT_ASSERT(!FindQuarantine(apart, this->policy, MakePrompt({kOther}), this->now));
+  }
+
+  // Guards against memory that grows with the blocks that callers send; popular ones are kept.
+  auto testSoundRecordsAreBounded() -> void {
+    for (int i = 0; i < 4; ++i) RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now);
+    for (std::uint64_t id = 100; id < 100 + 2 * this->policy.max_sound_blocks; ++id) {
+      RecordSoundResponse(this->table, MakePrompt({id}), this->now);
+    }
+    RemoveOldEvidence(this->table, this->policy, this->now);
+    CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_blocks);
+    CPPUNIT_ASSERT(this->table.sound.contains(kCommon));
+    RemoveOldEvidence(this->table, this->policy, this->now + minutes(9));
+    CPPUNIT_ASSERT(this->table.sound.contains(kCommon));
+    RemoveOldEvidence(this->table, this->policy, this->now + minutes(10));
+    CPPUNIT_ASSERT(this->table.sound.empty());
+  }
+
   // Guards against one request that crashes replica after replica by its own retries.
   auto testRetriesStopBeforeTheQuarantine() -> void {
     const auto prompt = MakePrompt({kDeadly});
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -16,40 +16,49 @@
 constexpr std::size_t kMaxQuarantineUpdates = 1024;
 // Limits on what a peer may report of one crash.
 constexpr core::Duration kMaxCrashAge = std::chrono::hours(1);
-constexpr std::size_t kMaxCommonBlocks = 64;
+constexpr std::size_t kMaxPrefixBlocks = 64;
+constexpr std::size_t kMaxSoundCount = 1'000'000;
 
-auto LogQuarantine(const direct::BlockSuspicion& suspicion, std::uint64_t block,
-                   ReportSource source) -> void {
+// A block that has just been quarantined.
+struct NewQuarantine {
+  std::uint64_t block = 0;
+  direct::BlockSuspicion suspicion;
+};
+
+auto LogQuarantine(const NewQuarantine& quarantine, ReportSource source) -> void {
+  const auto& suspicion = quarantine.suspicion;
   std::string replicas;
   for (const auto& crash : suspicion.crashes) {
     replicas += (replicas.empty() ? "" : ",") + crash.replica;
   }
   telemetry::Log(Level::error, Event::block_quarantined,
-                 {{"block", core::FormatHex(block)},
+                 {{"block", core::FormatHex(quarantine.block)},
                   {"crashes", std::to_string(suspicion.crashes.size())},
                   {"replicas", replicas},
-                  {"common", core::FormatHexList(suspicion.common)},
+                  {"prefix", core::FormatHexList(suspicion.prefix)},
                   {"source", core::Name(source)}});
 }
 
-// A block that has just been quarantined.
-struct NewQuarantine {
-  std::uint64_t block = 0;
-  direct::BlockSuspicion suspicion;
-};
-
-// Adds evidence and appends the blocks that are quarantined because of it.
-auto AddEvidence(Relay& relay, DispatchTable& table, const direct::CrashEvidence& evidence,
-                 std::vector<NewQuarantine>& quarantined) -> bool {
+// Calls `change` with the table and returns the blocks that are quarantined because of it.
+template <typename Change>
+auto FindNewQuarantines(Relay& relay, DispatchTable& table, Change&& change)
+    -> std::vector<NewQuarantine> {
   const auto now = node::Now();
-  const auto& policy = relay.policies.quarantine;
-  const auto block = evidence.block;
-  const bool before = direct::IsQuarantined(table.quarantine, policy, block, now);
-  const bool is_new = direct::AddEvidence(table.quarantine, policy, evidence);
-  if (!before && direct::IsQuarantined(table.quarantine, policy, block, now)) {
-    quarantined.push_back({block, table.quarantine.blocks.at(block)});
+  const auto list = [&] {
+    return direct::ListQuarantines(table.quarantine, relay.policies.quarantine, now);
+  };
+  const auto before = list();
+  change();
+  std::vector<NewQuarantine> added;
+  for (const auto& quarantine : list()) {
+    const bool known = std::any_of(before.begin(), before.end(), [&](const auto& other) {
+      return other.block == quarantine.block;
+    });
+    if (!known) {
+      added.push_back({quarantine.block, table.quarantine.blocks.at(quarantine.block)});
+    }
   }
-  return is_new;
+  return added;
 }
 
 auto AppendUpdate(DispatchTable& table, QuarantineUpdate update) -> void {
@@ -74,7 +83,7 @@
 auto ApplyQuarantines(Relay& relay, const std::vector<NewQuarantine>& quarantined,
                       ReportSource source) -> void {
   if (quarantined.empty()) return;
-  for (const auto& item : quarantined) LogQuarantine(item.suspicion, item.block, source);
+  for (const auto& quarantine : quarantined) LogQuarantine(quarantine, source);
   relay.dispatch.With([&](DispatchTable& table) { ResolveQuarantined(relay, table); });
   for (std::size_t i = 0; i < relay.workers.size(); ++i) {
     relay.node.pool.Post(i, [&relay] { CancelQuarantinedCalls(relay); });
@@ -83,12 +92,15 @@
 
 auto RecordCrash(Relay& relay, const direct::Prompt& prompt, const direct::ReplicaCrash& crash)
     -> void {
-  std::vector<NewQuarantine> quarantined;
-  relay.dispatch.With([&](DispatchTable& table) {
-    for (const auto& evidence : direct::CollectEvidence(prompt, crash)) {
-      if (!AddEvidence(relay, table, evidence, quarantined)) continue;
-      AppendUpdate(table, {.evidence = evidence});
-    }
+  const auto quarantined = relay.dispatch.With([&](DispatchTable& table) {
+    return FindNewQuarantines(relay, table, [&] {
+      for (const auto& evidence : direct::CollectEvidence(prompt, crash)) {
+        if (!direct::AddEvidence(table.quarantine, relay.policies.quarantine, evidence)) continue;
+        auto reported = evidence;
+        reported.sound = direct::CountSound(table.quarantine, evidence.block);
+        AppendUpdate(table, {.evidence = std::move(reported)});
+      }
+    });
   });
   ApplyQuarantines(relay, quarantined, ReportSource::replica);
   WakePeers(relay);
@@ -96,19 +108,17 @@
 
 auto ToRow(const direct::CrashEvidence& evidence, core::Time now) -> wire::BlockCrash {
   return {evidence.block, evidence.crash.replica,
-          std::max(now - evidence.crash.at, core::Duration{}), evidence.common};
+          std::max(now - evidence.crash.at, core::Duration{}), evidence.prefix,
+          static_cast<std::uint32_t>(std::min<std::size_t>(evidence.sound, kMaxSoundCount))};
 }
 
 auto ToEvidence(const wire::BlockCrash& row, core::Time now) -> direct::CrashEvidence {
   direct::CrashEvidence evidence{
       row.block,
       {row.replica, now - std::clamp(row.age, core::Duration{}, kMaxCrashAge)},
-      row.common};
-  if (evidence.common.size() > kMaxCommonBlocks) evidence.common.resize(kMaxCommonBlocks);
-  evidence.common.push_back(row.block);
-  std::sort(evidence.common.begin(), evidence.common.end());
-  evidence.common.erase(std::unique(evidence.common.begin(), evidence.common.end()),
-                        evidence.common.end());
+      row.prefix,
+      std::min<std::size_t>(row.sound, kMaxSoundCount)};
+  if (evidence.prefix.size() > kMaxPrefixBlocks) evidence.prefix.resize(kMaxPrefixBlocks);
   return evidence;
 }
 
@@ -184,12 +194,13 @@
 auto ApplyQuarantineUpdates(Relay& relay, const wire::EntryState& message) -> void {
   if (message.crashes.empty() && message.sound_blocks.empty()) return;
   const auto now = node::Now();
-  std::vector<NewQuarantine> quarantined;
-  relay.dispatch.With([&](DispatchTable& table) {
-    for (const auto& row : message.crashes) {
-      AddEvidence(relay, table, ToEvidence(row, now), quarantined);
-    }
-    for (const auto block : message.sound_blocks) direct::OffsetCrash(table.quarantine, block);
+  const auto quarantined = relay.dispatch.With([&](DispatchTable& table) {
+    return FindNewQuarantines(relay, table, [&] {
+      for (const auto& row : message.crashes) {
+        direct::AddEvidence(table.quarantine, relay.policies.quarantine, ToEvidence(row, now));
+      }
+      for (const auto block : message.sound_blocks) direct::OffsetCrash(table.quarantine, block);
+    });
   });
   ApplyQuarantines(relay, quarantined, ReportSource::peer);
 }
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -135,13 +135,16 @@
       }
     }
     status["replicas"] = std::move(replicas);
+    const auto quarantines =
+        direct::ListQuarantines(table.quarantine, relay.policies.quarantine, now);
     boost::json::array blocks;
-    for (const auto& [block, suspicion] : table.quarantine.blocks) {
-      blocks.push_back(
-          {{"block", core::FormatHex(block)},
-           {"crashes", suspicion.crashes.size()},
-           {"quarantined",
-            direct::IsQuarantined(table.quarantine, relay.policies.quarantine, block, now)}});
+    for (const auto& item : table.quarantine.blocks) {
+      const bool quarantined =
+          std::any_of(quarantines.begin(), quarantines.end(),
+                      [&](const auto& quarantine) { return quarantine.block == item.first; });
+      blocks.push_back({{"block", core::FormatHex(item.first)},
+                        {"crashes", item.second.crashes.size()},
+                        {"quarantined", quarantined}});
     }
     status["suspected_blocks"] = std::move(blocks);
     boost::json::array accounts;
@@ -157,12 +160,9 @@
   });
 }
 
-auto CountQuarantinedBlocks(Relay& relay) -> std::ptrdiff_t {
-  return relay.dispatch.With([&, now = node::Now()](const DispatchTable& table) {
-    const auto& blocks = table.quarantine.blocks;
-    return std::count_if(blocks.begin(), blocks.end(), [&](const auto& item) {
-      return direct::IsQuarantined(table.quarantine, relay.policies.quarantine, item.first, now);
-    });
+auto CountQuarantinedBlocks(Relay& relay) -> std::size_t {
+  return relay.dispatch.With([&](const DispatchTable& table) {
+    return direct::ListQuarantines(table.quarantine, relay.policies.quarantine, node::Now()).size();
   });
 }
 
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -148,8 +148,10 @@
   std::string replica;
   // Time since the crash.
   core::Duration age{};
-  // Shared blocks of the prompts that crashed replicas, `block` included.
-  std::vector<std::uint64_t> common;
+  // Shared blocks of a prompt that lost its response in the crash, up to and including `block`.
+  std::vector<std::uint64_t> prefix;
+  // Recent sound responses of the sender to prompts with the block.
+  std::uint32_t sound = 0;
 };
 
 // Start of a replica that has said that it leaves.
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -127,7 +127,8 @@
     out->set_block(row.block);
     out->set_replica(row.replica);
     out->set_age_us(static_cast<std::uint64_t>(row.age.count()));
-    for (const auto block : row.common) out->add_common(block);
+    for (const auto block : row.prefix) out->add_common(block);
+    out->set_sound(row.sound);
   }
   for (const auto block : from.sound_blocks) to.add_sound_blocks(block);
   for (const auto& row : from.leaving) {
@@ -205,7 +206,8 @@
     to.crashes.push_back({row.block(),
                           row.replica(),
                           ToDuration(row.age_us()),
-                          {row.common().begin(), row.common().end()}});
+                          {row.common().begin(), row.common().end()},
+                          row.sound()});
   }
   for (const auto& row : from.leaving()) {
     to.leaving.push_back({row.replica(), row.started_ms()});
