Count the last block of a prompt as evidence, too

Cause: the last block was left out, as no other request shares it. It is what a request that its caller repeats has in common with itself; its shared blocks are those of sound requests, need six crashes and are offset by sound responses.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -28,7 +28,7 @@
 struct BlockSuspicion {
   // Crashes under prompts with the block that no sound response has offset yet, oldest first.
   std::vector<ReplicaCrash> crashes;
-  // Shared blocks of such a prompt up to and including this one, in the prompt's order.
+  // Blocks of such a prompt up to and including this one, in the prompt's order.
   std::vector<std::uint64_t> prefix;
 };
 
@@ -77,16 +77,16 @@
 struct CrashEvidence {
   std::uint64_t block = 0;
   ReplicaCrash crash;
-  // Shared blocks of the prompt up to and including `block`, in the prompt's order.
+  // Blocks of the prompt up to and including `block`, in the prompt's order.
   std::vector<std::uint64_t> prefix;
   // Recent sound responses to prompts with the block at the entry that reports the evidence.
   // Callers of a block may all use one entry.
   std::size_t sound = 0;
 };
 
-// Returns the ids of the prompt's blocks that other requests may share, each once and in the
-// prompt's order: all except the last.
-auto SharedBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t>;
+// Returns the ids of the prompt's blocks, each once and in the prompt's order. All but the last may
+// be shared with other requests; the last one identifies a request that its caller repeats.
+auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t>;
 
 // Returns whether an attempt whose connection ended may have crashed its replica: its response had
 // just begun, or no response had and the same request had lost another replica before.
@@ -94,7 +94,8 @@
                     bool lost_replica_before, core::Time cut_at) -> bool;
 
 // Returns the evidence that the crash of a replica under the prompt gives against each of its
-// blocks.
+// blocks. The last one counts as well: a request may crash replicas by what it shares with none,
+// and come again.
 auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> std::vector<CrashEvidence>;
 
 // Adds evidence. Returns whether it was new.
@@ -108,7 +109,8 @@
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
 
 // Records that a response to the prompt went well, which offsets one crash of each of its blocks: a
-// block that crashes replicas has no such response. Returns the blocks whose suspicion changed.
+// block that crashes replicas has no such response. Remembers it for the blocks that may be shared.
+// Returns the blocks whose suspicion changed.
 auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
     -> std::vector<std::uint64_t>;
 
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -118,7 +118,7 @@
 auto FindCause(const QuarantineTable& table, const QuarantinePolicy& policy, const Prompt& prompt,
                std::size_t min_crashes, Ambiguity ambiguity, core::Time now)
     -> std::optional<Quarantine> {
-  const auto blocks = SharedBlockIds(prompt);
+  const auto blocks = ListBlockIds(prompt);
   const bool is_suspected = std::any_of(blocks.begin(), blocks.end(), [&](std::uint64_t block) {
     const auto found = table.blocks.find(block);
     return found != table.blocks.end() && found->second.crashes.size() >= min_crashes;
@@ -162,11 +162,10 @@
 
 }  // namespace
 
-auto SharedBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
+auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
   std::vector<std::uint64_t> ids;
-  for (std::size_t i = 0; i + 1 < prompt.blocks.size(); ++i) {
-    const auto id = prompt.blocks[i].id;
-    if (std::find(ids.begin(), ids.end(), id) == ids.end()) ids.push_back(id);
+  for (const auto& block : prompt.blocks) {
+    if (std::find(ids.begin(), ids.end(), block.id) == ids.end()) ids.push_back(block.id);
   }
   return ids;
 }
@@ -179,7 +178,7 @@
 
 auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash)
     -> std::vector<CrashEvidence> {
-  const auto ids = SharedBlockIds(prompt);
+  const auto ids = ListBlockIds(prompt);
   std::vector<CrashEvidence> evidence;
   evidence.reserve(ids.size());
   for (auto id = ids.begin(); id != ids.end(); ++id) {
@@ -226,8 +225,9 @@
 
 auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
     -> std::vector<std::uint64_t> {
-  auto ids = SharedBlockIds(prompt);
+  auto ids = ListBlockIds(prompt);
   for (const auto id : ids) {
+    if (id == ids.back()) break;
     auto& record = table.sound[id];
     ++record.count;
     record.last = now;
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -145,7 +145,7 @@
                             ? core::Duration::zero()
                             : node::Now() - assignment.head_received_at;
   const auto blocks =
-      call.head.prompt ? direct::SharedBlockIds(*call.head.prompt) : std::vector<std::uint64_t>();
+      call.head.prompt ? direct::ListBlockIds(*call.head.prompt) : std::vector<std::uint64_t>();
   telemetry::Log(
       Level::info, Event::attempt_cut,
       {{"request", call.id},
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -134,7 +134,7 @@
 
 auto RecordIfCrashed(Relay& relay, Call& call, const Assignment& assignment) -> bool {
   const auto cut_at = node::Now();
-  if (!call.head.prompt || call.head.prompt->blocks.size() < 2) return false;
+  if (!call.head.prompt) return false;
   const bool suspect = direct::IsCrashSuspect(relay.policies.quarantine, assignment,
                                               call.unanswered_loss.has_value(), cut_at);
   const auto previous = std::exchange(call.unanswered_loss, std::nullopt);
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -148,7 +148,7 @@
   std::string replica;
   // Time since the crash.
   core::Duration age{};
-  // Shared blocks of a prompt that lost its response in the crash, up to and including `block`.
+  // Blocks of a prompt that lost its response in the crash, up to and including `block`.
   std::vector<std::uint64_t> prefix;
   // Recent sound responses of the sender to prompts with the block.
   std::uint32_t sound = 0;
