Hold back a sound request last of equal explanations

Cause: a sound request whose attempts, retry and repeat were cut in all three crashes had the same crashes in its last block, which is the furthest from the beginning of its prompt and came before the deadly one.

Change: of equal explanations the last block of a prompt comes after all others. It is still found where it alone explains the crashes, since the shared blocks of such a request have sound responses.

Result: direct.quarantine_test passes with testSoundRequestRepeatedAtEachCrash.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -28,7 +28,8 @@
 struct BlockSuspicion {
   // Crashes under prompts with the block that no sound response has offset yet, oldest first.
   std::vector<ReplicaCrash> crashes;
-  // Blocks of such a prompt up to and including this one, in the prompt's order.
+  // Blocks of such a prompt up to and including this one, in the prompt's order; empty if this is
+  // its last one.
   std::vector<std::uint64_t> prefix;
 };
 
@@ -77,7 +78,8 @@
 struct CrashEvidence {
   std::uint64_t block = 0;
   ReplicaCrash crash;
-  // Blocks of the prompt up to and including `block`, in the prompt's order.
+  // Blocks of the prompt up to and including `block`, in the prompt's order; empty for the last
+  // one.
   std::vector<std::uint64_t> prefix;
   // Recent sound responses to prompts with the block at the entry that reports the evidence.
   // Callers of a block may all use one entry.
@@ -127,8 +129,9 @@
 // Returns the blocks that are quarantined at `now`: the fewest that explain the crashes, since a
 // crash has one cause however many prompts it cut. Of blocks that explain the same crashes, takes
 // the one with fewer sound responses, then the one further from the beginning of its prompts, as
-// fewer prompts share it. Blocks that are alike in all of this stay in use until they have one more
-// crash.
+// fewer prompts share it, and the last block of a prompt after all others: a sound request that its
+// caller repeats may be cut in each crash. Blocks that are alike in all of this stay in use until
+// they have one more crash.
 auto ListQuarantines(const QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
     -> std::vector<Quarantine>;
 
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -183,6 +183,7 @@
   evidence.reserve(ids.size());
   for (auto id = ids.begin(); id != ids.end(); ++id) {
     evidence.push_back({*id, crash, {ids.begin(), id + 1}, 0});
+    if (*id == ids.back()) evidence.back().prefix.clear();
   }
   return evidence;
 }
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(testRackFailureQuarantinesNoPopularBlock);
   CPPUNIT_TEST(testBlockOfABatchIsNotHeldWithADeadlyOne);
   CPPUNIT_TEST(testFewestBlocksExplainTheCrashes);
+  CPPUNIT_TEST(testSoundRequestRepeatedAtEachCrash);
   CPPUNIT_TEST(testPeersTellWhichBlocksAreSound);
   CPPUNIT_TEST(testTwoDeadlyBlocksAreBothFound);
   CPPUNIT_TEST(testBlocksThatAreAlikeTakeOneMoreCrash);
@@ -157,6 +158,19 @@
     CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(0)));
   }
 
+  // Guards against holding back a sound request, in place of the deadly block, that was repeated
+  // and cut in each of the crashes.
+  auto testSoundRequestRepeatedAtEachCrash() -> void {
+    RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    const auto repeated = MakePrompt({kCommon, kOther});
+    for (const auto* replica : {"a", "b", "c"}) {
+      this->Crash(repeated, replica, seconds(0));
+      this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
+    }
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kCommon, kDeadly}), seconds(0)));
+    CPPUNIT_ASSERT(!this->Find(repeated, seconds(0)));
+  }
+
   // Guards against sparing a deadly block because it looks like one that only other entries know to
   // be sound, as all of its callers use them.
   auto testPeersTellWhichBlocksAreSound() -> void {
