Allow a fourth crash only while no sound response told the blocks apart

The property test allowed it whenever a sound block was cut in the first three crashes, also if that block had a sound response before or since. It is allowed now only without one, which is the case that nothing can decide.

--- a/libs/direct/test/quarantine_property_test.cc
+++ b/libs/direct/test/quarantine_property_test.cc
@@ -28,10 +28,11 @@
       QuarantineTable random_table;
       const auto deadly = *rc::gen::inRange<std::uint64_t>(100, 104);
       int crashes = 0;
-      // Blocks that were cut beside the deadly one in every crash.
-      std::set<std::uint64_t> alike;
-      int max_crashes = 3;
       int time_ms = 0;
+      std::set<std::uint64_t> sound;
+      // The block without a sound response that was cut beside the deadly one in every crash; 0 if
+      // there is none.
+      std::uint64_t twin = 0;
       for (int step = 0; step < 400; ++step) {
         time_ms += *rc::gen::inRange(5, 60);
         const core::Time at{milliseconds(time_ms)};
@@ -40,27 +41,28 @@
         const auto middle = is_deadly ? deadly : *rc::gen::inRange<std::uint64_t>(10, 40);
         const auto prompt = MakePrompt({beginning, middle});
         const auto quarantine = FindQuarantine(random_table, this->policy, prompt, at);
-        RC_ASSERT(is_deadly || !quarantine || (crashes > 3 && alike.contains(middle)));
+        RC_ASSERT(is_deadly || !quarantine || (crashes > 3 && twin == middle));
         if (quarantine) continue;
         if (!is_deadly) {
           RecordSoundResponse(random_table, prompt, at);
+          sound.insert(middle);
+          if (twin == middle) twin = 0;
           continue;
         }
         ++crashes;
+        RC_ASSERT(crashes <= 3 || (crashes == 4 && twin != 0));
         // A few sound requests had just begun at the replica, too.
         const ReplicaCrash crash{std::to_string(step), at};
         const auto beside = *rc::gen::inRange<std::uint64_t>(10, 40);
         const auto neighbor = MakePrompt({beginning, beside});
-        const bool may_be_alike = crashes == 1 || alike.contains(beside);
-        alike = may_be_alike ? std::set<std::uint64_t>{beside} : std::set<std::uint64_t>{};
-        if (crashes == 3) max_crashes = alike.empty() ? 3 : 4;
+        if (crashes == 1 && !sound.contains(beside)) twin = beside;
+        if (twin != beside) twin = 0;
         for (const auto& lost : {prompt, neighbor}) {
           for (const auto& evidence : CollectEvidence(lost, crash)) {
             AddEvidence(random_table, this->policy, evidence);
           }
         }
       }
-      RC_ASSERT(crashes <= max_crashes);
     });
     CPPUNIT_ASSERT(held);
   }
