Split the search for the strongest explanation from the cover of the crashes

ExplainCrashes searched and covered in one loop and listed the unexplained crashes of the strongest block twice. FindStrongest does the search and returns these crashes with it. The decision is the same.

--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -80,37 +80,53 @@
       -static_cast<std::ptrdiff_t>(explanation.sound), explanation.depth};
 }
 
+// The strongest explanations that are equally strong and explain the same crashes.
+struct StrongestExplanations {
+  std::vector<const Explanation*> equals;
+  // Those of their crashes that were not explained before.
+  std::vector<ReplicaCrash> crashes;
+  Strength strength{};
+};
+
+// Returns the strongest of the explanations with enough crashes that are not explained yet, or
+// none.
+auto FindStrongest(const std::vector<Explanation>& explanations,
+                   const std::vector<ReplicaCrash>& explained, core::Duration window)
+    -> StrongestExplanations {
+  StrongestExplanations best;
+  for (const auto& explanation : explanations) {
+    auto crashes = ListUnexplained(explanation, explained, window);
+    const auto strength = StrengthOf(explanation, crashes.size());
+    if (crashes.size() < explanation.required) continue;
+    if (!best.equals.empty() && strength < best.strength) continue;
+    if (best.equals.empty() || strength > best.strength) {
+      best = {{}, std::move(crashes), strength};
+    }
+    best.equals.push_back(&explanation);
+  }
+  // Equally strong blocks with crashes of their own are further causes, found in a later round.
+  std::erase_if(best.equals, [&](const auto* other) {
+    return !std::all_of(best.crashes.begin(), best.crashes.end(), [&](const auto& crash) {
+      return Contains(*other->crashes, crash, window);
+    });
+  });
+  return best;
+}
+
 // Returns the blocks that explain the crashes, the strongest first: a greedy cover of the crashes.
 auto ExplainCrashes(const QuarantineTable& table, const QuarantinePolicy& policy,
                     std::size_t min_crashes, Ambiguity ambiguity, core::Time now)
     -> std::vector<Quarantine> {
-  const auto window = policy.same_crash_window;
   const auto explanations = ListExplanations(table, policy, min_crashes, now);
   std::vector<Quarantine> causes;
   std::vector<ReplicaCrash> explained;
   while (true) {
-    std::optional<Strength> best;
-    std::vector<const Explanation*> equals;
-    for (const auto& explanation : explanations) {
-      const auto unexplained = ListUnexplained(explanation, explained, window).size();
-      const auto strength = StrengthOf(explanation, unexplained);
-      if (unexplained < explanation.required || (best && strength < *best)) continue;
-      if (!best || strength > *best) equals.clear();
-      best = strength;
-      equals.push_back(&explanation);
-    }
-    if (equals.empty()) return causes;
-    const auto crashes = ListUnexplained(*equals.front(), explained, window);
-    // Equally strong blocks with crashes of their own are further causes, found in a later round.
-    std::erase_if(equals, [&](const auto* other) {
-      return !std::all_of(crashes.begin(), crashes.end(), [&](const auto& crash) {
-        return Contains(*other->crashes, crash, window);
-      });
-    });
-    explained.insert(explained.end(), crashes.begin(), crashes.end());
-    const bool is_clear = equals.size() == 1 || std::get<0>(*best) > 0;
+    const auto best = FindStrongest(explanations, explained, policy.same_crash_window);
+    if (best.equals.empty()) return causes;
+    explained.insert(explained.end(), best.crashes.begin(), best.crashes.end());
+    const bool is_clear = best.equals.size() == 1 || std::get<0>(best.strength) > 0;
     if (!is_clear && ambiguity == Ambiguity::release) continue;
-    for (const auto* cause : equals) causes.push_back(cause->quarantine);
+    for (const auto* cause : best.equals) causes.push_back(cause->quarantine);
   }
 }
 
