Add a soak of the deployed entries as real processes

It checks from callers and replicas that requests are answered, refusals are true and processes stay.

--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,24 @@
+#ifndef FILBERTSTAIR_TESTS_SOAK_FAULTS_H_
+#define FILBERTSTAIR_TESTS_SOAK_FAULTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include "tests/soak/deployment.h"
+
+namespace filbertstair::soak {
+
+// A step of a fault, due at a time of the machine's monotonic clock in microseconds.
+struct Step {
+  std::int64_t at = 0;
+  std::function<void()> apply;
+};
+
+// The steps of all faults of the deployment's plan, for traffic that starts at `begin`. They refer
+// to the deployment.
+auto ScheduleFaults(Deployment& deployment, std::int64_t begin) -> std::vector<Step>;
+
+}  // namespace filbertstair::soak
+
+#endif  // FILBERTSTAIR_TESTS_SOAK_FAULTS_H_
