Block signals before the settings are read

A process that got SIGHUP while it started ended with signal 1 (FAULT): the signals were blocked only after the settings had been read, and until then each of them has its default action. A platform that writes a settings file and sends SIGHUP beside a restart does just that.

Signals are now blocked first. SIGHUP stays pending until the start is complete and then reloads the settings.

daemon_test testReloadWhileTheSettingsAreRead failed before (the process had ended) and passes.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -84,8 +84,9 @@
                                             .count());
 }
 
-// Blocks the signals that stop the daemon or reload its settings in all threads; AwaitEnd receives
-// them.
+// Blocks the signals that stop the daemon or reload its settings in all threads that are started
+// later; AwaitEnd receives them. Must come first: until then each of them ends the process at once,
+// and the platform may send SIGHUP right after a start.
 auto BlockSignals() -> sigset_t {
   sigset_t signals;
   sigemptyset(&signals);
@@ -181,6 +182,7 @@
 }
 
 auto Main(int argc, char** argv) -> int {
+  const auto signals = BlockSignals();
   CLI::App app("filbertstair daemon: an entry or the process in front of one replica");
   std::string path;
   app.add_option("--settings", path, "Settings file (YAML)")->required();
@@ -197,10 +199,6 @@
       std::cerr << "filbertstaird: " << schema::Describe(problem) << '\n';
     }
     if (!result.settings) return kExitRefused;
-    // Must precede the start of the log thread: a thread that does not block these signals would
-    // let one end the process at once while the main thread does not wait for it, as during a
-    // planned stop.
-    const auto signals = BlockSignals();
     telemetry::InitializeLog(ToLevel(result.settings->log_level),
                              ToFormat(result.settings->log_format), result.settings->id);
     return Run(*result.settings, path, signals);
