Wait for listen addresses that are in use

A start on an address that was in use for a moment ended the process with status 1 (FAULT), again at each restart: an outgoing connection of another process has the port, its TIME_WAIT lasts 60 s, or a predecessor is still stopping. An endpoint process did not check at all and shared its address with a second process, since workers listen with SO_REUSEPORT.

A start of any role now waits for its addresses for up to 75 s, logs event 111 for each, ends with 0 on SIGTERM meanwhile, and with status 1 and the address in event 104 after that. Nothing listens until then, so the process is not ready. Exceptions that are no core::Error end a start with a line, too, and one that nothing handles is logged before the process aborts (event 900).

daemon_test testAddressInUseDelaysTheStart and testStopWhileAnAddressIsInUse failed before and pass.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -2,14 +2,19 @@
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <ctime>
+#include <exception>
 #include <functional>
 #include <iostream>
+#include <ratio>
 #include <thread>
 
 #include "filbertstair/core/error.h"
 #include "filbertstair/endpoint/endpoint.h"
 #include "filbertstair/entry/entry.h"
 #include "filbertstair/node/node.h"
+#include "filbertstair/node/start.h"
 #include "filbertstair/platform/headers.h"
 #include "filbertstair/platform/store.h"
 #include "filbertstair/relay/relay.h"
@@ -156,20 +161,40 @@
   }
 }
 
+// Sleeps for the time, or until a signal arrives that stops the daemon. Returns whether one has.
+// SIGHUP stays pending.
+auto SleepUntilStopped(core::Duration duration) -> bool {
+  sigset_t stopping;
+  sigemptyset(&stopping);
+  sigaddset(&stopping, SIGTERM);
+  sigaddset(&stopping, SIGINT);
+  const auto nanoseconds = std::chrono::nanoseconds(duration).count();
+  const timespec timeout{nanoseconds / std::nano::den, nanoseconds % std::nano::den};
+  return sigtimedwait(&stopping, nullptr, &timeout) > 0;
+}
+
+// Serves until a signal stops the daemon. Returns the number of requests that were cut.
+auto Serve(const settings::Settings& settings, const std::string& path, const sigset_t& signals)
+    -> std::size_t {
+  if (!node::AwaitAddresses(settings, SleepUntilStopped)) return 0;
+  // Never destroyed: the workers' fibers refer to it until the process exits.
+  auto& node = *new node::Node(settings, Now());
+  const auto actions = StartRole(node);
+  AwaitEnd(signals, path, actions);
+  return FinishRequests(node, actions);
+}
+
 auto Run(const settings::Settings& settings, const std::string& path, const sigset_t& signals)
     -> int {
-  node::Node node(settings, Now());
   telemetry::Log(Level::info, Event::started,
                  {{"role", core::Name(settings.role)},
                   {"region", settings.region},
                   {"failure_domain", settings.failure_domain},
                   {"version", FILBERTSTAIR_VERSION}});
   try {
-    const auto actions = StartRole(node);
-    AwaitEnd(signals, path, actions);
-    const auto cut = FinishRequests(node, actions);
+    const auto cut = Serve(settings, path, signals);
     telemetry::Log(Level::info, Event::stopped, {{"cut", std::to_string(cut)}});
-  } catch (const core::Error& error) {
+  } catch (const std::exception& error) {
     node::LogError(Level::error, Event::start_failed, error);
     std::cerr << "filbertstaird: " << error.what() << '\n';
     telemetry::FlushLog();
@@ -181,6 +206,19 @@
   _exit(0);
 }
 
+// Logs an exception that nothing handles before it ends the process.
+[[noreturn]] auto Terminate() -> void {
+  try {
+    if (const auto current = std::current_exception()) std::rethrow_exception(current);
+  } catch (const std::exception& error) {
+    node::LogError(Level::error, Event::internal_error, error);
+  } catch (...) {
+    telemetry::Log(Level::error, Event::internal_error, {{"error", "unknown exception"}});
+  }
+  telemetry::FlushLog();
+  std::abort();
+}
+
 auto Main(int argc, char** argv) -> int {
   const auto signals = BlockSignals();
   CLI::App app("filbertstair daemon: an entry or the process in front of one replica");
@@ -201,8 +239,9 @@
     if (!result.settings) return kExitRefused;
     telemetry::InitializeLog(ToLevel(result.settings->log_level),
                              ToFormat(result.settings->log_format), result.settings->id);
+    std::set_terminate(Terminate);
     return Run(*result.settings, path, signals);
-  } catch (const core::Error& error) {
+  } catch (const std::exception& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
     return kExitRefused;
   }
--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -4,7 +4,6 @@
 #include <boost/json/object.hpp>
 
 #include "filbertstair/core/error.h"
-#include "filbertstair/net/address.h"
 #include "filbertstair/node/admin.h"
 #include "filbertstair/node/start.h"
 #include "state.h"
@@ -89,9 +88,6 @@
 auto Start(node::Node& node) -> std::shared_ptr<Entry> {
   auto entry = std::make_shared<Entry>(node);
   node.on_configuration = [entry] { entry->links_changed.Notify(); };
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.peers));
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.callers));
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.admin));
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
     node::RunOnWorker(node, i, [&] {
       ListenForPeers(entry);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -6,7 +6,6 @@
 #include <limits>
 
 #include "filbertstair/core/hex.h"
-#include "filbertstair/net/address.h"
 #include "filbertstair/node/admin.h"
 #include "filbertstair/node/start.h"
 #include "state.h"
@@ -269,9 +268,6 @@
   auto relay = std::make_shared<Relay>(node, dialect);
   relay->origin.failure_domain = node.settings.failure_domain;
   relay->origin.regions = node.settings.failure_domains;
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.peers));
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.callers));
-  net::CheckAddressAvailable(settings::FormatAddress(node.settings.admin));
   for (std::size_t i = 0; i < node.pool.Size(); ++i) {
     node::RunOnWorker(node, i, [&] {
       ListenPeers(relay);
