Serve what has arrived when a planned stop closes connections

Callers of an entry that was stopped in order saw their connections reset without an answer (LOST): those that waited in the listener's backlog, which closing the listener resets, and those on which a request had arrived that was not read yet. In 4 stops with the entry paused for a second in each, 8 requests that had been sent 0.5 to 0.9 s before were lost; the entry had no line about them. A request that was still arriving was cut after 2.6 s, though the grace is 7.4 s: 17 uploads in 9 stops.

The listener now accepts its backlog before it is closed, connections with unread bytes are kept, and a request counts as in flight from its first byte, so the process waits for it. The limits of a request are read when it arrives, not when its connection became idle.

daemon_test testStopAnswersConnectionsInTheBacklog and testStopWaitsForRequestsThatArrive failed before and pass.

--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -30,6 +30,7 @@
     node::SendRefusal(entry->node, "", "", node::ToRequestRefusal(fault), responder);
   };
   handlers.should_close = [entry] { return entry->node.draining.load(); };
+  handlers.begin_work = [entry] { return node::BeginWork(entry->node); };
   entry->workers[runtime::WorkerIndex()].caller_listener =
       std::make_shared<net::HttpListener>(net::ListenHttp(address, limits, std::move(handlers)));
   telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
@@ -103,9 +104,12 @@
 auto Drain(Entry& entry) -> void {
   if (!node::BeginDrain(entry.node)) return;
   for (std::size_t i = 0; i < entry.workers.size(); ++i) {
-    entry.node.pool.Post(i, [&entry, i] {
+    // `work` keeps the process from exiting before the connections in the backlog are accepted.
+    entry.node.pool.Post(i, [&entry, i, work = node::BeginWork(entry.node)] {
       runtime::SleepFor(node::kDrainNoticeTime);
-      if (entry.workers[i].caller_listener) entry.workers[i].caller_listener->Drain();
+      if (entry.workers[i].caller_listener) {
+        node::LogListenerClosed(entry.workers[i].caller_listener->Drain());
+      }
     });
   }
 }
--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -399,7 +399,6 @@
 
 auto HandleRequest(Entry& entry, const net::HttpRequest& request, net::Responder& responder)
     -> void {
-  const node::InFlightGuard in_flight(entry.node.in_flight);
   const auto shared = std::make_shared<Call>();
   const node::RegistrationGuard listed(entry.workers[runtime::WorkerIndex()].calls, shared);
   auto& call = *shared;
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -125,13 +125,27 @@
   // closed, at a fraction of the cost of a fiber for the connection. Neither function may suspend.
   std::function<bool()> should_screen{};
   std::function<ScreenResult(const HttpRequest&, bool full)> screen{};
+  // Called when the first bytes of a request have arrived. The result is released once the request
+  // has its response, or its connection ends.
+  std::function<std::shared_ptr<void>()> begin_work{};
+};
+
+// Connections at the moment at which a listener was drained.
+struct DrainCounts {
+  // Accepted from the backlog.
+  std::size_t accepted = 0;
+  // Closed, since no request had arrived.
+  std::size_t idle = 0;
+  // Kept, since a request had arrived that was not read yet.
+  std::size_t unread = 0;
 };
 
 // Handle of one worker's listener and its connections.
 class HttpListener {
  public:
-  // Stops accepting connections and closes those on which no request is being handled.
-  auto Drain() -> void;
+  // Accepts the connections that are pending, and no more after that. Closes connections once no
+  // request is being handled on them and none has arrived.
+  auto Drain() -> DrainCounts;
 
   // Returns whether the listener has reached max_connections.
   auto IsFull() const -> bool;
--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -90,6 +90,20 @@
   return true;
 }
 
+// Accepts all pending connections. Returns their number.
+inline auto AcceptBacklog(Tcp::acceptor& acceptor, const Tcp& protocol,
+                          const AcceptHandlers& handlers) -> std::size_t {
+  std::size_t count = 0;
+  while (true) {
+    const int accepted =
+        accept4(acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0 && errno == ECONNABORTED) continue;
+    if (accepted < 0) return count;
+    Dispatch(accepted, protocol, handlers);
+    ++count;
+  }
+}
+
 // Accepts connections until the acceptor is closed.
 inline auto AcceptLoop(const std::shared_ptr<Tcp::acceptor>& acceptor, AcceptHandlers handlers)
     -> void {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -114,34 +114,49 @@
 // screening may have read from the connection.
 constexpr std::size_t kReadAheadBytes = std::size_t{64} << 10;
 
-// Waits for the first bytes of the next request unless some are already buffered.
-auto WaitForRequest(HttpListener::State& listener, const HttpLimits& limits,
-                    beast::tcp_stream& stream, beast::flat_buffer& buffer)
-    -> boost::system::error_code {
-  if (buffer.size() > 0) return {};
-  constexpr std::size_t first_read = 4096;
-  listener.idle.insert(&stream);
-  stream.expires_after(limits.max_idle_time);
-  const auto result = runtime::Await([&](auto handler) {
-    stream.async_read_some(buffer.prepare(first_read), std::move(handler));
-  });
-  listener.idle.erase(&stream);
-  buffer.commit(result.size);
-  return result.error;
+// Maximum wait for the first request of a connection that was accepted as the listener closed. A
+// caller sends it within a round trip.
+constexpr std::chrono::milliseconds kFirstRequestTime{200};
+
+auto HasUnreadBytes(beast::tcp_stream& stream) -> bool {
+  boost::system::error_code error;
+  return stream.socket().available(error) > 0;
 }
 
 auto CurrentLimits(const HttpListener::State& listener) -> HttpLimits {
   return listener.handlers.limits ? listener.handlers.limits() : listener.limits;
 }
 
+// Waits for the first bytes of the next request unless some are already buffered.
+auto WaitForRequest(HttpListener::State& listener, beast::tcp_stream& stream,
+                    beast::flat_buffer& buffer) -> boost::system::error_code {
+  constexpr std::size_t first_read = 4096;
+  boost::system::error_code error;
+  // A wait that was cancelled to close the connection goes on if a request has arrived meanwhile:
+  // closing would reset it.
+  while (buffer.size() == 0 && (!error || HasUnreadBytes(stream))) {
+    const auto idle_time = CurrentLimits(listener).max_idle_time;
+    listener.idle.insert(&stream);
+    stream.expires_after(listener.draining ? std::min(idle_time, kFirstRequestTime) : idle_time);
+    const auto result = runtime::Await([&](auto handler) {
+      stream.async_read_some(buffer.prepare(first_read), std::move(handler));
+    });
+    listener.idle.erase(&stream);
+    buffer.commit(result.size);
+    error = result.error;
+    if (error && error != boost::asio::error::operation_aborted) return error;
+  }
+  return buffer.size() > 0 ? boost::system::error_code() : error;
+}
+
 auto ReadRequest(HttpListener::State& listener, beast::tcp_stream& stream,
                  beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
     -> boost::system::error_code {
+  // The limits may change while the connection is idle.
   const auto limits = CurrentLimits(listener);
   parser.header_limit(limits.max_header_bytes);
   parser.body_limit(limits.max_body_bytes);
   buffer.max_size(std::max(limits.max_header_bytes + kReadAheadBytes, buffer.size()));
-  if (const auto error = WaitForRequest(listener, limits, stream, buffer)) return error;
   stream.expires_after(limits.max_header_time);
   auto result = runtime::Await(
       [&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
@@ -218,9 +233,16 @@
   std::size_t& count;
 };
 
+// Returns what the process counts until the request is finished, if it counts requests.
+auto BeginWork(const HttpListener::State& listener) -> std::shared_ptr<void> {
+  return listener.handlers.begin_work ? listener.handlers.begin_work() : nullptr;
+}
+
 auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
                      InitialData initial_data) -> void {
   const ConnectionGuard counted(listener->connections);
+  // A planned stop waits for the first request of a connection that it has accepted.
+  auto accepted = listener->draining ? BeginWork(*listener) : nullptr;
   boost::system::error_code ignored;
   const auto remote = socket.remote_endpoint(ignored);
   const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
@@ -230,7 +252,11 @@
                                          boost::asio::buffer(initial_data.bytes)));
   initial_data.bytes = {};
   bool keep_open = true;
-  while (keep_open && !listener->draining) {
+  for (bool first = true; keep_open; first = false) {
+    if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
+    if (WaitForRequest(*listener, stream, buffer)) break;
+    const auto work = BeginWork(*listener);
+    accepted.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
     ServerExchange exchange(stream, peer, false);
@@ -263,6 +289,19 @@
   stream.close();
 }
 
+auto MakeAcceptHandlers(const std::shared_ptr<HttpListener::State>& state) -> AcceptHandlers {
+  AcceptHandlers accept;
+  accept.serve = [state](Tcp::socket socket, InitialData initial_data) {
+    ServeConnection(state, std::move(socket), std::move(initial_data));
+  };
+  if (state->handlers.screen) {
+    accept.screen = [state](int socket, InitialData& initial_data) {
+      return ScreenConnection(*state, socket, initial_data);
+    };
+  }
+  return accept;
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -372,11 +411,24 @@
   return this->state->connections >= detail::CurrentLimits(*this->state).max_connections;
 }
 
-auto HttpListener::Drain() -> void {
+auto HttpListener::Drain() -> DrainCounts {
   this->state->draining = true;
+  DrainCounts counts;
   boost::system::error_code ignored;
+  const auto protocol = this->state->acceptor->local_endpoint(ignored).protocol();
+  // Closing the acceptor resets the connections in its backlog, on which requests may have arrived.
+  counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
+                                          detail::MakeAcceptHandlers(this->state));
   this->state->acceptor->close(ignored);
-  for (auto* stream : this->state->idle) stream->cancel();
+  for (auto* stream : this->state->idle) {
+    if (detail::HasUnreadBytes(*stream)) {
+      ++counts.unread;
+    } else {
+      ++counts.idle;
+      stream->cancel();
+    }
+  }
+  return counts;
 }
 
 auto ListenHttp(const std::string& address, HttpLimits limits, HttpHandlers handlers)
@@ -385,16 +437,7 @@
   state->limits = limits;
   state->handlers = std::move(handlers);
   state->acceptor = detail::OpenAcceptor(address);
-  detail::AcceptHandlers accept;
-  accept.serve = [state](detail::Tcp::socket socket, detail::InitialData initial_data) {
-    detail::ServeConnection(state, std::move(socket), std::move(initial_data));
-  };
-  if (state->handlers.screen) {
-    accept.screen = [state](int socket, detail::InitialData& initial_data) {
-      return detail::ScreenConnection(*state, socket, initial_data);
-    };
-  }
-  detail::AcceptLoop(state->acceptor, std::move(accept));
+  detail::AcceptLoop(state->acceptor, detail::MakeAcceptHandlers(state));
   return HttpListener(state);
 }
 
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -16,6 +16,7 @@
 #include "filbertstair/document/service.h"
 #include "filbertstair/membership/table.h"
 #include "filbertstair/membership/vm.h"
+#include "filbertstair/net/http_server.h"
 #include "filbertstair/node/history.h"
 #include "filbertstair/node/in_flight.h"
 #include "filbertstair/node/outbox.h"
@@ -112,6 +113,12 @@
 // draining already.
 auto BeginDrain(Node& node) -> bool;
 
+// Counts a request as in flight until the result is released.
+auto BeginWork(Node& node) -> std::shared_ptr<void>;
+
+// Logs that a planned stop has closed a listener for callers.
+auto LogListenerClosed(const net::DrainCounts& counts) -> void;
+
 // Adds an event with the current wall-clock time to the request's trace. The caller must hold no
 // lock of rank `traces` or above.
 auto RecordEvent(Node& node, std::string_view request, TraceEvent event) -> void;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -36,6 +36,17 @@
   return true;
 }
 
+auto BeginWork(Node& node) -> std::shared_ptr<void> {
+  return std::make_shared<InFlightGuard>(node.in_flight);
+}
+
+auto LogListenerClosed(const net::DrainCounts& counts) -> void {
+  telemetry::Log(telemetry::Level::info, telemetry::Event::listener_closed,
+                 {{"accepted", std::to_string(counts.accepted)},
+                  {"idle", std::to_string(counts.idle)},
+                  {"unread", std::to_string(counts.unread)}});
+}
+
 auto RecordEvent(Node& node, std::string_view request, TraceEvent event) -> void {
   event.recorded_at =
       std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -96,6 +96,7 @@
   handlers.screen = [relay](const net::HttpRequest& head, bool full) {
     return ScreenRequest(*relay, head, full);
   };
+  handlers.begin_work = [relay] { return node::BeginWork(relay->node); };
   ThisWorker(*relay).caller_listener =
       std::make_shared<net::HttpListener>(net::ListenHttp(address, {}, std::move(handlers)));
   telemetry::Log(Level::info, Event::listening, {{"purpose", "callers"}, {"address", address}});
@@ -286,9 +287,12 @@
 auto Drain(Relay& relay) -> void {
   if (!node::BeginDrain(relay.node)) return;
   for (std::size_t i = 0; i < relay.workers.size(); ++i) {
-    relay.node.pool.Post(i, [&relay, i] {
+    // `work` keeps the process from exiting before the connections in the backlog are accepted.
+    relay.node.pool.Post(i, [&relay, i, work = node::BeginWork(relay.node)] {
       runtime::SleepFor(node::kDrainNoticeTime);
-      if (relay.workers[i].caller_listener) relay.workers[i].caller_listener->Drain();
+      if (relay.workers[i].caller_listener) {
+        node::LogListenerClosed(relay.workers[i].caller_listener->Drain());
+      }
     });
   }
 }
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -447,7 +447,6 @@
 
 auto HandleRequest(Relay& relay, const net::HttpRequest& request, net::Responder& responder)
     -> void {
-  const node::InFlightGuard in_flight(relay.node.in_flight);
   const auto call = std::make_shared<Call>();
   const node::RegistrationGuard listed(ThisWorker(relay).calls, call);
   ParseCall(relay, request, *call);
