Close the listener of a stop in time if the grace is short

Since a stop waits for its listener to be drained, an entry whose grace is shorter than the drain notice of 2.5 s used up all of it, also when idle, and event 102 counted the listener as a request that was cut. The notice now ends at the deadline for the start of responses if that comes first.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -121,8 +121,7 @@
   const auto end = node::Now() + node.settings.drain_grace;
   node.exit_at = end;
   actions.drain();
-  std::this_thread::sleep_until(
-      std::min(node::ResponseStartDeadline(node), node::Now() + node::kDrainNoticeTime));
+  std::this_thread::sleep_until(node::DrainNoticeEnd(node));
   const auto left = AwaitRequests(node, node::ResponseStartDeadline(node));
   if (left == 0) return 0;
   actions.stop(node::StopScope::unanswered);
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -109,6 +109,10 @@
 // Returns the deadline for the start of a response: kFinalAnswerTime before the process exits.
 auto ResponseStartDeadline(const Node& node) -> core::Time;
 
+// Returns the time until which a process that begins to drain now keeps its listeners open:
+// kDrainNoticeTime, or the deadline for the start of responses if that is earlier.
+auto DrainNoticeEnd(const Node& node) -> core::Time;
+
 // Marks the process as draining, and logs it and records it in the history. Returns false if it was
 // draining already.
 auto BeginDrain(Node& node) -> bool;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,5 +1,6 @@
 #include "filbertstair/node/node.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -29,6 +30,10 @@
   return node.exit_at.load() - kFinalAnswerTime;
 }
 
+auto DrainNoticeEnd(const Node& node) -> core::Time {
+  return std::min(ResponseStartDeadline(node), Now() + kDrainNoticeTime);
+}
+
 auto BeginDrain(Node& node) -> bool {
   if (node.draining.exchange(true)) return false;
   telemetry::Log(telemetry::Level::info, telemetry::Event::stopping, {});
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -286,10 +286,11 @@
 
 auto Drain(Relay& relay) -> void {
   if (!node::BeginDrain(relay.node)) return;
+  const auto close_at = node::DrainNoticeEnd(relay.node);
   for (std::size_t i = 0; i < relay.workers.size(); ++i) {
     // `work` keeps the process from exiting before the connections in the backlog are accepted.
-    relay.node.pool.Post(i, [&relay, i, work = node::BeginWork(relay.node)] {
-      runtime::SleepFor(node::kDrainNoticeTime);
+    relay.node.pool.Post(i, [&relay, i, close_at, work = node::BeginWork(relay.node)] {
+      runtime::SleepFor(close_at - node::Now());
       if (relay.workers[i].caller_listener) {
         node::LogListenerClosed(relay.workers[i].caller_listener->Drain());
       }
