Give the demo a quiet period above the control period

An owner that has heard of no entry for a quiet period restarts the history of its keys, since it may have missed a change of the endpoint set (UpdateContact). The demo's quiet period was 1 s, and entries send their digests every 1 s.

The refusal is right by the design, so the demo relied on a contact that nothing promises. Its quiet period is now 3 s, and it waits for that and 1 s more.

--- a/tests/demo/demo.cc
+++ b/tests/demo/demo.cc
@@ -18,8 +18,13 @@
 constexpr auto kReady = seconds(20);
 constexpr auto kStop = seconds(20);
 
-// Quiet period of the certificates document; short, so that the demo need not wait for long.
-constexpr auto kQuiet = seconds(1);
+// Quiet period of the certificates document; short, so that the demo need not wait for long. An
+// owner that hears of no entry for this time refuses older keys. Entries report once a second, and
+// beside load an owner was seen without a report for 1.5 s.
+constexpr auto kQuiet = seconds(3);
+
+// Time beyond the quiet period that allows for `max_skew`.
+constexpr auto kMargin = seconds(1);
 
 // Characters of an answer that are printed.
 constexpr std::size_t kShown = 40;
@@ -56,7 +61,7 @@
   - method: POST
     path: /issue
 idempotency:
-  quiet: 1s
+  quiet: 3s
   max_skew: 50ms
 )";
 
@@ -231,7 +236,7 @@
   auto results = RunSteps(steps, *fleet.recorder);
 
   // A key that was issued within the quiet period after its owner's start is answered `unknown`.
-  std::this_thread::sleep_until(started + 2 * kQuiet);
+  std::this_thread::sleep_until(started + kQuiet + kMargin);
   auto once = OnceStep();
   once.call.address = FindNode(fleet, "entry-north").callers;
   once.call.id = "entry-north-once";
