Keep a closing time while a replica is missing from the list

A closing time was kept with the replica's state, which is dropped once the platform's list has lost the replica. An entry that lapsed and came back within the same start was used at once. An entry with an earlier start, or without one, also ended the closing time.

The closing time of a removed replica is kept by id and start, and holds again when that start is listed. Only a later start ends it. What a replica says of its leaving was kept already.

direct.availability_test testClosingOutlivesALapse, testOlderEntriesDoNotEndAClosing and testClosingIsForgottenOnceItCannotMatter and relay.availability_test testClosingOutlivesALapse failed before; both tests pass, 11 of 11 and 9 of 9.

--- a/libs/direct/include/filbertstair/direct/availability.h
+++ b/libs/direct/include/filbertstair/direct/availability.h
@@ -20,6 +20,8 @@
   // Time for which the leaving of a replica is remembered, also after it was removed from the list:
   // a delayed listing may still name it.
   core::Duration remember_leaving = std::chrono::hours(1);
+  // Time for which the closing time of a removed replica is remembered after it ended.
+  core::Duration remember_closing = std::chrono::minutes(10);
 };
 
 // Records that the replica said that it leaves, at its start `started_ms`. It gets no new requests
@@ -30,6 +32,10 @@
 // Forgets replicas that said long ago that they leave.
 auto ForgetLeaving(ReplicaTable& table, const AvailabilityPolicy& policy, core::Time now) -> void;
 
+// Forgets the closing times of removed replicas that ended long ago. A start that is listed again
+// after that reopens without steps.
+auto ForgetClosings(ReplicaTable& table, const AvailabilityPolicy& policy, core::Time now) -> void;
+
 // Records that the replica wants no requests for `delay`. An earlier, longer time stays in force.
 // When it ends, the replica gets one request at a time, and twice as many after each success.
 auto RecordClosed(Replica& replica, const AvailabilityPolicy& policy, core::Duration delay,
--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -63,6 +63,9 @@
   bool retry_after_ignored = false;
   // Set if the platform no longer lists the replica; it gets no more requests.
   bool removed = false;
+  // Latest start that was listed. An entry with an earlier start, or without one, is no sign of a
+  // new start.
+  std::int64_t latest_start_ms = 0;
   // Time until which a delisted replica is still used, because the platform's list was unavailable
   // and may lack live replicas. Zero if it is not delisted.
   core::Time delisted_until{};
@@ -82,6 +85,13 @@
   core::Time recorded_at{};
 };
 
+// Closing time of a replica that was removed from the list, with the start that told it.
+struct Closing {
+  std::int64_t started_ms = 0;
+  core::Time closed_until{};
+  std::uint32_t max_in_flight = 0;
+};
+
 struct ReplicaTable {
   // By service and id.
   std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
@@ -93,6 +103,8 @@
   std::unordered_map<std::string, ReplicaLoad> peer_load;
   // Replicas that have said that they leave, by id. Kept when a replica is removed from the list.
   std::map<std::string, LeavingReplica> leaving;
+  // Closing times of removed replicas, by id. They hold again when the same start is listed.
+  std::map<std::string, Closing> closings;
 };
 
 struct ReplicaPolicy {
--- a/libs/direct/src/availability.cc
+++ b/libs/direct/src/availability.cc
@@ -21,6 +21,12 @@
   });
 }
 
+auto ForgetClosings(ReplicaTable& table, const AvailabilityPolicy& policy, core::Time now) -> void {
+  std::erase_if(table.closings, [&](const auto& item) {
+    return now - item.second.closed_until > policy.remember_closing;
+  });
+}
+
 auto RecordClosed(Replica& replica, const AvailabilityPolicy& policy, core::Duration delay,
                   core::Time now) -> void {
   replica.closed_until =
--- a/libs/direct/src/replicas.cc
+++ b/libs/direct/src/replicas.cc
@@ -166,6 +166,22 @@
   return std::min(policy.ejection_time * factor, policy.max_ejection_time);
 }
 
+// Keeps what a replica that is about to be forgotten has told of its closing time.
+auto KeepClosing(ReplicaTable& table, const Replica& replica) -> void {
+  if (replica.closed_until == core::Time{}) return;
+  table.closings[replica.listing.id] = {replica.latest_start_ms, replica.closed_until,
+                                        replica.max_in_flight};
+}
+
+// Gives a replica that is listed again the closing time that its start has told before.
+auto RestoreClosing(ReplicaTable& table, Replica& replica, const Listing& listing) -> void {
+  const auto kept = table.closings.extract(listing.id);
+  if (kept.empty() || listing.started_ms > kept.mapped().started_ms) return;
+  replica.latest_start_ms = kept.mapped().started_ms;
+  replica.closed_until = kept.mapped().closed_until;
+  replica.max_in_flight = kept.mapped().max_in_flight;
+}
+
 }  // namespace
 
 auto IsLeaving(const ReplicaTable& table, const Listing& listing) -> bool {
@@ -180,7 +196,9 @@
     DelistReplica(table, id, core::Time{});
   }
   table.service_of[id] = listing.service;
-  auto& replica = table.services[listing.service][id];
+  const auto [entry, is_new] = table.services[listing.service].try_emplace(id);
+  auto& replica = entry->second;
+  if (is_new) RestoreClosing(table, replica, listing);
   if (replica.listing.started_ms != listing.started_ms ||
       replica.listing.address != listing.address) {
     replica.prefix_cache = {};
@@ -188,7 +206,8 @@
     replica.failures = 0;
     replica.ejected_until = {};
   }
-  if (replica.listing.started_ms != listing.started_ms) {
+  if (listing.started_ms > replica.latest_start_ms) {
+    replica.latest_start_ms = listing.started_ms;
     replica.closed_until = {};
     replica.max_in_flight = 0;
     replica.retry_after_ignored = false;
@@ -216,8 +235,10 @@
       if (replica.delisted_until == core::Time{} || replica.delisted_until > now) continue;
       if (!std::exchange(replica.removed, true)) table.service_of.erase(id);
     }
-    std::erase_if(replicas, [](const auto& item) {
-      return item.second.removed && item.second.in_flight == 0;
+    std::erase_if(replicas, [&](const auto& item) {
+      if (!item.second.removed || item.second.in_flight > 0) return false;
+      KeepClosing(table, item.second);
+      return true;
     });
   }
 }
--- a/libs/direct/test/availability_test.cc
+++ b/libs/direct/test/availability_test.cc
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(testLeavingIsForgottenOnceItCannotMatter);
   CPPUNIT_TEST(testShorterClosingDoesNotCutALongerOne);
   CPPUNIT_TEST(testClosingIsBounded);
+  CPPUNIT_TEST(testClosingOutlivesALapse);
+  CPPUNIT_TEST(testOlderEntriesDoNotEndAClosing);
+  CPPUNIT_TEST(testClosingIsForgottenOnceItCannotMatter);
   CPPUNIT_TEST(testClosingIsNoFailure);
   CPPUNIT_TEST(testClosedReplicaIsNotALastResort);
   CPPUNIT_TEST(testRequestsAreLetInStepByStep);
@@ -73,6 +76,51 @@
     CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now + minutes(10)));
   }
 
+  // Guards against requests at a replica before its closing time is over, or all at once after it,
+  // because its entry lapsed and came back meanwhile.
+  auto testClosingOutlivesALapse() -> void {
+    RecordClosed(this->Get("a"), this->policy, seconds(5), this->now);
+    DelistReplica(this->table, "a", core::Time{});
+    RemoveExpiredReplicas(this->table, this->now);
+    CPPUNIT_ASSERT(FindReplica(this->table, "llm", "a") == nullptr);
+    ForgetClosings(this->table, this->policy, this->now);
+    this->List("a", 5);
+    CPPUNIT_ASSERT(IsClosed(this->Get("a"), this->now + milliseconds(4999)));
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now + seconds(5)));
+    CPPUNIT_ASSERT_EQUAL(1u, this->Get("a").max_in_flight);
+    // A new start knows nothing of the closing time.
+    DelistReplica(this->table, "a", core::Time{});
+    RemoveExpiredReplicas(this->table, this->now);
+    this->List("a", 6);
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now));
+    CPPUNIT_ASSERT_EQUAL(0u, this->Get("a").max_in_flight);
+    DelistReplica(this->table, "a", core::Time{});
+    RemoveExpiredReplicas(this->table, this->now);
+    this->List("a", 5);
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now));
+  }
+
+  // Guards against taking a delayed entry, or one without a start, for a new start.
+  auto testOlderEntriesDoNotEndAClosing() -> void {
+    RecordClosed(this->Get("a"), this->policy, seconds(5), this->now);
+    for (const std::int64_t started_ms : {3, 0, 5}) {
+      this->List("a", started_ms);
+      CPPUNIT_ASSERT(IsClosed(this->Get("a"), this->now));
+    }
+    this->List("a", 6);
+    CPPUNIT_ASSERT(!IsClosed(this->Get("a"), this->now));
+  }
+
+  auto testClosingIsForgottenOnceItCannotMatter() -> void {
+    RecordClosed(this->Get("a"), this->policy, seconds(5), this->now);
+    DelistReplica(this->table, "a", core::Time{});
+    RemoveExpiredReplicas(this->table, this->now);
+    ForgetClosings(this->table, this->policy, this->now + minutes(10));
+    CPPUNIT_ASSERT(this->table.closings.contains("a"));
+    ForgetClosings(this->table, this->policy, this->now + minutes(11));
+    CPPUNIT_ASSERT(this->table.closings.empty());
+  }
+
   auto testClosingIsNoFailure() -> void {
     for (int i = 0; i < 5; ++i) RecordClosed(this->Get("a"), this->policy, seconds(1), this->now);
     CPPUNIT_ASSERT_EQUAL(0u, this->Get("a").failures);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -254,6 +254,7 @@
     relay.dispatch.With([&](DispatchTable& table) {
       direct::RemoveExpiredReplicas(table.replicas, now);
       direct::ForgetLeaving(table.replicas, relay.policies.availability, now);
+      direct::ForgetClosings(table.replicas, relay.policies.availability, now);
       direct::RemoveOldEvidence(table.quarantine, relay.policies.quarantine, now);
       for (auto& [service, queue] : table.queues) {
         AssignWaiting(relay, table, service);
--- a/libs/relay/test/availability_test.cc
+++ b/libs/relay/test/availability_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(testPeersLearnOfLeavingReplicas);
   CPPUNIT_TEST(testLastReplicaLeaves);
   CPPUNIT_TEST(testClosedReplicaGetsNothingUntilItReopens);
+  CPPUNIT_TEST(testClosingOutlivesALapse);
   CPPUNIT_TEST(testEarliestReopeningIsToldToCallers);
   CPPUNIT_TEST(testRequestWaitsForTheReopening);
   CPPUNIT_TEST(testReplicaReopensStepByStep);
@@ -182,6 +183,27 @@
     CPPUNIT_ASSERT_EQUAL(2, busy.Requests());
   }
 
+  // Guards against requests before a closing time is over because the platform's list had lost the
+  // replica meanwhile; only the replica's next start ends it early.
+  auto testClosingOutlivesALapse() -> void {
+    std::atomic<bool> closed = true;
+    TestReplica busy("a", [&](const auto& id) {
+      return closed.exchange(false) ? Refusal(id, "Retry-After: 60\r\n") : Success(id);
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    AcceptListing(*entry.relay, ListingOf(busy, 5));
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "1")).status);
+    AcceptDelisting(*entry.relay, "a");
+    // Longer than the interval at which delisted replicas are removed.
+    std::this_thread::sleep_for(milliseconds(700));
+    AcceptListing(*entry.relay, ListingOf(busy, 5));
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "2")).status);
+    CPPUNIT_ASSERT_EQUAL(1, busy.Requests());
+    AcceptListing(*entry.relay, ListingOf(busy, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "3")).status);
+  }
+
   // Guards against callers that wait, or return too early, while every replica is closed.
   auto testEarliestReopeningIsToldToCallers() -> void {
     TestReplica first("a", [](const auto& id) { return Refusal(id, "Retry-After: 40\r\n"); });
