Use neither of two listings that contradict each other

A whole entry under a known id with another service or address was believed at once, also if it was another writer's: requests of one route could run at a replica of another service.

A replica keeps both from its start to its end.

relay.availability_test testContradictingListingsAreNotUsed failed before (200 from the other address).

--- a/libs/direct/include/filbertstair/direct/replicas.h
+++ b/libs/direct/include/filbertstair/direct/replicas.h
@@ -92,6 +92,13 @@
   std::uint32_t max_in_flight = 0;
 };
 
+// A listing that contradicts the known one; see dispute.h.
+struct Dispute {
+  Listing known;
+  Listing claim;
+  core::Time settles_at{};
+};
+
 struct ReplicaTable {
   // By service and id.
   std::map<std::string, std::map<std::string, Replica>, std::less<>> services;
@@ -105,6 +112,8 @@
   std::map<std::string, LeavingReplica> leaving;
   // Closing times of removed replicas, by id. They hold again when the same start is listed.
   std::map<std::string, Closing> closings;
+  // Replicas whose last listing contradicts the one before, by id. They are not in `service_of`.
+  std::map<std::string, Dispute> disputes;
 };
 
 struct ReplicaPolicy {
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -33,11 +33,19 @@
 
 auto UpsertLocked(Relay& relay, DispatchTable& table, direct::Listing listing) -> void {
   const auto* existing = direct::FindReplica(table.replicas, listing.service, listing.id);
-  const bool changed = existing == nullptr || !(existing->listing == listing);
+  const bool changed = existing == nullptr || existing->removed || !(existing->listing == listing);
   const auto service = listing.service;
-  if (changed) LogListing(listing.id, service, core::Name(listing.state));
-  direct::UpsertReplica(table.replicas, std::move(listing));
-  if (changed) AssignWaiting(relay, table, service);
+  const auto id = listing.id;
+  const auto state = listing.state;
+  if (!direct::ApplyListing(table.replicas, relay.policies.disputes, std::move(listing),
+                            node::Now())) {
+    LogListing(id, service, "disputed");
+    return;
+  }
+  if (changed) {
+    LogListing(id, service, core::Name(state));
+    AssignWaiting(relay, table, service);
+  }
 }
 
 }  // namespace
@@ -85,6 +93,7 @@
 
 auto AcceptDelisting(Relay& relay, const std::string& id) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
+    direct::DropDispute(table.replicas, id);
     if (table.replicas.service_of.contains(id)) DelistLocked(table, id);
   });
 }
@@ -93,11 +102,15 @@
   relay.dispatch.With([&](DispatchTable& table) {
     std::set<std::string> missing;
     for (const auto& [id, service] : table.replicas.service_of) missing.insert(id);
+    for (const auto& [id, dispute] : table.replicas.disputes) missing.insert(id);
     for (auto& listing : listings) {
       missing.erase(listing.id);
       UpsertLocked(relay, table, std::move(listing));
     }
-    for (const auto& id : missing) DelistLocked(table, id);
+    for (const auto& id : missing) {
+      direct::DropDispute(table.replicas, id);
+      DelistLocked(table, id);
+    }
   });
 }
 
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -253,6 +253,7 @@
     if (runtime::WorkerIndex() != 0) continue;
     relay.dispatch.With([&](DispatchTable& table) {
       direct::RemoveExpiredReplicas(table.replicas, now);
+      direct::SettleDisputes(table.replicas, now);
       direct::ForgetLeaving(table.replicas, relay.policies.availability, now);
       direct::ForgetClosings(table.replicas, relay.policies.availability, now);
       direct::RemoveOldEvidence(table.quarantine, relay.policies.quarantine, now);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -16,6 +16,7 @@
 #include "filbertstair/direct/assignment.h"
 #include "filbertstair/direct/availability.h"
 #include "filbertstair/direct/budget.h"
+#include "filbertstair/direct/dispute.h"
 #include "filbertstair/direct/events.h"
 #include "filbertstair/direct/fleet.h"
 #include "filbertstair/direct/intake.h"
@@ -164,6 +165,7 @@
   direct::RotationPolicy rotation;
   direct::QuarantinePolicy quarantine;
   direct::AvailabilityPolicy availability;
+  direct::DisputePolicy disputes;
   core::DrainPolicy drain;
 };
 
--- a/libs/relay/test/availability_test.cc
+++ b/libs/relay/test/availability_test.cc
@@ -51,6 +51,7 @@
   CPPUNIT_TEST_SUITE(AvailabilityTest);
   CPPUNIT_TEST(testAnyHeadTellsThatAReplicaLeaves);
   CPPUNIT_TEST(testListingsDoNotBringALeavingReplicaBack);
+  CPPUNIT_TEST(testContradictingListingsAreNotUsed);
   CPPUNIT_TEST(testPeersLearnOfLeavingReplicas);
   CPPUNIT_TEST(testLastReplicaLeaves);
   CPPUNIT_TEST(testClosedReplicaGetsNothingUntilItReopens);
@@ -61,6 +62,38 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against requests at an address that another writer stored under a known id, and at the
+  // known address until the replica has checked in again.
+  auto testContradictingListingsAreNotUsed() -> void {
+    TestReplica known("a", [](const auto& id) { return Success(id); });
+    TestReplica claimed("a", [](const auto& id) { return Success(id); });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    AcceptListing(*entry.relay, ListingOf(known, 5));
+    for (const std::int64_t started_ms : {5, 4, 0}) {
+      AcceptListing(*entry.relay, ListingOf(claimed, started_ms));
+      CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "1")).status);
+      ReplaceListings(*entry.relay, {ListingOf(claimed, started_ms)});
+      CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "2")).status);
+      AcceptListing(*entry.relay, ListingOf(known, 5));
+      CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "3")).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, claimed.Requests());
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "4")).status);
+    CPPUNIT_ASSERT_EQUAL(1, claimed.Requests());
+    // A lapse ends the dispute.
+    AcceptListing(*entry.relay, ListingOf(known, 6));
+    AcceptDelisting(*entry.relay, "a");
+    AcceptListing(*entry.relay, ListingOf(known, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "5")).status);
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    ReplaceListings(*entry.relay, {});
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "6")).status);
+    CPPUNIT_ASSERT_EQUAL(2, claimed.Requests());
+  }
+
   // Guards against new requests at a replica that has said that it leaves, in whichever response.
   auto testAnyHeadTellsThatAReplicaLeaves() -> void {
     const auto stream = [](const std::string& id) {
