--- a/libs/relay/test/availability_test.cc
+++ b/libs/relay/test/availability_test.cc
@@ -51,15 +51,49 @@
   CPPUNIT_TEST_SUITE(AvailabilityTest);
   CPPUNIT_TEST(testAnyHeadTellsThatAReplicaLeaves);
   CPPUNIT_TEST(testListingsDoNotBringALeavingReplicaBack);
+  CPPUNIT_TEST(testContradictingListingsAreNotUsed);
   CPPUNIT_TEST(testPeersLearnOfLeavingReplicas);
   CPPUNIT_TEST(testLastReplicaLeaves);
   CPPUNIT_TEST(testClosedReplicaGetsNothingUntilItReopens);
+  CPPUNIT_TEST(testClosingOutlivesALapse);
   CPPUNIT_TEST(testEarliestReopeningIsToldToCallers);
   CPPUNIT_TEST(testRequestWaitsForTheReopening);
   CPPUNIT_TEST(testReplicaReopensStepByStep);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against requests at an address that another writer stored under a known id, and at the
+  // known address until the replica has checked in again.
+  auto testContradictingListingsAreNotUsed() -> void {
+    TestReplica known("a", [](const auto& id) { return Success(id); });
+    TestReplica claimed("a", [](const auto& id) { return Success(id); });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    AcceptListing(*entry.relay, ListingOf(known, 5));
+    for (const std::int64_t started_ms : {5, 4, 0}) {
+      AcceptListing(*entry.relay, ListingOf(claimed, started_ms));
+      CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "1")).status);
+      ReplaceListings(*entry.relay, {ListingOf(claimed, started_ms)});
+      CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "2")).status);
+      AcceptListing(*entry.relay, ListingOf(known, 5));
+      CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "3")).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, claimed.Requests());
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "4")).status);
+    CPPUNIT_ASSERT_EQUAL(1, claimed.Requests());
+    // A lapse ends the dispute.
+    AcceptListing(*entry.relay, ListingOf(known, 6));
+    AcceptDelisting(*entry.relay, "a");
+    AcceptListing(*entry.relay, ListingOf(known, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "5")).status);
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    ReplaceListings(*entry.relay, {});
+    AcceptListing(*entry.relay, ListingOf(claimed, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "6")).status);
+    CPPUNIT_ASSERT_EQUAL(2, claimed.Requests());
+  }
+
   // Guards against new requests at a replica that has said that it leaves, in whichever response.
   auto testAnyHeadTellsThatAReplicaLeaves() -> void {
     const auto stream = [](const std::string& id) {
@@ -182,6 +216,27 @@
     CPPUNIT_ASSERT_EQUAL(2, busy.Requests());
   }
 
+  // Guards against requests before a closing time is over because the platform's list had lost the
+  // replica meanwhile; only the replica's next start ends it early.
+  auto testClosingOutlivesALapse() -> void {
+    std::atomic<bool> closed = true;
+    TestReplica busy("a", [&](const auto& id) {
+      return closed.exchange(false) ? Refusal(id, "Retry-After: 60\r\n") : Success(id);
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    AcceptListing(*entry.relay, ListingOf(busy, 5));
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "1")).status);
+    AcceptDelisting(*entry.relay, "a");
+    // Longer than the interval at which delisted replicas are removed.
+    std::this_thread::sleep_for(milliseconds(700));
+    AcceptListing(*entry.relay, ListingOf(busy, 5));
+    CPPUNIT_ASSERT_EQUAL(503, entry.Call(Get("/again/x", "2")).status);
+    CPPUNIT_ASSERT_EQUAL(1, busy.Requests());
+    AcceptListing(*entry.relay, ListingOf(busy, 6));
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/again/x", "3")).status);
+  }
+
   // Guards against callers that wait, or return too early, while every replica is closed.
   auto testEarliestReopeningIsToldToCallers() -> void {
     TestReplica first("a", [](const auto& id) { return Refusal(id, "Retry-After: 40\r\n"); });
