Start test processes without inherited descriptors

The harness started processes with copies of all its open sockets. In a soak, an entry that was started again held the sockets of the relays: it seemed to use up to 106 descriptors where it had 24 at its start, and a connection that a relay closed stayed open at its other end.

The child now closes everything beyond standard error.

--- a/tests/fleet/harness.cc
+++ b/tests/fleet/harness.cc
@@ -128,6 +128,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A relay's sockets would otherwise stay open in the child after the relay has closed them, and
+  // count as the child's descriptors.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       posix_spawn(&this->pid, program.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/tests/fleet/harness_test.cc
+++ b/tests/fleet/harness_test.cc
@@ -1,9 +1,11 @@
 #include "tests/fleet/harness.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/json.hpp>
 #include <csignal>
@@ -33,6 +35,7 @@
   CPPUNIT_TEST(testRelayLinks);
   CPPUNIT_TEST(testRelayTellsSourcesApart);
   CPPUNIT_TEST(testProcessSignals);
+  CPPUNIT_TEST(testProcessInheritsNoDescriptors);
   CPPUNIT_TEST_SUITE_END();
 
   Fleet fleet;
@@ -267,6 +270,21 @@
     StartReplica(this->fleet, node);
     CPPUNIT_ASSERT(node.replica->Running());
   }
+
+  // A child with a copy of a socket keeps a connection open that the test has closed.
+  auto testProcessInheritsNoDescriptors() -> void {
+    std::array<int, 2> ends{};
+    CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+    Process process("/bin/sleep", {"60"}, (this->fleet.directory / "sleep.log").string());
+    close(ends[1]);
+    char byte = 0;
+    pollfd poll_end{ends[0], POLLIN, 0};
+    const int polled = poll(&poll_end, 1, 5000);
+    const auto count = polled == 1 ? read(ends[0], &byte, 1) : -1;
+    close(ends[0]);
+    CPPUNIT_ASSERT_EQUAL(ssize_t{0}, count);
+    CPPUNIT_ASSERT(process.Running());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HarnessTest);
