Record when faults act and apply them on time

A disturbance was noted with its planned times, and one of a single step (a crash) explained what callers saw for up to 6 s more. Steps may also be late: while an entry that was not yet ready was frozen, each look at it held the thread that applies the faults for 1 s, and a command to a frozen replica held it for 2 s and was lost, so that answers stayed cut.

A disturbance now lasts from the first to the last step that was applied. A frozen entry is not asked, others for 100 ms at most, and a replica is resumed before it gets a command. The check becomes stricter: it explains less.

--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -23,6 +23,9 @@
 constexpr int kRevisionStep = 100'000;
 // Time for which the store and replicas are waited for.
 constexpr milliseconds kStandinTime{10'000};
+// Longest wait for one answer about readiness. Faults are applied by the same thread and must not
+// be late by a slow entry.
+constexpr milliseconds kProbeTime{100};
 
 auto ReadFile(const std::filesystem::path& path) -> std::string {
   std::ifstream in(path, std::ios::binary);
@@ -94,6 +97,15 @@
   }
 }
 
+auto IsReady(const Entry& entry) -> bool {
+  if (entry.frozen > 0) return false;
+  fleet::Call call;
+  call.address = entry.admin;
+  call.target = "/readyz";
+  call.timeout = kProbeTime;
+  return fleet::Send(call).status == 200;
+}
+
 auto RecordEnd(Entry& entry) -> void {
   if (!entry.process) return;
   const auto status = entry.process->Wait(milliseconds(0));
@@ -202,9 +214,7 @@
     const auto usage = ReadUsage(entry.process->Pid());
     entry.peak_resident = std::max(entry.peak_resident, usage.resident);
     auto& run = entry.runs.back();
-    if (run.ready_at == 0 && fleet::WaitReady(entry.admin, milliseconds(0))) {
-      run.ready_at = standins::NowUs();
-    }
+    if (run.ready_at == 0 && IsReady(entry)) run.ready_at = standins::NowUs();
   }
   for (auto& replica : deployment.replicas) {
     if (replica.process && !replica.process->Running()) StartReplica(deployment, replica);
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -28,7 +28,8 @@
   int status = 0;
 };
 
-// A time during which a fault may explain what callers see of an entry, or of all if it is -1.
+// The time from the first to the last step of a fault, which may explain what callers see of an
+// entry, or of all if it is -1. Zeros before the first step.
 struct Disturbance {
   FaultKind kind = FaultKind::terminate;
   int entry = -1;
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -34,9 +34,10 @@
   // Time of the fault that is being scheduled.
   std::int64_t from = 0;
   std::int64_t until = 0;
+  std::size_t fault = 0;
 
   auto Add(std::int64_t at, std::function<void()> apply) -> void {
-    this->steps.push_back({at, std::move(apply)});
+    this->steps.push_back({at, std::move(apply), this->fault});
   }
   // Adds steps at the begin and the end of the fault.
   auto Around(std::function<void()> begin, std::function<void()> end) -> void {
@@ -185,6 +186,13 @@
   }
 }
 
+// Sends a command to the replica. A frozen one is resumed first: it would not answer, and answers
+// would stay cut after the fault.
+auto ControlReplica(Replica& replica, const std::string& command) -> void {
+  replica.process->Signal(SIGCONT);
+  Control(replica.address, command);
+}
+
 auto ScheduleReplicaFault(Schedule& schedule, FaultKind kind, Replica& replica) -> void {
   auto& deployment = schedule.deployment;
   switch (kind) {
@@ -195,8 +203,8 @@
                              [&replica] { replica.process->Signal(SIGCONT); });
     case FaultKind::cut_answers:
       return schedule.Around(
-          [&replica] { Control(replica.address, "cut?percent=" + std::to_string(kCutPercent)); },
-          [&replica] { Control(replica.address, "cut?percent=0"); });
+          [&replica] { ControlReplica(replica, "cut?percent=" + std::to_string(kCutPercent)); },
+          [&replica] { ControlReplica(replica, "cut?percent=0"); });
     case FaultKind::drain_replica:
       return schedule.Around([&] { Control(deployment.store, "drain?id=" + replica.id); },
                              [&] { Control(deployment.store, "return?id=" + replica.id); });
@@ -263,13 +271,20 @@
         ScheduleStoreFault(schedule, fault.kind);
         break;
     }
-    deployment.disturbances.push_back({fault.kind,
-                                       ScopeOf(fault.kind) == Scope::entry ? entry.index : -1,
-                                       schedule.from, schedule.until});
+    deployment.disturbances.push_back(
+        {fault.kind, ScopeOf(fault.kind) == Scope::entry ? entry.index : -1});
+    ++schedule.fault;
   }
   std::stable_sort(schedule.steps.begin(), schedule.steps.end(),
                    [](const Step& a, const Step& b) { return a.at < b.at; });
   return std::move(schedule.steps);
 }
 
+auto ApplyStep(Deployment& deployment, const Step& step) -> void {
+  auto& disturbance = deployment.disturbances[step.fault];
+  if (disturbance.from == 0) disturbance.from = standins::NowUs();
+  step.apply();
+  disturbance.until = standins::NowUs();
+}
+
 }  // namespace filbertstair::soak
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -80,7 +80,9 @@
   while (next < steps.size() || callers.Running()) {
     const auto now = standins::NowUs();
     if (now > end) return false;
-    for (; next < steps.size() && steps[next].at <= now; ++next) steps[next].apply();
+    for (; next < steps.size() && steps[next].at <= now; ++next) {
+      ApplyStep(deployment, steps[next]);
+    }
     if (now - supervised_at >= kSuperviseUs) {
       Supervise(deployment);
       supervised_at = now;
