--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -192,6 +192,7 @@
     const auto& addresses = record.relayed ? options.relays : options.entries;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_after(kConnectTimeout);
+    record.connected_at = standins::NowUs();
     beast::error_code error;
     co_await stream.async_connect(ParseEndpoint(addresses[static_cast<std::size_t>(record.entry)]),
                                   asio::redirect_error(asio::use_awaitable, error));
@@ -200,7 +201,6 @@
       continue;
     }
     stream.socket().set_option(tcp::no_delay(true));
-    record.connected_at = standins::NowUs();
     co_await UseConnection(callers, caller, stream, record);
   }
 }
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -30,6 +30,8 @@
   // Whether a relay was in the path, and whether the connection had carried a request before.
   bool relayed = false;
   bool kept = false;
+  // Time at which the connection was begun. On a busy machine the caller learns tens of
+  // milliseconds later that it stands, when the entry may already have been killed.
   std::int64_t connected_at = 0;
   std::int64_t began_at = 0;
   // Time at which the last byte was handed to the kernel; 0 if that failed.
--- a/tests/soak/check.cc
+++ b/tests/soak/check.cc
@@ -16,6 +16,11 @@
 constexpr std::int64_t kGraceUs = 8'000'000;
 // Time from the start of a process to its readiness, without faults.
 constexpr std::int64_t kStartUs = 5'000'000;
+// `ram-mb` of the small deployments.
+constexpr std::int64_t kMemoryLimit = std::int64_t{260} << 20;
+// Descriptors and threads that a process may have beyond those at its start.
+constexpr int kMoreDescriptors = 60;
+constexpr int kMoreThreads = 1;
 // Effects of a fault on what callers see may follow it by this.
 constexpr std::int64_t kAfterUs = 1'500'000;
 
@@ -178,12 +183,28 @@
   }
 }
 
+auto CheckUsage(const EntryUsage& usage, std::vector<Violation>& violations) -> void {
+  if (usage.peak_resident <= kMemoryLimit &&
+      usage.after.descriptors <= usage.before.descriptors + kMoreDescriptors &&
+      usage.after.threads <= usage.before.threads + kMoreThreads) {
+    return;
+  }
+  violations.push_back({Promise::usage_is_bounded,
+                        "entry " + std::to_string(usage.entry) + ": peak " +
+                            std::to_string(usage.peak_resident >> 20) + " MB, descriptors " +
+                            std::to_string(usage.before.descriptors) + " then " +
+                            std::to_string(usage.after.descriptors) + ", threads " +
+                            std::to_string(usage.before.threads) + " then " +
+                            std::to_string(usage.after.threads)});
+}
+
 }  // namespace
 
 auto CheckRun(const Observations& observed) -> std::vector<Violation> {
   std::vector<Violation> violations;
   for (const auto& call : observed.calls) CheckCall(observed, call, violations);
   for (const auto& run : observed.runs) CheckProcess(observed, run, violations);
+  for (const auto& usage : observed.usages) CheckUsage(usage, violations);
   return violations;
 }
 
--- a/tests/soak/check.h
+++ b/tests/soak/check.h
@@ -38,12 +38,21 @@
   std::string detail;
 };
 
+// What an entry's process used at the start, after the faults and at most.
+struct EntryUsage {
+  int entry = 0;
+  Usage before;
+  Usage after;
+  std::int64_t peak_resident = 0;
+};
+
 // All that was observed of a run. `starts` counts the starts of a request at replicas.
 struct Observations {
   std::vector<CallRecord> calls;
   std::map<std::string, int> starts;
   std::vector<EntryRun> runs;
   std::vector<Disturbance> disturbances;
+  std::vector<EntryUsage> usages;
 };
 
 // Returns what was broken.
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -67,6 +67,8 @@
   int replicas = 4;
   int callers = 40;
   std::vector<Fault> faults;
+  // Why a plan that is kept fails or failed, in one line; empty for a drawn plan.
+  std::string cause;
 
   auto operator==(const Plan&) const -> bool = default;
 };
