--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -21,7 +21,10 @@
 // Turns of a throttled process: a tenth of the processor time.
 constexpr std::int64_t kThrottleRunUs = 10'000;
 constexpr std::int64_t kThrottleTurnUs = 100'000;
-// SIGHUPs in the first milliseconds of a process.
+// SIGHUPs in the first milliseconds of a process. The fault's duration, modulo kEarlyDelays, is the
+// delay of the first one in milliseconds: one that is sent at once ends the process in the dynamic
+// loader, which no program can prevent.
+constexpr std::int64_t kEarlyDelays = 24;
 constexpr int kEarlySignals = 6;
 constexpr milliseconds kEarlyInterval{1};
 constexpr milliseconds kEndTime{2000};
@@ -80,9 +83,10 @@
   if (entry.process) entry.process->Signal(SIGHUP);
 }
 
-auto ReloadAtStart(Deployment& deployment, Entry& entry) -> void {
+auto ReloadAtStart(Deployment& deployment, Entry& entry, milliseconds delay) -> void {
   Kill(entry);
   StartEntry(deployment, entry);
+  std::this_thread::sleep_for(delay);
   for (int i = 0; i < kEarlySignals; ++i) {
     Hangup(entry);
     std::this_thread::sleep_for(kEarlyInterval);
@@ -161,8 +165,11 @@
           },
           [&entry] { Resume(entry); });
     case FaultKind::reload_at_start:
-      return schedule.Add(schedule.from,
-                          [&deployment, &entry] { ReloadAtStart(deployment, entry); });
+      return schedule.Add(schedule.from, [&deployment, &entry,
+                                          delay = milliseconds((schedule.until - schedule.from) /
+                                                               1000 % kEarlyDelays)] {
+        ReloadAtStart(deployment, entry, delay);
+      });
     case FaultKind::hold_port:
       return ScheduleHeldPort(schedule, entry);
     case FaultKind::throttle:
