--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -200,6 +200,11 @@
   Control(replica.address, command);
 }
 
+auto ScheduleAnswers(Schedule& schedule, Replica& replica, const std::string& kind) -> void {
+  schedule.Around([&replica, kind] { ControlReplica(replica, "fault?kind=" + kind); },
+                  [&replica] { ControlReplica(replica, "fault?kind=none"); });
+}
+
 auto ScheduleReplicaFault(Schedule& schedule, FaultKind kind, Replica& replica) -> void {
   auto& deployment = schedule.deployment;
   switch (kind) {
@@ -212,6 +217,12 @@
       return schedule.Around(
           [&replica] { ControlReplica(replica, "cut?percent=" + std::to_string(kCutPercent)); },
           [&replica] { ControlReplica(replica, "cut?percent=0"); });
+    case FaultKind::double_answers:
+      return ScheduleAnswers(schedule, replica, "doubled");
+    case FaultKind::garble_answers:
+      return ScheduleAnswers(schedule, replica, "garbled");
+    case FaultKind::endless_answers:
+      return ScheduleAnswers(schedule, replica, "endless");
     case FaultKind::drain_replica:
       return schedule.Around([&] { Control(deployment.store, "drain?id=" + replica.id); },
                              [&] { Control(deployment.store, "return?id=" + replica.id); });
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -48,6 +48,9 @@
     case FaultKind::kill_replica:
     case FaultKind::freeze_replica:
     case FaultKind::cut_answers:
+    case FaultKind::double_answers:
+    case FaultKind::garble_answers:
+    case FaultKind::endless_answers:
     case FaultKind::drain_replica:
     case FaultKind::cut_replica:
     case FaultKind::silence_replica:
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -33,6 +33,9 @@
   kill_replica,
   freeze_replica,
   cut_answers,
+  double_answers,
+  garble_answers,
+  endless_answers,
   // The store lists the replica as draining, then as ready again.
   drain_replica,
   // The relay between callers and an entry, between entries and a replica, or to the store.
@@ -84,7 +87,7 @@
 }  // namespace filbertstair::soak
 
 template <>
-inline constexpr filbertstair::core::NameTable<filbertstair::soak::FaultKind, 21>
+inline constexpr filbertstair::core::NameTable<filbertstair::soak::FaultKind, 24>
     filbertstair::core::kNames<filbertstair::soak::FaultKind>{
         {{filbertstair::soak::FaultKind::terminate, "terminate"},
          {filbertstair::soak::FaultKind::kill, "kill"},
@@ -101,6 +104,9 @@
          {filbertstair::soak::FaultKind::kill_replica, "kill_replica"},
          {filbertstair::soak::FaultKind::freeze_replica, "freeze_replica"},
          {filbertstair::soak::FaultKind::cut_answers, "cut_answers"},
+         {filbertstair::soak::FaultKind::double_answers, "double_answers"},
+         {filbertstair::soak::FaultKind::garble_answers, "garble_answers"},
+         {filbertstair::soak::FaultKind::endless_answers, "endless_answers"},
          {filbertstair::soak::FaultKind::drain_replica, "drain_replica"},
          {filbertstair::soak::FaultKind::cut_callers, "cut_callers"},
          {filbertstair::soak::FaultKind::delay_callers, "delay_callers"},
