Ask a restarted process for its document, not its log

It read the daemon's log as soon as /readyz answered, but a thread of its own writes that log after the document came into force. The scenario now asks /status whether the document is in force, which is as strict, and then waits up to 5 s for the line whose version it compares; a missing line is a failure of its own.

--- a/tests/fleet/faults.cc
+++ b/tests/fleet/faults.cc
@@ -448,6 +448,23 @@
   return rows;
 }
 
+// The "hash" of the reports document that a daemon has in force.
+auto HashInForce(const Node& node) -> std::string {
+  Call call;
+  call.address = node.admin;
+  call.target = "/status";
+  boost::system::error_code error;
+  const auto status = boost::json::parse(Send(call).body, error);
+  if (error) return "";
+  for (const auto& object : status.at("objects").as_array()) {
+    if (object.at("name") == kReportsObject) return object.at("hash").as_string().c_str();
+  }
+  return "";
+}
+
+// Time that a daemon's log thread may need to write a line on a busy machine.
+constexpr auto kLogTime = seconds(5);
+
 // Restarts a daemon with empty memory. It must not fall behind the version that all others have.
 auto RestartCurrent(Run& run) -> void {
   std::vector<std::string> ids = Ids(run.fleet, core::Role::entry);
@@ -464,10 +481,20 @@
   Restart(run, node);
   if (!WaitReady(node.admin, kReady)) run.faults.push_back(node.spec.id + " is not ready");
   if (entry) TargetOf(run, node).open = true;
-  const auto rows = VersionsInForce(run);
-  const auto found = rows.find(node.spec.id);
-  if (found == rows.end() || found->second.empty()) {
+  // The daemon tells at once what it has in force; its log says so later, as a thread of its own
+  // writes it.
+  if (HashInForce(node).empty()) {
     run.faults.push_back(node.spec.id + " is ready without a document");
+    return;
+  }
+  std::map<std::string, std::vector<Event>> rows;
+  const bool logged = WaitFor(kLogTime, [&] {
+    rows = VersionsInForce(run);
+    return !rows[node.spec.id].empty();
+  });
+  const auto found = rows.find(node.spec.id);
+  if (!logged) {
+    run.faults.push_back(node.spec.id + " did not log its document");
   } else if (found->second.front().version < least) {
     run.faults.push_back(node.spec.id + " restarted with version " +
                          std::to_string(found->second.front().version) + ", all others had " +
@@ -516,20 +543,6 @@
   }
 }
 
-// The "hash" of the reports document that a daemon has in force.
-auto HashInForce(const Node& node) -> std::string {
-  Call call;
-  call.address = node.admin;
-  call.target = "/status";
-  boost::system::error_code error;
-  const auto status = boost::json::parse(Send(call).body, error);
-  if (error) return "";
-  for (const auto& object : status.at("objects").as_array()) {
-    if (object.at("name") == kReportsObject) return object.at("hash").as_string().c_str();
-  }
-  return "";
-}
-
 // Publishes two contents with one version at once; all processes must agree on one of them.
 auto ExpectAgreement(Run& run, std::uint64_t version) -> void {
   RecordPublished(run, version);
