Revoke a key in the soak and check that it is not used after 5 s

No fault of the soak took a key away, so the bound of 5 s was not played with a store that is silent, cut or restarted.

Every fifth caller uses a second key, revoke_key publishes a configuration without it, and a store that is started again goes on without it. A request that was begun over 5 s (revoke-timeout-ms) after the store's answer and starts at a replica breaks key_is_revoked; a 401 for this key is accepted from the begin of that call on. check_test breaks both.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -26,6 +26,8 @@
 constexpr milliseconds kUploadPause{180};
 // Share of connections that go through a relay.
 constexpr double kRelayedShare = 0.3;
+// Every fifth caller uses the second key.
+constexpr int kKeyTurn = 5;
 // Longest pause between two requests of one caller.
 constexpr int kMaxThinkMs = 400;
 // Idle connections are kept beyond the drain notice of an entry.
@@ -80,9 +82,9 @@
 auto MakeRequest(const CallRecord& record) -> std::string {
   const auto body = BodyOf(record);
   return "POST " + TargetOf(record.kind) +
-         " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-1\r\n"
-         "X-Filbertstair-Attempt-Id: " +
-         record.id +
+         " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " +
+         std::string(record.second_key ? "key-2" : "key-1") +
+         "\r\nX-Filbertstair-Attempt-Id: " + record.id +
          "\r\nX-Filbertstair-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
 }
@@ -188,6 +190,7 @@
   while (standins::NowUs() < callers.end_at) {
     CallRecord record;
     record.entry = caller.Uniform(static_cast<int>(options.entries.size()) - 1);
+    record.second_key = caller.index % kKeyTurn == 0;
     record.relayed = caller.Chance(kRelayedShare);
     const auto& addresses = record.relayed ? options.relays : options.entries;
     beast::tcp_stream stream(co_await asio::this_coro::executor);
@@ -213,8 +216,9 @@
                   std::ofstream(options.output, std::ios::app)};
   if (!callers.output) throw std::runtime_error("cannot write " + options.output);
   for (int i = 0; i < options.callers; ++i) {
-    Caller caller{i, std::mt19937_64(options.seed * 1'000'003 + static_cast<std::uint64_t>(i))};
-    asio::co_spawn(io, RunCaller(callers, std::move(caller)), asio::detached);
+    const Caller caller{i,
+                        std::mt19937_64(options.seed * 1'000'003 + static_cast<std::uint64_t>(i))};
+    asio::co_spawn(io, RunCaller(callers, caller), asio::detached);
   }
   io.run();
 }
@@ -223,6 +227,7 @@
   return json::serialize(json::object{{"id", record.id},
                                       {"kind", core::Name(record.kind)},
                                       {"entry", record.entry},
+                                      {"second_key", record.second_key},
                                       {"relayed", record.relayed},
                                       {"kept", record.kept},
                                       {"connected_at", record.connected_at},
@@ -244,6 +249,7 @@
   out.id = object.at("id").as_string();
   out.kind = core::ParseName<CallKind>(std::string(object.at("kind").as_string())).value();
   out.entry = object.at("entry").to_number<int>();
+  out.second_key = object.at("second_key").as_bool();
   out.relayed = object.at("relayed").as_bool();
   out.kept = object.at("kept").as_bool();
   out.connected_at = object.at("connected_at").to_number<std::int64_t>();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -27,6 +27,8 @@
   std::string id;
   CallKind kind = CallKind::again;
   int entry = 0;
+  // Whether the request bears the key that may be revoked.
+  bool second_key = false;
   // Whether a relay was in the path, and whether the connection had carried a request before.
   bool relayed = false;
   bool kept = false;
--- a/tests/soak/check.cc
+++ b/tests/soak/check.cc
@@ -14,6 +14,8 @@
 constexpr std::int64_t kUnansweredUs = 6'000'000;
 // `grace-period-s`.
 constexpr std::int64_t kGraceUs = 8'000'000;
+// `revoke-timeout-ms`.
+constexpr std::int64_t kRevokeUs = 5'000'000;
 // Time from the start of a process to its readiness, without faults.
 constexpr std::int64_t kStartUs = 5'000'000;
 // `ram-mb` of the small deployments.
@@ -28,6 +30,7 @@
 constexpr std::int64_t kLoaderUs = 60'000;
 
 constexpr int kOk = 200;
+constexpr int kUnauthorized = 401;
 constexpr int kTooLarge = 413;
 
 using Matches = std::function<bool(FaultKind)>;
@@ -109,6 +112,8 @@
   };
   const int starts = StartsOf(observed, call);
   if (call.kind == CallKind::once && starts > 1) add(Promise::runs_once);
+  const bool late = observed.revoked_at > 0 && call.began_at > observed.revoked_at + kRevokeUs;
+  if (call.second_key && late && starts > 0) add(Promise::key_is_revoked);
   if (call.kind == CallKind::abandoned) return;
   if (IsUnanswered(observed, call)) {
     if (starts > 0) {
@@ -133,6 +138,9 @@
   const bool promised = call.outcome == "not_run" ||
                         (call.kind == CallKind::once && IsOneOf(call.status, {408, 421, 429, 503}));
   if (promised && starts > 0) add(Promise::refusal_is_true);
+  const bool revoked =
+      call.second_key && observed.revoke_began_at > 0 && call.ended_at >= observed.revoke_began_at;
+  if (call.status == kUnauthorized && revoked) return;
   const bool improper =
       call.status >= 400 && call.status < 500 && !IsOneOf(call.status, {408, 421, 429});
   if (call.kind == CallKind::large_upload) {
--- a/tests/soak/check.h
+++ b/tests/soak/check.h
@@ -25,6 +25,8 @@
   runs_once,
   // A proper request is not refused as improper.
   request_is_accepted,
+  // A revoked key is not used after its time.
+  key_is_revoked,
   // Processes end only when told to, with code 0, within their grace, and start in time.
   process_stays,
   stop_is_clean,
@@ -53,6 +55,9 @@
   std::vector<EntryRun> runs;
   std::vector<Disturbance> disturbances;
   std::vector<EntryUsage> usages;
+  // Times around the call by which the second key was revoked; 0 if it was not.
+  std::int64_t revoke_began_at = 0;
+  std::int64_t revoked_at = 0;
 };
 
 // Returns what was broken.
@@ -68,7 +73,7 @@
 }  // namespace filbertstair::soak
 
 template <>
-inline constexpr filbertstair::core::NameTable<filbertstair::soak::Promise, 11>
+inline constexpr filbertstair::core::NameTable<filbertstair::soak::Promise, 12>
     filbertstair::core::kNames<filbertstair::soak::Promise>{
         {{filbertstair::soak::Promise::run_is_answered, "run_is_answered"},
          {filbertstair::soak::Promise::request_is_answered, "request_is_answered"},
@@ -77,6 +82,7 @@
          {filbertstair::soak::Promise::refusal_is_true, "refusal_is_true"},
          {filbertstair::soak::Promise::runs_once, "runs_once"},
          {filbertstair::soak::Promise::request_is_accepted, "request_is_accepted"},
+         {filbertstair::soak::Promise::key_is_revoked, "key_is_revoked"},
          {filbertstair::soak::Promise::process_stays, "process_stays"},
          {filbertstair::soak::Promise::stop_is_clean, "stop_is_clean"},
          {filbertstair::soak::Promise::start_is_quick, "start_is_quick"},
--- a/tests/soak/check_test.cc
+++ b/tests/soak/check_test.cc
@@ -91,6 +91,8 @@
   CPPUNIT_TEST(testUntrueRefusal);
   CPPUNIT_TEST(testSecondStart);
   CPPUNIT_TEST(testProperRequestRefused);
+  CPPUNIT_TEST(testRevokedKeyIsUsed);
+  CPPUNIT_TEST(testRevokedKeyIsRefused);
   CPPUNIT_TEST(testProcessEndsByItself);
   CPPUNIT_TEST(testStopWithAnotherCode);
   CPPUNIT_TEST(testStopBeyondItsGrace);
@@ -156,6 +158,30 @@
     AssertBroken(observed, Promise::request_is_accepted);
   }
 
+  void testRevokedKeyIsUsed() {
+    auto observed = SoundRun();
+    observed.calls.front().second_key = true;
+    observed.revoke_began_at = observed.revoked_at = kSent - 6 * kSecond;
+    AssertBroken(observed, Promise::key_is_revoked);
+    observed.revoke_began_at = observed.revoked_at = kSent - 4 * kSecond;
+    AssertHeld(observed);
+    observed.revoke_began_at = observed.revoked_at = kSent - 6 * kSecond;
+    observed.calls.front().second_key = false;
+    AssertHeld(observed);
+  }
+
+  // A refusal of the key is wrong before it is revoked, and of another key at any time.
+  void testRevokedKeyIsRefused() {
+    auto observed = SoundRun();
+    observed.calls.push_back(Refused("c5", CallKind::again, 401));
+    observed.calls.back().second_key = true;
+    AssertBroken(observed, Promise::request_is_accepted);
+    observed.revoke_began_at = observed.revoked_at = kSent;
+    AssertHeld(observed);
+    observed.calls.back().second_key = false;
+    AssertBroken(observed, Promise::request_is_accepted);
+  }
+
   void testProcessEndsByItself() {
     for (const int status : {0, 1, 128 + SIGABRT, 128 + SIGHUP}) {
       auto observed = SoundRun();
--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -139,6 +139,7 @@
   std::vector<std::string> arguments = {
       "--store", deployment.store, "--revision",
       std::to_string(10 + deployment.store_starts++ * kRevisionStep)};
+  if (deployment.revoked_at > 0) arguments.emplace_back("--revoked");
   for (const auto& replica : deployment.replicas) {
     arguments.insert(arguments.end(), {"--listed", Describe(replica, replica.relay_address)});
   }
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -87,6 +87,9 @@
   std::unique_ptr<fleet::Relay> store_relay;
   // Starts of the store; a later one continues with higher revisions.
   int store_starts = 0;
+  // Times around the call by which the second key was revoked; 0 before that.
+  std::int64_t revoke_began_at = 0;
+  std::int64_t revoked_at = 0;
   std::vector<Entry> entries;
   std::vector<Replica> replicas;
   std::vector<Disturbance> disturbances;
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -256,6 +256,12 @@
       });
     case FaultKind::publish_configuration:
       return schedule.Add(schedule.from, [&] { Control(deployment.store, "config"); });
+    case FaultKind::revoke_key:
+      return schedule.Add(schedule.from, [&] {
+        if (deployment.revoked_at > 0) return;
+        deployment.revoke_began_at = standins::NowUs();
+        if (Control(deployment.store, "revoke")) deployment.revoked_at = standins::NowUs();
+      });
     case FaultKind::cut_store:
       return schedule.Around(
           [&] {
--- a/tests/soak/plan.cc
+++ b/tests/soak/plan.cc
@@ -43,6 +43,7 @@
     case FaultKind::silence_store:
     case FaultKind::restart_store:
     case FaultKind::publish_configuration:
+    case FaultKind::revoke_key:
     case FaultKind::cut_store:
       return Scope::store;
     case FaultKind::kill_replica:
--- a/tests/soak/plan.h
+++ b/tests/soak/plan.h
@@ -29,6 +29,8 @@
   silence_store,
   restart_store,
   publish_configuration,
+  // A configuration without the second key; it stays revoked.
+  revoke_key,
   // A replica process.
   kill_replica,
   freeze_replica,
@@ -87,7 +89,7 @@
 }  // namespace filbertstair::soak
 
 template <>
-inline constexpr filbertstair::core::NameTable<filbertstair::soak::FaultKind, 24>
+inline constexpr filbertstair::core::NameTable<filbertstair::soak::FaultKind, 25>
     filbertstair::core::kNames<filbertstair::soak::FaultKind>{
         {{filbertstair::soak::FaultKind::terminate, "terminate"},
          {filbertstair::soak::FaultKind::kill, "kill"},
@@ -101,6 +103,7 @@
          {filbertstair::soak::FaultKind::silence_store, "silence_store"},
          {filbertstair::soak::FaultKind::restart_store, "restart_store"},
          {filbertstair::soak::FaultKind::publish_configuration, "publish_configuration"},
+         {filbertstair::soak::FaultKind::revoke_key, "revoke_key"},
          {filbertstair::soak::FaultKind::kill_replica, "kill_replica"},
          {filbertstair::soak::FaultKind::freeze_replica, "freeze_replica"},
          {filbertstair::soak::FaultKind::cut_answers, "cut_answers"},
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -107,6 +107,8 @@
     out.usages.push_back({entry.index, entry.usage_before, entry.usage_after, entry.peak_resident});
   }
   out.disturbances = deployment.disturbances;
+  out.revoke_began_at = deployment.revoke_began_at;
+  out.revoked_at = deployment.revoked_at;
   return out;
 }
 
