Count an upload that a planned stop cuts as unanswered

The soak allowed every upload that was cut before its end, so the plan stop_uploads held on the daemon without the wait for requests that are arriving.

--- a/tests/soak/check.cc
+++ b/tests/soak/check.cc
@@ -16,6 +16,9 @@
 constexpr std::int64_t kGraceUs = 8'000'000;
 // `revoke-timeout-ms`.
 constexpr std::int64_t kRevokeUs = 5'000'000;
+// Part of the grace in which a planned stop waits for requests that are arriving: until the final
+// answers are sent, 0.5 s before the `drain_grace` of 7.4 s.
+constexpr std::int64_t kUploadGraceUs = 6'800'000;
 // Time from the start of a process to its readiness, without faults.
 constexpr std::int64_t kStartUs = 5'000'000;
 // `ram-mb` of the small deployments.
@@ -96,11 +99,22 @@
   return !gave_up || !IsDisturbed(observed, call.entry, call.began_at, call.ended_at, IsPausing);
 }
 
+// Whether the connection ended in a planned stop of its entry, with time of the grace left.
+auto EndedInStop(const Observations& observed, const CallRecord& call) -> bool {
+  return std::any_of(observed.runs.begin(), observed.runs.end(), [&](const EntryRun& run) {
+    return run.entry == call.entry && run.terminated_at > 0 && call.ended_at >= run.terminated_at &&
+           call.ended_at <= run.terminated_at + kUploadGraceUs;
+  });
+}
+
 auto IsCrossing(const Observations& observed, const CallRecord& call) -> bool {
-  // An upload that is cut before its end was not read whole.
-  if (call.sent_at == 0 && call.kind != CallKind::large_upload) return true;
   // A relay accepts connections for an entry that is away.
   if (call.relayed) return true;
+  // An upload that is cut before its end was not read whole, but a stop waits for one that it has
+  // begun to read.
+  if (call.sent_at == 0 && call.kind != CallKind::large_upload) {
+    return call.ended_at - call.began_at <= kLossSlackUs || !EndedInStop(observed, call);
+  }
   return StartsOf(observed, call) == 0 && call.sent_at > 0 &&
          call.ended_at - call.sent_at <= kLossSlackUs;
 }
--- a/tests/soak/check_test.cc
+++ b/tests/soak/check_test.cc
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(testRunWithoutAnswer);
   CPPUNIT_TEST(testRequestWithoutAnswer);
   CPPUNIT_TEST(testCrossingIsNotPassedOn);
+  CPPUNIT_TEST(testUploadCutByAStop);
   CPPUNIT_TEST(testUnsoundAnswer);
   CPPUNIT_TEST(testCutAnswer);
   CPPUNIT_TEST(testUntrueRefusal);
@@ -103,9 +104,9 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void testSoundRunHolds() { AssertHeld(SoundRun()); }
+  auto testSoundRunHolds() -> void { AssertHeld(SoundRun()); }
 
-  void testRunWithoutAnswer() {
+  auto testRunWithoutAnswer() -> void {
     auto observed = SoundRun();
     // Also within the time in which a request that was not passed on may cross the close.
     observed.calls.push_back(Unanswered("c5", CallKind::once, 100'000));
@@ -113,52 +114,66 @@
     AssertBroken(observed, Promise::run_is_answered);
   }
 
-  void testRequestWithoutAnswer() {
+  auto testRequestWithoutAnswer() -> void {
     auto observed = SoundRun();
     observed.calls.push_back(Unanswered("c5", CallKind::again, 300'000));
     AssertBroken(observed, Promise::request_is_answered);
   }
 
   // RULES.md, LOST: a request that crosses the close and isn't passed on doesn't count.
-  void testCrossingIsNotPassedOn() {
+  auto testCrossingIsNotPassedOn() -> void {
     auto observed = SoundRun();
     observed.calls.push_back(Unanswered("c5", CallKind::again, 100'000));
     AssertHeld(observed);
     CPPUNIT_ASSERT_EQUAL(1, CountCrossings(observed));
   }
 
-  void testUnsoundAnswer() {
+  // A planned stop has time for an upload that it has begun to read.
+  auto testUploadCutByAStop() -> void {
+    auto observed = SoundRun();
+    auto upload = Unanswered("c5", CallKind::slow_upload, 0);
+    upload.sent_at = 0;
+    upload.ended_at = observed.runs.front().terminated_at + 2'600'000;
+    upload.began_at = upload.ended_at - 1'000'000;
+    upload.connected_at = upload.began_at;
+    observed.calls.push_back(upload);
+    AssertBroken(observed, Promise::request_is_answered);
+    observed.calls.back().began_at = upload.ended_at - 100'000;
+    AssertHeld(observed);
+  }
+
+  auto testUnsoundAnswer() -> void {
     auto observed = SoundRun();
     observed.calls.front().sound = false;
     AssertBroken(observed, Promise::answer_is_sound);
   }
 
-  void testCutAnswer() {
+  auto testCutAnswer() -> void {
     auto observed = SoundRun();
     observed.calls.front().complete = false;
     AssertBroken(observed, Promise::answer_is_whole);
   }
 
-  void testUntrueRefusal() {
+  auto testUntrueRefusal() -> void {
     auto observed = SoundRun();
     observed.starts["c3"] = 1;
     AssertBroken(observed, Promise::refusal_is_true);
   }
 
   // A status that promises "not run" binds without the header too.
-  void testSecondStart() {
+  auto testSecondStart() -> void {
     auto observed = SoundRun();
     observed.starts["c1"] = 2;
     AssertBroken(observed, Promise::runs_once);
   }
 
-  void testProperRequestRefused() {
+  auto testProperRequestRefused() -> void {
     auto observed = SoundRun();
     observed.calls.push_back(Refused("c5", CallKind::again, 404));
     AssertBroken(observed, Promise::request_is_accepted);
   }
 
-  void testRevokedKeyIsUsed() {
+  auto testRevokedKeyIsUsed() -> void {
     auto observed = SoundRun();
     observed.calls.front().second_key = true;
     observed.revoke_began_at = observed.revoked_at = kSent - 6 * kSecond;
@@ -171,7 +186,7 @@
   }
 
   // A refusal of the key is wrong before it is revoked, and of another key at any time.
-  void testRevokedKeyIsRefused() {
+  auto testRevokedKeyIsRefused() -> void {
     auto observed = SoundRun();
     observed.calls.push_back(Refused("c5", CallKind::again, 401));
     observed.calls.back().second_key = true;
@@ -182,7 +197,7 @@
     AssertBroken(observed, Promise::request_is_accepted);
   }
 
-  void testProcessEndsByItself() {
+  auto testProcessEndsByItself() -> void {
     for (const int status : {0, 1, 128 + SIGABRT, 128 + SIGHUP}) {
       auto observed = SoundRun();
       observed.runs.front().terminated_at = 0;
@@ -191,19 +206,19 @@
     }
   }
 
-  void testStopWithAnotherCode() {
+  auto testStopWithAnotherCode() -> void {
     auto observed = SoundRun();
     observed.runs.front().status = 128 + SIGSEGV;
     AssertBroken(observed, Promise::stop_is_clean);
   }
 
-  void testStopBeyondItsGrace() {
+  auto testStopBeyondItsGrace() -> void {
     auto observed = SoundRun();
     observed.runs.front().ended_at = observed.runs.front().terminated_at + 9 * kSecond;
     AssertBroken(observed, Promise::stop_is_clean);
   }
 
-  void testSlowStart() {
+  auto testSlowStart() -> void {
     auto observed = SoundRun();
     observed.runs.front().terminated_at = 0;
     observed.runs.front().ended_at = 0;
@@ -211,7 +226,7 @@
     AssertBroken(observed, Promise::start_is_quick);
   }
 
-  void testUsageStaysUp() {
+  auto testUsageStaysUp() -> void {
     auto observed = SoundRun();
     observed.usages.front().peak_resident = std::int64_t{300} << 20;
     AssertBroken(observed, Promise::usage_is_bounded);
@@ -224,7 +239,7 @@
   }
 
   // A replica's crash explains a cut answer at that time, but not before or long after it.
-  void testFaultsExplainOnlyTheirTime() {
+  auto testFaultsExplainOnlyTheirTime() -> void {
     auto observed = SoundRun();
     observed.calls.front().complete = false;
     observed.disturbances = {{FaultKind::kill_replica, -1, kSent + 500'000, kSent + 500'000}};
@@ -240,7 +255,7 @@
   }
 
   // No program can handle a signal before the dynamic loader has ended.
-  void testOnlyTheLoaderMayEndBySighup() {
+  auto testOnlyTheLoaderMayEndBySighup() -> void {
     auto observed = SoundRun();
     auto& run = observed.runs.front();
     run.terminated_at = run.ready_at = 0;
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -34,7 +34,7 @@
 
  public:
   // A plan that is kept must play the same faults again, and keep its cause.
-  void testFormatIsReadBack() {
+  auto testFormatIsReadBack() -> void {
     auto plan = DrawnPlan(7);
     plan.traffic_ms = 12'345;
     plan.entries = 5;
@@ -48,7 +48,7 @@
   }
 
   // A misspelt fault must not be skipped, or a regression would play nothing.
-  void testOtherTextIsRefused() {
+  auto testOtherTextIsRefused() -> void {
     CPPUNIT_ASSERT_THROW(ParsePlan("no plan"), std::exception);
     CPPUNIT_ASSERT_THROW(ParsePlan("{}"), std::exception);
     auto text = FormatPlan(DrawnPlan(7));
@@ -57,13 +57,13 @@
     CPPUNIT_ASSERT_THROW(ParsePlan(text), std::exception);
   }
 
-  void testEqualSeedsGiveEqualPlans() {
+  auto testEqualSeedsGiveEqualPlans() -> void {
     CPPUNIT_ASSERT(DrawnPlan(7) == DrawnPlan(7));
     CPPUNIT_ASSERT(DrawnPlan(7).faults != DrawnPlan(8).faults);
   }
 
   // Faults after the traffic would test nothing.
-  void testFaultsLieInTheTraffic() {
+  auto testFaultsLieInTheTraffic() -> void {
     const auto plan = DrawnPlan(7);
     CPPUNIT_ASSERT(!plan.faults.empty());
     for (const auto& fault : plan.faults) {
@@ -72,7 +72,7 @@
     }
   }
 
-  void testSmallerPlansBeginWithHalves() {
+  auto testSmallerPlansBeginWithHalves() -> void {
     const auto plan = DrawnPlan(7);
     const auto smaller = SmallerPlans(plan);
     CPPUNIT_ASSERT(smaller.size() > plan.faults.size() + 2);
@@ -86,7 +86,7 @@
   }
 
   // Without an application replica, most requests would be refused and nothing be tested.
-  void testSmallerPlansKeepOneReplicaOfEachService() {
+  auto testSmallerPlansKeepOneReplicaOfEachService() -> void {
     Plan plan;
     plan.entries = 1;
     plan.replicas = 2;
@@ -96,7 +96,7 @@
   }
 
   // A run that fails for two of 26 faults together at two entries is shortened to just these.
-  void testShorteningKeepsWhatFails() {
+  auto testShorteningKeepsWhatFails() -> void {
     auto plan = DrawnPlan(7);
     plan.faults[3].kind = FaultKind::terminate_frozen;
     plan.faults[20].kind = FaultKind::delay_callers;
@@ -115,7 +115,7 @@
     CPPUNIT_ASSERT_EQUAL(1000, shortest.faults.front().at_ms);
   }
 
-  void testShorteningEndsAfterItsPlays() {
+  auto testShorteningEndsAfterItsPlays() -> void {
     int plays = 0;
     const auto plan = DrawnPlan(7);
     const auto holds = [&](const Plan&) {
