--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -12,6 +12,8 @@
 #include <utility>
 #include <vector>
 
+#include "filbertstair/core/types.h"
+
 // HTTP/1.1 server for callers and operators: Boost.Beast on fibers.
 namespace filbertstair::net {
 
@@ -29,6 +31,9 @@
   std::string peer;
   // Whether the listener's screening has admitted the request.
   bool admitted = false;
+  // Time at which the first bytes of the request arrived. Set only in requests passed to
+  // HttpHandlers::request.
+  core::Time began_at{};
 };
 
 // Complete response with its body.
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -256,6 +256,8 @@
     if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
     if (WaitForRequest(*listener, stream, buffer)) break;
     const auto work = BeginWork(*listener);
+    const auto began_at =
+        std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
     accepted.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
@@ -277,6 +279,7 @@
     exchange.keep_alive = parser.get().keep_alive() && !listener->handlers.should_close();
     auto request = ToHttpRequest(parser.release(), peer);
     request.admitted = std::exchange(initial_data.admitted, false);
+    request.began_at = began_at;
     HandleRequest(*listener, exchange, request);
     keep_open = exchange.keep_alive && !exchange.aborted;
     // An orderly close would make a truncated response look complete.
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -181,7 +181,7 @@
   if (auto refused = Authorize(relay, call, call.workspace)) return refused;
   call.service = direct::PickService(*call.route, std::hash<std::string>()(call.head.request_id));
   call.cost = EstimateCost(call.head);
-  call.deadline = call.arrived +
+  call.deadline = call.began_at +
                   std::min(call.route->timeout, call.head.remaining.value_or(call.route->timeout));
   return std::nullopt;
 }
@@ -414,6 +414,7 @@
   // request.
   call.id = IsSafeId(call.head.request_id) ? call.head.request_id : node::NextRequestId(relay.node);
   call.arrived = node::Now();
+  call.began_at = request.began_at == core::Time{} ? call.arrived : request.began_at;
   call.fleet = CurrentFleet(relay);
 }
 
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -211,6 +211,8 @@
 struct Call {
   std::string id;
   core::Time arrived{};
+  // Time at which its first bytes arrived; the caller's deadline counts from there.
+  core::Time began_at{};
   core::Time deadline{};
   RequestHead head;
   std::shared_ptr<const direct::FleetConfig> fleet;
