Show three faults of a draining or refusing listener by tests

A drained listener serves 20 connections of its backlog where max_connections is 4, since connections are counted only when their fibers run. It counts 0 of 3 requests that have arrived as in flight when Drain returns. A caller that sends 600 kB beyond the body limit has its connection reset, and cannot finish writing before it reads the 413.

--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <optional>
 #include <string_view>
 #include <thread>
 #include <vector>
@@ -154,6 +156,67 @@
   CPPUNIT_ASSERT_EQUAL(std::string(), failure);
 }
 
+// Connections of callers that are opened without running the calling worker's fibers.
+struct BlockingCallers {
+  auto Connect(const std::string& address, std::size_t count) -> void {
+    for (std::size_t i = 0; i < count; ++i) {
+      this->sockets.emplace_back(this->io).connect(ParseAddress(address));
+    }
+  }
+
+  auto Write(const std::string& bytes) -> void {
+    for (auto& socket : this->sockets) boost::asio::write(socket, boost::asio::buffer(bytes));
+  }
+
+  boost::asio::io_context io;
+  std::vector<boost::asio::ip::tcp::socket> sockets;
+};
+
+// Runs `test` on the worker of a listener. Every request takes 200 ms.
+struct DrainedListener {
+  auto Run(const std::function<void(DrainedListener&)>& test) -> void {
+    std::promise<std::string> done;
+    runtime::Pool pool(1, [&](const std::exception& error) { done.set_value(error.what()); });
+    pool.Post(0, [&] {
+      HttpLimits limits;
+      limits.max_connections = 4;
+      this->listener.emplace(ListenHttp(this->address, limits, this->MakeHandlers()));
+      // Lets the listener begin to accept.
+      runtime::SleepFor(milliseconds(10));
+      test(*this);
+      done.set_value("");
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string(), done.get_future().get());
+    pool.Stop();
+  }
+
+  auto MakeHandlers() -> HttpHandlers {
+    return {.request =
+                [this](const HttpRequest&, Responder& responder) {
+                  this->most_served = std::max(this->most_served, ++this->served);
+                  runtime::SleepFor(milliseconds(200));
+                  --this->served;
+                  responder.Respond(200, {}, "");
+                },
+            .fault = [](RequestFault, Responder&) {},
+            .should_close = [] { return true; },
+            .should_screen = [] { return false; },
+            .screen = RefuseSome,
+            .begin_work = [this] { return std::shared_ptr<void>(this->work); }};
+  }
+
+  // Returns the number of requests that the process would wait for.
+  auto CountedWork() const -> std::size_t {
+    return static_cast<std::size_t>(this->work.use_count()) - 1;
+  }
+
+  const std::string address = FreeAddress();
+  std::shared_ptr<int> work = std::make_shared<int>();
+  std::optional<HttpListener> listener;
+  std::size_t served = 0;
+  std::size_t most_served = 0;
+};
+
 // Sends requests on new connections until one is served, at most 200 of them. Returns whether one
 // was.
 auto RetryUntilServed(const std::string& address) -> bool {
@@ -181,6 +244,9 @@
   CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
   CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
   CPPUNIT_TEST(testConnectionsAreBounded);
+  CPPUNIT_TEST(testDrainedBacklogIsBounded);
+  CPPUNIT_TEST(testDrainCountsWhatHasArrived);
+  CPPUNIT_TEST(testRefusedBodyDoesNotResetTheRefusal);
   CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
   CPPUNIT_TEST(testAnswerToHeadHasNoBody);
   CPPUNIT_TEST(testOldCallerGetsNoChunks);
@@ -439,6 +505,51 @@
         RefuseSome, 2);
   }
 
+  // Guards against a planned stop that accepts more connections than the process has memory for.
+  auto testDrainedBacklogIsBounded() -> void {
+    DrainedListener drained;
+    drained.Run([](DrainedListener& test) {
+      BlockingCallers callers;
+      callers.Connect(test.address, 20);
+      callers.Write("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{20}, test.listener->Drain().accepted);
+      runtime::SleepFor(milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{4}, test.most_served);
+    });
+  }
+
+  // Guards against a process that exits between the close of its listener and the first step of the
+  // connections on which a request has arrived, for example after a pause of the VM.
+  auto testDrainCountsWhatHasArrived() -> void {
+    DrainedListener drained;
+    drained.Run([](DrainedListener& test) {
+      BlockingCallers kept;
+      kept.Connect(test.address, 2);
+      runtime::SleepFor(milliseconds(50));
+      BlockingCallers waiting;
+      waiting.Connect(test.address, 1);
+      for (auto* callers : {&kept, &waiting}) callers->Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      const auto counts = test.listener->Drain();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, counts.accepted);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, counts.unread);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, test.CountedWork());
+      runtime::SleepFor(milliseconds(400));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, test.CountedWork());
+    });
+  }
+
+  // Guards against a refusal that the caller never reads, because the connection was closed with a
+  // part of the body unread, which resets it.
+  auto testRefusedBodyDoesNotResetTheRefusal() -> void {
+    RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
+            [](const std::string& address) {
+              for (int i = 0; i < 10; ++i) {
+                const auto response = SendPost(address, "/", std::string(600'000, 'p'));
+                CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 413 "));
+              }
+            });
+  }
+
   // Guards against work that continues after its caller has disconnected.
   auto testCallerGoneIsNoticed() -> void {
     runtime::Signal disconnected;
