Count connections when they are accepted

A listener counted a connection when its fiber first ran, but accepts in batches of 32, and the whole backlog when it is drained, before any fiber runs. Screening saw too low a count, and a stop after a pause could serve more connections than the process has memory for. The count now begins before the fiber is started.

--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -31,6 +31,8 @@
   std::string bytes;
   // Whether the bytes are a request that screening admitted.
   bool admitted = false;
+  // Counts the connection as open.
+  std::shared_ptr<void> counted;
 };
 
 struct AcceptHandlers {
@@ -40,6 +42,8 @@
   // Returns whether the connection is finished and has to be closed. Must not suspend. May be
   // empty.
   std::function<bool(int socket, InitialData& initial_data)> screen;
+  // Called for each connection that is to be served, before its fiber is started. May be empty.
+  std::function<void(InitialData& initial_data)> accepted;
 };
 
 // Opens an acceptor with SO_REUSEPORT, so that every worker can listen on the same address and the
@@ -65,6 +69,7 @@
     close(accepted);
     return;
   }
+  if (handlers.accepted) handlers.accepted(initial_data);
   boost::system::error_code ignored;
   Tcp::socket socket(runtime::IoContext());
   socket.assign(protocol, accepted, ignored);
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -240,7 +240,6 @@
 
 auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
                      InitialData initial_data) -> void {
-  const ConnectionGuard counted(listener->connections);
   // A planned stop waits for the first request of a connection that it has accepted.
   auto accepted = listener->draining ? BeginWork(*listener) : nullptr;
   boost::system::error_code ignored;
@@ -291,6 +290,11 @@
 
 auto MakeAcceptHandlers(const std::shared_ptr<HttpListener::State>& state) -> AcceptHandlers {
   AcceptHandlers accept;
+  // Counted before the fiber runs: a batch of connections is accepted before any of them runs, and
+  // screening has to know of those before it.
+  accept.accepted = [state](InitialData& initial_data) {
+    initial_data.counted = std::make_shared<ConnectionGuard>(state->connections);
+  };
   accept.serve = [state](Tcp::socket socket, InitialData initial_data) {
     ServeConnection(state, std::move(socket), std::move(initial_data));
   };
