--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -33,6 +33,9 @@
   bool admitted = false;
   // Counts the connection as open.
   std::shared_ptr<void> counted;
+  // Makes a planned stop wait for the connection until its fiber runs, or until it has received a
+  // request; may be null.
+  std::shared_ptr<void> work;
 };
 
 struct AcceptHandlers {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <set>
+#include <map>
 #include <utility>
 
 #include "acceptor.h"
@@ -100,8 +100,9 @@
   HttpLimits limits;
   HttpHandlers handlers;
   std::shared_ptr<detail::Tcp::acceptor> acceptor;
-  // Connections on which no request is being handled.
-  std::set<detail::beast::tcp_stream*> idle;
+  // Connections on which no request is being handled, with what makes a planned stop wait until
+  // their fibers have seen what has arrived; null before the stop.
+  std::map<detail::beast::tcp_stream*, std::shared_ptr<void>> idle;
   std::size_t connections = 0;
   bool draining = false;
 };
@@ -136,7 +137,7 @@
   // closing would reset it.
   while (buffer.size() == 0 && (!error || HasUnreadBytes(stream))) {
     const auto idle_time = CurrentLimits(listener).max_idle_time;
-    listener.idle.insert(&stream);
+    listener.idle[&stream] = nullptr;
     stream.expires_after(listener.draining ? std::min(idle_time, kFirstRequestTime) : idle_time);
     const auto result = runtime::Await([&](auto handler) {
       stream.async_read_some(buffer.prepare(first_read), std::move(handler));
@@ -212,7 +213,7 @@
   if (!full && !listener.handlers.should_screen()) return false;
   // Closes an idle connection to make room. Otherwise connections without a request would lock out
   // later callers for as long as max_idle_time.
-  if (full && !listener.idle.empty()) (*listener.idle.begin())->cancel();
+  if (full && !listener.idle.empty()) listener.idle.begin()->first->cancel();
   initial_data.bytes = ReceiveAvailable(socket);
   const auto request = ParseCompleteRequest(initial_data.bytes, limits);
   if (!request) return full;
@@ -241,7 +242,7 @@
 auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
                      InitialData initial_data) -> void {
   // A planned stop waits for the first request of a connection that it has accepted.
-  auto accepted = listener->draining ? BeginWork(*listener) : nullptr;
+  if (!listener->draining) initial_data.work.reset();
   boost::system::error_code ignored;
   const auto remote = socket.remote_endpoint(ignored);
   const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
@@ -255,7 +256,7 @@
     if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
     if (WaitForRequest(*listener, stream, buffer)) break;
     const auto work = BeginWork(*listener);
-    accepted.reset();
+    initial_data.work.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
     ServerExchange exchange(stream, peer, false);
@@ -294,6 +295,7 @@
   // screening has to know of those before it.
   accept.accepted = [state](InitialData& initial_data) {
     initial_data.counted = std::make_shared<ConnectionGuard>(state->connections);
+    initial_data.work = BeginWork(*state);
   };
   accept.serve = [state](Tcp::socket socket, InitialData initial_data) {
     ServeConnection(state, std::move(socket), std::move(initial_data));
@@ -424,7 +426,9 @@
   counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
                                           detail::MakeAcceptHandlers(this->state));
   this->state->acceptor->close(ignored);
-  for (auto* stream : this->state->idle) {
+  for (auto& [stream, work] : this->state->idle) {
+    // The process may be paused before the fiber of the connection runs, and exit right after.
+    work = detail::BeginWork(*this->state);
     if (detail::HasUnreadBytes(*stream)) {
       ++counts.unread;
     } else {
