Read the rest of a refused request before closing its connection

A 413, 400 or 431 was followed by a close with the rest of the request unread, which resets the connection: the caller fails to write and may lose the response. The rest is now read and dropped, for up to 500 ms and 4 MB.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -119,6 +119,12 @@
 // caller sends it within a round trip.
 constexpr std::chrono::milliseconds kFirstRequestTime{200};
 
+// Limits on the rest of a refused request. A caller that reads while it sends stops within a round
+// trip; one that only reads afterwards sends all of its body first.
+constexpr std::chrono::milliseconds kMaxDiscardTime{500};
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
+constexpr std::size_t kDiscardReadBytes = std::size_t{16} << 10;
+
 auto HasUnreadBytes(beast::tcp_stream& stream) -> bool {
   boost::system::error_code error;
   return stream.socket().available(error) > 0;
@@ -179,6 +185,23 @@
   return result.error;
 }
 
+// Reads and drops what the caller still sends after a refusal, within limits. Closing a connection
+// with unread bytes resets it, and the caller may then lose the refusal.
+auto DiscardUnread(beast::tcp_stream& stream, beast::flat_buffer& buffer) -> void {
+  boost::system::error_code ignored;
+  stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  stream.expires_after(kMaxDiscardTime);
+  std::size_t discarded = buffer.size();
+  while (discarded < kMaxDiscardedBytes) {
+    buffer.clear();
+    const auto result = runtime::Await([&](auto handler) {
+      stream.async_read_some(buffer.prepare(kDiscardReadBytes), std::move(handler));
+    });
+    if (result.error) return;
+    discarded += result.size;
+  }
+}
+
 auto StopWatching(ServerExchange& exchange) -> void {
   while (exchange.watching_disconnect) {
     boost::system::error_code ignored;
@@ -266,6 +289,7 @@
         Responder responder(exchange);
         try {
           listener->handlers.fault(fault, responder);
+          DiscardUnread(stream, buffer);
         } catch (const core::Error&) {
           break;
         }
