--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,7 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <set>
+#include <map>
 #include <utility>
 
 #include "acceptor.h"
@@ -100,8 +100,9 @@
   HttpLimits limits;
   HttpHandlers handlers;
   std::shared_ptr<detail::Tcp::acceptor> acceptor;
-  // Connections on which no request is being handled.
-  std::set<detail::beast::tcp_stream*> idle;
+  // Connections on which no request is being handled, with what makes a planned stop wait until
+  // their fibers have seen what has arrived; null before the stop.
+  std::map<detail::beast::tcp_stream*, std::shared_ptr<void>> idle;
   std::size_t connections = 0;
   bool draining = false;
 };
@@ -118,6 +119,12 @@
 // caller sends it within a round trip.
 constexpr std::chrono::milliseconds kFirstRequestTime{200};
 
+// Limits on the rest of a refused request. A caller that reads while it sends stops within a round
+// trip; one that only reads afterwards sends all of its body first.
+constexpr std::chrono::milliseconds kMaxDiscardTime{500};
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{4} << 20;
+constexpr std::size_t kDiscardReadBytes = std::size_t{16} << 10;
+
 auto HasUnreadBytes(beast::tcp_stream& stream) -> bool {
   boost::system::error_code error;
   return stream.socket().available(error) > 0;
@@ -136,7 +143,7 @@
   // closing would reset it.
   while (buffer.size() == 0 && (!error || HasUnreadBytes(stream))) {
     const auto idle_time = CurrentLimits(listener).max_idle_time;
-    listener.idle.insert(&stream);
+    listener.idle[&stream] = nullptr;
     stream.expires_after(listener.draining ? std::min(idle_time, kFirstRequestTime) : idle_time);
     const auto result = runtime::Await([&](auto handler) {
       stream.async_read_some(buffer.prepare(first_read), std::move(handler));
@@ -178,6 +185,23 @@
   return result.error;
 }
 
+// Reads and drops what the caller still sends after a refusal, within limits. Closing a connection
+// with unread bytes resets it, and the caller may then lose the refusal.
+auto DiscardUnread(beast::tcp_stream& stream, beast::flat_buffer& buffer) -> void {
+  boost::system::error_code ignored;
+  stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  stream.expires_after(kMaxDiscardTime);
+  std::size_t discarded = buffer.size();
+  while (discarded < kMaxDiscardedBytes) {
+    buffer.clear();
+    const auto result = runtime::Await([&](auto handler) {
+      stream.async_read_some(buffer.prepare(kDiscardReadBytes), std::move(handler));
+    });
+    if (result.error) return;
+    discarded += result.size;
+  }
+}
+
 auto StopWatching(ServerExchange& exchange) -> void {
   while (exchange.watching_disconnect) {
     boost::system::error_code ignored;
@@ -212,7 +236,7 @@
   if (!full && !listener.handlers.should_screen()) return false;
   // Closes an idle connection to make room. Otherwise connections without a request would lock out
   // later callers for as long as max_idle_time.
-  if (full && !listener.idle.empty()) (*listener.idle.begin())->cancel();
+  if (full && !listener.idle.empty()) listener.idle.begin()->first->cancel();
   initial_data.bytes = ReceiveAvailable(socket);
   const auto request = ParseCompleteRequest(initial_data.bytes, limits);
   if (!request) return full;
@@ -240,9 +264,8 @@
 
 auto ServeConnection(const std::shared_ptr<HttpListener::State>& listener, Tcp::socket socket,
                      InitialData initial_data) -> void {
-  const ConnectionGuard counted(listener->connections);
   // A planned stop waits for the first request of a connection that it has accepted.
-  auto accepted = listener->draining ? BeginWork(*listener) : nullptr;
+  if (!listener->draining) initial_data.work.reset();
   boost::system::error_code ignored;
   const auto remote = socket.remote_endpoint(ignored);
   const std::string peer = remote.address().to_string() + ":" + std::to_string(remote.port());
@@ -258,7 +281,7 @@
     const auto work = BeginWork(*listener);
     const auto began_at =
         std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
-    accepted.reset();
+    initial_data.work.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
     ServerExchange exchange(stream, peer, false);
@@ -268,6 +291,7 @@
         Responder responder(exchange);
         try {
           listener->handlers.fault(fault, responder);
+          DiscardUnread(stream, buffer);
         } catch (const core::Error&) {
           break;
         }
@@ -294,6 +318,12 @@
 
 auto MakeAcceptHandlers(const std::shared_ptr<HttpListener::State>& state) -> AcceptHandlers {
   AcceptHandlers accept;
+  // Counted before the fiber runs: a batch of connections is accepted before any of them runs, and
+  // screening has to know of those before it.
+  accept.accepted = [state](InitialData& initial_data) {
+    initial_data.counted = std::make_shared<ConnectionGuard>(state->connections);
+    initial_data.work = BeginWork(*state);
+  };
   accept.serve = [state](Tcp::socket socket, InitialData initial_data) {
     ServeConnection(state, std::move(socket), std::move(initial_data));
   };
@@ -423,7 +453,9 @@
   counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
                                           detail::MakeAcceptHandlers(this->state));
   this->state->acceptor->close(ignored);
-  for (auto* stream : this->state->idle) {
+  for (auto& [stream, work] : this->state->idle) {
+    // The process may be paused before the fiber of the connection runs, and exit right after.
+    work = detail::BeginWork(*this->state);
     if (detail::HasUnreadBytes(*stream)) {
       ++counts.unread;
     } else {
