Remove single guards of the deployed mode in broken variants

scripts/broken had variants of the mode with endpoint processes only, so nothing showed that the tests of the deployed mode can fail.

Fourteen guards of relay, direct, net, node and the daemon can be removed at build time. A variant defines its name only for the targets that have the guard, and all variants share one build directory, so each compiles a few files.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -123,9 +123,14 @@
   actions.drain();
   std::this_thread::sleep_until(
       std::min(node::ResponseStartDeadline(node), node::Now() + node::kDrainNoticeTime));
+#ifdef FILBERTSTAIR_BROKEN_drain_wait
+  return 0;
+#endif
   const auto left = AwaitRequests(node, node::ResponseStartDeadline(node));
   if (left == 0) return 0;
+#ifndef FILBERTSTAIR_BROKEN_final_answer
   actions.stop(node::StopScope::unanswered);
+#endif
   if (AwaitRequests(node, end) == 0) return left;
   actions.stop(node::StopScope::all);
   std::this_thread::sleep_for(kFlushTime);
@@ -220,7 +225,9 @@
 }
 
 auto Main(int argc, char** argv) -> int {
+#ifndef FILBERTSTAIR_BROKEN_early_signals
   const auto signals = BlockSignals();
+#endif
   CLI::App app("filbertstair daemon: an entry or the process in front of one replica");
   std::string path;
   app.add_option("--settings", path, "Settings file (YAML)")->required();
@@ -240,6 +247,9 @@
     telemetry::InitializeLog(ToLevel(result.settings->log_level),
                              ToFormat(result.settings->log_format), result.settings->id);
     std::set_terminate(Terminate);
+#ifdef FILBERTSTAIR_BROKEN_early_signals
+    const auto signals = BlockSignals();
+#endif
     return Run(*result.settings, path, signals);
   } catch (const std::exception& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -17,6 +17,22 @@
   target_link_libraries(filbertstair_cppunit_main PRIVATE PkgConfig::CPPUNIT)
 endif()
 
+# filbertstair_remove_guard(TARGET): defines FILBERTSTAIR_BROKEN_<name> for the target if a source file in its folder
+# has the guard, so that a variant compiles only the targets that it changes.
+function(filbertstair_remove_guard target)
+  if(NOT FILBERTSTAIR_BROKEN)
+    return()
+  endif()
+  file(GLOB_RECURSE files src/*.cc src/*.h *.cc)
+  foreach(file ${files})
+    file(STRINGS ${file} found REGEX "FILBERTSTAIR_BROKEN_${FILBERTSTAIR_BROKEN}$")
+    if(found)
+      target_compile_definitions(${target} PRIVATE FILBERTSTAIR_BROKEN_${FILBERTSTAIR_BROKEN}=1)
+      return()
+    endif()
+  endforeach()
+endfunction()
+
 # filbertstair_library(NAME SOURCES file... LINK target...): declares libs/NAME as filbertstair::NAME and each
 # test/*_test.cc as a CppUnit program of its own.
 function(filbertstair_library name)
@@ -31,8 +47,8 @@
   add_library(filbertstair::${name} ALIAS filbertstair_${name})
   target_include_directories(filbertstair_${name} ${scope} include)
   target_link_libraries(filbertstair_${name} ${scope} ${ARG_LINK})
-  if(FILBERTSTAIR_BROKEN)
-    target_compile_definitions(filbertstair_${name} ${scope} FILBERTSTAIR_BROKEN_${FILBERTSTAIR_BROKEN}=1)
+  if(ARG_SOURCES)
+    filbertstair_remove_guard(filbertstair_${name})
   endif()
   if(FILBERTSTAIR_TESTS)
     file(GLOB tests CONFIGURE_DEPENDS test/*_test.cc)
--- a/libs/direct/src/events.cc
+++ b/libs/direct/src/events.cc
@@ -43,6 +43,10 @@
   const auto searched =
       splitter.partial_event.size() - std::min(splitter.partial_event.size(), kMaxBlankLinePrefix);
   splitter.partial_event += bytes;
+#ifdef FILBERTSTAIR_BROKEN_whole_events
+  if (const auto id = FindLastEventId(splitter.partial_event)) splitter.last_event_id = *id;
+  return std::exchange(splitter.partial_event, {});
+#endif
   const std::string_view partial_event = splitter.partial_event;
   auto end = FindEventsEnd(partial_event.substr(searched));
   if (end == 0) return {};
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -119,6 +119,10 @@
 constexpr std::chrono::milliseconds kFirstRequestTime{200};
 
 auto HasUnreadBytes(beast::tcp_stream& stream) -> bool {
+#ifdef FILBERTSTAIR_BROKEN_unread_bytes
+  static_cast<void>(stream);
+  return false;
+#endif
   boost::system::error_code error;
   return stream.socket().available(error) > 0;
 }
@@ -208,7 +212,11 @@
 auto ScreenConnection(const HttpListener::State& listener, int socket, InitialData& initial_data)
     -> bool {
   const auto limits = CurrentLimits(listener);
+#ifdef FILBERTSTAIR_BROKEN_connection_limit
+  const bool full = false;
+#else
   const bool full = listener.connections >= limits.max_connections;
+#endif
   if (!full && !listener.handlers.should_screen()) return false;
   // Closes an idle connection to make room. Otherwise connections without a request would lock out
   // later callers for as long as max_idle_time.
@@ -255,10 +263,16 @@
   for (bool first = true; keep_open; first = false) {
     if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
     if (WaitForRequest(*listener, stream, buffer)) break;
+#ifndef FILBERTSTAIR_BROKEN_first_byte
     const auto work = BeginWork(*listener);
     accepted.reset();
+#endif
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
+#ifdef FILBERTSTAIR_BROKEN_first_byte
+    const auto work = BeginWork(*listener);
+    accepted.reset();
+#endif
     ServerExchange exchange(stream, peer, false);
     if (error) {
       const auto fault = ClassifyReadError(error);
@@ -417,8 +431,10 @@
   boost::system::error_code ignored;
   const auto protocol = this->state->acceptor->local_endpoint(ignored).protocol();
   // Closing the acceptor resets the connections in its backlog, on which requests may have arrived.
+#ifndef FILBERTSTAIR_BROKEN_accept_backlog
   counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
                                           detail::MakeAcceptHandlers(this->state));
+#endif
   this->state->acceptor->close(ignored);
   for (auto* stream : this->state->idle) {
     if (detail::HasUnreadBytes(*stream)) {
--- a/libs/node/src/start.cc
+++ b/libs/node/src/start.cc
@@ -42,6 +42,9 @@
   const auto deadline = Now() + kMaxAddressWait;
   std::set<std::string> logged;
   while (const auto error = FindUnavailable(addresses)) {
+#ifdef FILBERTSTAIR_BROKEN_address_wait
+    throw *error;
+#endif
     if (Now() >= deadline) throw *error;
     if (logged.insert(error->Peer()).second) {
       LogError(telemetry::Level::warning, telemetry::Event::address_in_use, *error);
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -214,6 +214,9 @@
     out.http = call.exchange->ReadHead(RoundUpToMilliseconds(read_until - node::Now()));
     out.head = relay.dialect.parse_response(out.http);
     ApplyAvailability(relay, call, assignment, out.head);
+#ifdef FILBERTSTAIR_BROKEN_answer_id
+    return out;
+#endif
     if (out.head.request_id == call.head.request_id) return out;
     if (out.head.request_id.empty() && out.head.refused && !reused) return out;
     if (!DiscardBody(*call.exchange, assignment, read_until)) break;
@@ -455,7 +458,9 @@
     auto failure = RelayResponse(relay, call, assignment, response, responder);
     // A replica that sends responses without a request may do so again, and the next may have no
     // id.
+#ifndef FILBERTSTAIR_BROKEN_stray_connection
     if (response.after_stray || response.head.leaving) call.exchange->Cancel();
+#endif
     StoreIdleConnection(relay, assignment.address, std::move(call.exchange),
                         response.head.keep_alive, MaxIdleConnections(call));
     return failure;
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -59,7 +59,12 @@
   return direct::RemainingCredentialLease(core::Duration(confirmed_us), TimeSinceBoot());
 }
 
-auto HasCurrentFleet(Relay& relay) -> bool { return FleetLease(relay) > core::Duration::zero(); }
+auto HasCurrentFleet(Relay& relay) -> bool {
+#ifdef FILBERTSTAIR_BROKEN_lease
+  return CurrentFleet(relay) != nullptr;
+#endif
+  return FleetLease(relay) > core::Duration::zero();
+}
 
 auto AcceptFleet(Relay& relay, direct::FleetConfig fleet) -> bool {
   const auto version = fleet.version;
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -227,11 +227,16 @@
     if (has_replica) refused.message = DescribeWait(call);
     if (reopens_at) refused.message = "all replicas of the service have asked for no requests now";
   }
-  refused.outcome = progress.may_have_run ? Outcome::unknown : Outcome::not_run;
+#ifdef FILBERTSTAIR_BROKEN_unknown_outcome
+  const bool may_have_run = false;
+#else
+  const bool may_have_run = progress.may_have_run;
+#endif
+  refused.outcome = may_have_run ? Outcome::unknown : Outcome::not_run;
   // A status that promises that the request did not run is sent if and only if that is certain.
   const bool promises_not_run = core::HttpStatus(refused.reason) == 503;
-  if (promises_not_run && progress.may_have_run) refused.reason = Reason::connection_lost;
-  if (!promises_not_run && !progress.may_have_run) refused.reason = Reason::no_room;
+  if (promises_not_run && may_have_run) refused.reason = Reason::connection_lost;
+  if (!promises_not_run && !may_have_run) refused.reason = Reason::no_room;
   if (reopens_at) {
     refused.retry_after = std::max(*reopens_at - node::Now(), kMinReopenRetryDelay);
   }
@@ -246,6 +251,9 @@
   if (progress.unreached >= kMaxUnreached || failure.reason == Reason::overloaded) return false;
   if (!failure.reached_replica) return true;
   if (failure.crashed_replica && !MayRetryAfterCrash(relay, call)) return false;
+#ifdef FILBERTSTAIR_BROKEN_run_once
+  return !call.response_started && call.tried.size() < 2;
+#endif
   if (call.tried.size() >= call.route->attempts) return false;
   if (call.response_started && !(call.route->streaming && call.route->resumable)) return false;
   return failure.outcome == Outcome::not_run || direct::IsRetryable(*call.route);
