--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -122,6 +122,9 @@
   node.exit_at = end;
   actions.drain();
   std::this_thread::sleep_until(node::DrainNoticeEnd(node));
+#ifdef FILBERTSTAIR_BROKEN_drain_wait
+  return 0;
+#endif
   const auto left = AwaitRequests(node, node::ResponseStartDeadline(node));
   if (left == 0) return 0;
   actions.stop(node::StopScope::unanswered);
@@ -219,7 +222,9 @@
 }
 
 auto Main(int argc, char** argv) -> int {
+#ifndef FILBERTSTAIR_BROKEN_early_signals
   const auto signals = BlockSignals();
+#endif
   CLI::App app("filbertstair daemon: an entry or the process in front of one replica");
   std::string path;
   app.add_option("--settings", path, "Settings file (YAML)")->required();
@@ -239,6 +244,9 @@
     telemetry::InitializeLog(ToLevel(result.settings->log_level),
                              ToFormat(result.settings->log_format), result.settings->id);
     std::set_terminate(Terminate);
+#ifdef FILBERTSTAIR_BROKEN_early_signals
+    const auto signals = BlockSignals();
+#endif
     return Run(*result.settings, path, signals);
   } catch (const std::exception& error) {
     std::cerr << "filbertstaird: " << error.what() << '\n';
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -232,7 +232,11 @@
 auto ScreenConnection(const HttpListener::State& listener, int socket, InitialData& initial_data)
     -> bool {
   const auto limits = CurrentLimits(listener);
+#ifdef FILBERTSTAIR_BROKEN_connection_limit
+  const bool full = false;
+#else
   const bool full = listener.connections >= limits.max_connections;
+#endif
   if (!full && !listener.handlers.should_screen()) return false;
   // Closes an idle connection to make room. Otherwise connections without a request would lock out
   // later callers for as long as max_idle_time.
@@ -450,8 +454,10 @@
   boost::system::error_code ignored;
   const auto protocol = this->state->acceptor->local_endpoint(ignored).protocol();
   // Closing the acceptor resets the connections in its backlog, on which requests may have arrived.
+#ifndef FILBERTSTAIR_BROKEN_accept_backlog
   counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
                                           detail::MakeAcceptHandlers(this->state));
+#endif
   this->state->acceptor->close(ignored);
   for (auto& [stream, work] : this->state->idle) {
     // The process may be paused before the fiber of the connection runs, and exit right after.
