Compare host names without case

A route was found only if the caller wrote the host as the configuration does. Host names are compared without case (RFC 9110, section 4.2.3).

direct.fleet_test testHostIsComparedWithoutCase failed before; the test passes, 6 of 6.

--- a/libs/direct/include/filbertstair/direct/fleet.h
+++ b/libs/direct/include/filbertstair/direct/fleet.h
@@ -72,7 +72,7 @@
 };
 
 // Returns the route of the host with the longest prefix of the path, or null if there is none.
-// Ignores a port in `host` and a query in `path`.
+// Ignores case and a port in `host`, and a query in `path`.
 auto FindRoute(const FleetConfig& fleet, std::string_view host, std::string_view path)
     -> const Route*;
 
--- a/libs/direct/src/fleet.cc
+++ b/libs/direct/src/fleet.cc
@@ -4,6 +4,17 @@
 #include <numeric>
 
 namespace filbertstair::direct {
+namespace {
+
+auto ToLower(char c) -> char { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+
+// Host names are compared without case (RFC 9110, section 4.2.3).
+auto IsSameHost(std::string_view host, std::string_view other) -> bool {
+  return std::equal(host.begin(), host.end(), other.begin(), other.end(),
+                    [](char a, char b) { return ToLower(a) == ToLower(b); });
+}
+
+}  // namespace
 
 auto FindRoute(const FleetConfig& fleet, std::string_view host, std::string_view path)
     -> const Route* {
@@ -11,7 +22,7 @@
   path = path.substr(0, path.find('?'));
   const Route* best = nullptr;
   for (const auto& route : fleet.routes) {
-    if (route.host != host || !path.starts_with(route.prefix)) continue;
+    if (!path.starts_with(route.prefix) || !IsSameHost(route.host, host)) continue;
     if (best == nullptr || route.prefix.size() > best->prefix.size()) best = &route;
   }
   return best;
--- a/libs/direct/test/fleet_test.cc
+++ b/libs/direct/test/fleet_test.cc
@@ -9,6 +9,7 @@
 
 class FleetTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FleetTest);
+  CPPUNIT_TEST(testHostIsComparedWithoutCase);
   CPPUNIT_TEST(testLongestPrefixOfTheHost);
   CPPUNIT_TEST(testWeights);
   CPPUNIT_TEST(testCredentials);
@@ -17,6 +18,23 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against refusing callers that write a host name in another case (RFC 9110, section
+  // 4.2.3). The path keeps its case.
+  auto testHostIsComparedWithoutCase() -> void {
+    FleetConfig fleet;
+    fleet.routes.resize(1);
+    fleet.routes[0].host = "Ab9.example";
+    fleet.routes[0].prefix = "/x/";
+    for (const auto* host : {"ab9.example", "AB9.EXAMPLE", "Ab9.example", "aB9.Example:80"}) {
+      CPPUNIT_ASSERT_MESSAGE(host, FindRoute(fleet, host, "/x/1") == &fleet.routes[0]);
+      CPPUNIT_ASSERT_MESSAGE(host, FindRoute(fleet, host, "/X/1") == nullptr);
+    }
+    // Characters that differ from letters in the same bit only.
+    for (const auto* host : {"ab9.exampl", "ab9nexample", "ab\x19.example", ""}) {
+      CPPUNIT_ASSERT_MESSAGE(host, FindRoute(fleet, host, "/x/1") == nullptr);
+    }
+  }
+
   // Guards against serving a request of one host or path by the route of another.
   auto testLongestPrefixOfTheHost() -> void {
     FleetConfig fleet;
