Refuse request heads that readers could read differently

The HTTP server passed on folded fields, requests with no, two or invalid Host fields, targets that are neither a path nor a URI, and transfer codings of HTTP/1.0. An empty line before a request was refused.

request_rules.h states what a head may contain, for connections and for screening. The head is read by the server itself, since the parser joins folded lines without a trace. One empty line before a request is skipped.

--- a/libs/net/src/beast_request.h
+++ b/libs/net/src/beast_request.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "filbertstair/net/http_server.h"
+#include "request_rules.h"
 
 namespace filbertstair::net::detail {
 
@@ -23,6 +24,24 @@
          boost::beast::iequals(codings.first->value(), "chunked");
 }
 
+// Returns whether the request names its host exactly once, as HTTP/1.1 requires. An HTTP/1.0
+// request may leave it out.
+template <typename Fields>
+auto HasValidHost(const boost::beast::http::request_header<Fields>& header) -> bool {
+  const auto hosts = header.equal_range(boost::beast::http::field::host);
+  if (hosts.first == hosts.second) return header.version() < 11;
+  return std::next(hosts.first) == hosts.second && IsValidHost(hosts.first->value());
+}
+
+// Returns whether the request's framing, host and target follow the standard. HTTP/1.0 has no
+// transfer codings: a reader of that version would take the body for the next request.
+template <typename Fields>
+auto IsValidHead(const boost::beast::http::request_header<Fields>& header) -> bool {
+  const bool has_coding = header.count(boost::beast::http::field::transfer_encoding) > 0;
+  return HasKnownCoding(header) && !(has_coding && header.version() < 11) && HasValidHost(header) &&
+         IsValidTarget(header.method_string(), header.target());
+}
+
 // Returns whether requests with the method are served. A TRACE has no body and is answered with the
 // request itself, credentials included; a CONNECT asks for a tunnel.
 inline auto IsServed(boost::beast::http::verb method) -> bool {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -149,6 +149,47 @@
   return buffer.size() > 0 ? boost::system::error_code() : error;
 }
 
+// Reads more bytes of a request that has begun.
+auto ReadMore(beast::tcp_stream& stream, beast::flat_buffer& buffer) -> boost::system::error_code {
+  constexpr std::size_t read_size = 4096;
+  const auto result = runtime::Await(
+      [&](auto handler) { stream.async_read_some(buffer.prepare(read_size), std::move(handler)); });
+  buffer.commit(result.size);
+  return result.error;
+}
+
+auto Bytes(const beast::flat_buffer& buffer) -> std::string_view {
+  return {static_cast<const char*>(buffer.cdata().data()), buffer.size()};
+}
+
+// Skips one empty line before a request: some callers send one after a body.
+auto SkipEmptyLine(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    -> boost::system::error_code {
+  constexpr std::string_view line_end = "\r\n";
+  if (Bytes(buffer) == "\r") {
+    if (const auto error = ReadMore(stream, buffer)) return error;
+  }
+  if (Bytes(buffer).starts_with(line_end)) buffer.consume(line_end.size());
+  return {};
+}
+
+// Reads the head of a request. Unlike http::async_read_header, refuses folded fields, which the
+// parser joins without a trace.
+auto ReadHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+              http::request_parser<http::string_body>& parser) -> boost::system::error_code {
+  if (const auto error = SkipEmptyLine(stream, buffer)) return error;
+  while (true) {
+    boost::system::error_code error;
+    if (buffer.size() > 0) {
+      const bool folded = HasFoldedField(Bytes(buffer));
+      buffer.consume(parser.put(buffer.cdata(), error));
+      if (parser.is_header_done()) return folded ? http::error::bad_obs_fold : error;
+      if (error && error != http::error::need_more) return error;
+    }
+    if ((error = ReadMore(stream, buffer))) return error;
+  }
+}
+
 auto ReadRequest(HttpListener::State& listener, beast::tcp_stream& stream,
                  beast::flat_buffer& buffer, http::request_parser<http::string_body>& parser)
     -> boost::system::error_code {
@@ -158,10 +199,9 @@
   parser.body_limit(limits.max_body_bytes);
   buffer.max_size(std::max(limits.max_header_bytes + kReadAheadBytes, buffer.size()));
   stream.expires_after(limits.max_header_time);
-  auto result = runtime::Await(
-      [&](auto handler) { http::async_read_header(stream, buffer, parser, std::move(handler)); });
-  if (result.error) return result.error;
-  if (!HasKnownCoding(parser.get())) return http::error::bad_transfer_encoding;
+  if (const auto error = ReadHead(stream, buffer, parser)) return error;
+  // Any error of the parser's category makes the request malformed.
+  if (!IsValidHead(parser.get())) return http::error::bad_field;
   if (!IsServed(parser.get().method())) return http::error::bad_method;
   if (parser.get()[http::field::expect] == "100-continue") {
     const std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -169,13 +209,15 @@
       boost::asio::async_write(stream, boost::asio::buffer(interim), std::move(handler));
     });
   }
+  boost::system::error_code error;
   if (!parser.is_done()) {
     stream.expires_after(limits.max_body_read_time);
-    result = runtime::Await(
-        [&](auto handler) { http::async_read(stream, buffer, parser, std::move(handler)); });
+    error = runtime::Await([&](auto handler) {
+              http::async_read(stream, buffer, parser, std::move(handler));
+            }).error;
   }
   stream.expires_never();
-  return result.error;
+  return error;
 }
 
 auto StopWatching(ServerExchange& exchange) -> void {
--- a/libs/net/src/screen.cc
+++ b/libs/net/src/screen.cc
@@ -46,8 +46,9 @@
   parser.body_limit(limits.max_body_bytes);
   boost::system::error_code error;
   const auto head_size = parser.put(boost::asio::buffer(received), error);
-  if (error || !parser.is_header_done()) return std::nullopt;
+  if (error || !parser.is_header_done() || HasFoldedField(received)) return std::nullopt;
   const auto& head = parser.get();
+  if (!IsValidHead(head)) return std::nullopt;
   if (head.count(http::field::transfer_encoding) > 0 || !IsServed(head.method())) {
     return std::nullopt;
   }
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -78,6 +78,20 @@
   return received;
 }
 
+// Sends the bytes, closes the sending side, and returns all bytes received until the connection
+// ends.
+auto ExchangeHalfClosed(const std::string& address, const std::string& bytes) -> std::string {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(ParseAddress(address));
+  boost::system::error_code ended;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ended);
+  socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ended);
+  std::string received;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), ended);
+  return received;
+}
+
 constexpr std::size_t kMaxFloodBytes = std::size_t{64} << 20;
 
 // Sends the parts and then further bytes, without a line end, until the server closes the
@@ -97,6 +111,120 @@
   return sent;
 }
 
+// A request of which a test states whether it is valid.
+struct RequestCase {
+  std::string_view name;
+  std::string bytes;
+};
+
+// Returns requests that RFC 9112 or 9110 forbid, or that have more than one reading.
+auto MalformedRequests() -> std::vector<RequestCase> {
+  using namespace std::string_literals;
+  const std::string get = "GET / HTTP/1.1\r\nHost: h\r\n";
+  const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n";
+  return {
+      {"both framings", chunked + "Content-Length: 3\r\n\r\n0\r\n\r\n"},
+      {"both framings, length first",
+       post + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"different lengths", post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx"},
+      {"different lengths in a list", post + "Content-Length: 1, 2\r\n\r\nxx"},
+      {"signed length", post + "Content-Length: +1\r\n\r\nx"},
+      {"negative length", post + "Content-Length: -1\r\n\r\nx"},
+      {"hexadecimal length", post + "Content-Length: 0x1\r\n\r\nx"},
+      {"length with a fraction", post + "Content-Length: 1.0\r\n\r\nx"},
+      {"length with a blank", post + "Content-Length: 1 1\r\n\r\nx"},
+      {"empty length", post + "Content-Length:\r\n\r\n"},
+      {"length beyond 64 bits", post + "Content-Length: 18446744073709551617\r\n\r\nx"},
+      {"coding of HTTP/1.0",
+       "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"folded field", get + "A: b\r\n c\r\n\r\n"},
+      {"folded field with a tab", get + "A: b\r\n\tc\r\n\r\n"},
+      {"folded coding", post + "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n"},
+      {"blank before the first field", "GET / HTTP/1.1\r\n Host: h\r\n\r\n"},
+      {"blank before a colon", get + "A : b\r\n\r\n"},
+      {"blank before the colon of a length", post + "Content-Length : 1\r\n\r\nx"},
+      {"tab before a colon", get + "A\t: b\r\n\r\n"},
+      {"blank in a name", get + "A B: c\r\n\r\n"},
+      {"no name", get + ": b\r\n\r\n"},
+      {"no colon", get + "A\r\n\r\n"},
+      {"separator in a name", get + "A(B): c\r\n\r\n"},
+      {"byte above 127 in a name", get + "A\xe9: c\r\n\r\n"},
+      {"NUL in a name", get + "A\0B: c\r\n\r\n"s},
+      {"NUL in a value", get + "A: b\0c\r\n\r\n"s},
+      {"control character in a value", get + "A: b\x01\r\n\r\n"},
+      {"escape character in a value", get + "A: b\x1b[2J\r\n\r\n"},
+      {"DEL in a value", get + "A: b\x7f\r\n\r\n"},
+      {"bare CR in a value", get + "A: b\rc\r\n\r\n"},
+      {"bare CR as the end of a line", get + "A: b\rB: c\r\n\r\n"},
+      {"bare LF in the request line", "GET / HTTP/1.1\nHost: h\r\n\r\n"},
+      {"bare LF after a field", "GET / HTTP/1.1\r\nHost: h\nA: b\r\n\r\n"},
+      {"bare LF as the end of the head", get + "\n"},
+      {"bare LF after a chunk size", chunked + "\r\n1\nx\r\n0\r\n\r\n"},
+      {"bare CR after a chunk size", chunked + "\r\n1\rx\r\n0\r\n\r\n"},
+      {"bare LF after a chunk", chunked + "\r\n1\r\nx\n0\r\n\r\n"},
+      {"bare LF in a chunk extension", chunked + "\r\n1;a\nb\r\nx\r\n0\r\n\r\n"},
+      {"bare CR in a chunk extension", chunked + "\r\n1;a\rb\r\nx\r\n0\r\n\r\n"},
+      {"signed chunk size", chunked + "\r\n+1\r\nx\r\n0\r\n\r\n"},
+      {"chunk size with a prefix", chunked + "\r\n0x1\r\nx\r\n0\r\n\r\n"},
+      {"blank before a chunk size", chunked + "\r\n 1\r\nx\r\n0\r\n\r\n"},
+      {"empty chunk size", chunked + "\r\n\r\nx\r\n0\r\n\r\n"},
+      {"chunk size beyond 64 bits", chunked + "\r\n10000000000000001\r\nx\r\n0\r\n\r\n"},
+      {"bytes after a chunk", chunked + "\r\n1\r\nxy\r\n0\r\n\r\n"},
+      {"no host", "GET / HTTP/1.1\r\n\r\n"},
+      {"two hosts", get + "Host: i\r\n\r\n"},
+      {"the same host twice", get + "Host: h\r\n\r\n"},
+      {"two hosts in a list", "GET / HTTP/1.1\r\nHost: h, i\r\n\r\n"},
+      {"host with a blank", "GET / HTTP/1.1\r\nHost: h i\r\n\r\n"},
+      {"host with a path", "GET / HTTP/1.1\r\nHost: h/x\r\n\r\n"},
+      {"host with a user", "GET / HTTP/1.1\r\nHost: u@h\r\n\r\n"},
+      {"host with an odd port", "GET / HTTP/1.1\r\nHost: h:8x\r\n\r\n"},
+      {"target without a slash", "GET x HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"target of CONNECT", "GET h:80 HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"asterisk for GET", "GET * HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"empty target", "GET  HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"no target", "GET HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"fragment in the target", "GET /a#b HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"blank in the target", "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"control character in the target", "GET /a\x01 HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"NUL in the target", "GET /a\0 HTTP/1.1\r\nHost: h\r\n\r\n"s},
+      {"byte above 127 in the target", "GET /\xe9 HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"two blanks after the method", "GET  / HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"two blanks before the version", "GET /  HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"blank after the version", "GET / HTTP/1.1 \r\nHost: h\r\n\r\n"},
+      {"tab after the method", "GET\t/ HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"no version", "GET /\r\nHost: h\r\n\r\n"},
+      {"version in lower case", "GET / http/1.1\r\nHost: h\r\n\r\n"},
+      {"version 1", "GET / HTTP/1\r\nHost: h\r\n\r\n"},
+      {"separator in the method", "G(T / HTTP/1.1\r\nHost: h\r\n\r\n"},
+  };
+}
+
+// Returns requests that are valid, if unusual.
+auto UnusualRequests() -> std::vector<RequestCase> {
+  const std::string post = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string rest = " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+  return {
+      {"empty line before the request", "\r\nGET /" + rest + "\r\n"},
+      {"length after leading zeros", post + "Content-Length: 01\r\n\r\nx"},
+      {"coding in upper case", post + "Transfer-Encoding: CHUNKED\r\n\r\n0\r\n\r\n"},
+      {"chunk extension", chunked + "1;a=b\r\nx\r\n0\r\n\r\n"},
+      {"trailer", chunked + "1\r\nx\r\n0\r\nA: b\r\n\r\n"},
+      {"chunk size in upper case", chunked + "A\r\n0123456789\r\n0\r\n\r\n"},
+      {"field name in lower case", "GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"},
+      {"empty value", "GET /" + rest + "A:\r\n\r\n"},
+      {"blanks around a value", "GET /" + rest + "A: \t b \t\r\n\r\n"},
+      {"tab in a value", "GET /" + rest + "A: b\tc\r\n\r\n"},
+      {"byte above 127 in a value", "GET /" + rest + "A: \xe9\r\n\r\n"},
+      {"every character of a name", "GET /" + rest + "a!#$%&'*+-.^_`|~09: b\r\n\r\n"},
+      {"host with a port", "GET / HTTP/1.1\r\nHost: h:80\r\nConnection: close\r\n\r\n"},
+      {"IPv6 host", "GET / HTTP/1.1\r\nHost: [::1]:80\r\nConnection: close\r\n\r\n"},
+      {"query", "GET /a?b=c/d?e" + rest + "\r\n"},
+      {"HTTP/1.0 without a host", "GET / HTTP/1.0\r\n\r\n"},
+  };
+}
+
 // Refuses requests to "/refused", and all requests on a full listener. Admits the others.
 auto RefuseSome(const HttpRequest& request, bool full) -> ScreenResult {
   if (request.target != "/refused" && !full) return {.admitted = true};
@@ -177,6 +305,8 @@
   CPPUNIT_TEST(testEndlessChunkedBodyIsRefused);
   CPPUNIT_TEST(testBodyInUnknownCodingIsNoRequest);
   CPPUNIT_TEST(testUnservedMethodsAreRefused);
+  CPPUNIT_TEST(testMalformedRequestsAreRefused);
+  CPPUNIT_TEST(testUnusualRequestsAreServed);
   CPPUNIT_TEST(testCallerGoneIsNoticed);
   CPPUNIT_TEST(testScreenedRequestIsAnsweredAtOnce);
   CPPUNIT_TEST(testScreenedRequestThatArrivesInPieces);
@@ -358,6 +488,45 @@
     }
   }
 
+  // Guards against a request that the entry and another reader of the connection, such as a proxy
+  // or a replica, read in different ways: whoever shares the connection could add requests to those
+  // of others.
+  auto testMalformedRequestsAreRefused() -> void {
+    std::string failed;
+    for (const auto& [name, bytes] : MalformedRequests()) {
+      std::atomic<int> requests = 0;
+      std::string response;
+      RunPair(
+          [&](const HttpRequest&, Responder& responder) {
+            ++requests;
+            responder.Respond(200, {}, "");
+          },
+          [&](const std::string& address) {
+            response = ExchangeHalfClosed(address, bytes + "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+          });
+      if (requests > 0 || !response.starts_with("HTTP/1.1 400 ")) {
+        failed.append("\n").append(name).append(": ").append(std::to_string(requests));
+        failed.append(" requests, ").append(response.substr(0, response.find("\r\n")));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failed);
+  }
+
+  // Guards against refusing what the standard allows.
+  auto testUnusualRequestsAreServed() -> void {
+    std::string failed;
+    for (const auto& [name, bytes] : UnusualRequests()) {
+      std::string response;
+      RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
+              [&](const std::string& address) { response = ExchangeHalfClosed(address, bytes); });
+      if (!response.starts_with("HTTP/1.1 200 ")) {
+        failed.append("\n").append(name).append(": ");
+        failed.append(response.substr(0, response.find("\r\n")));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failed);
+  }
+
   // Guards against an overloaded entry that spends all of its time on refusals: a request that
   // arrived before its connection was accepted is refused without starting a fiber.
   auto testScreenedRequestIsAnsweredAtOnce() -> void {
