Keep serving if a reload fails in any way

Since a start catches exceptions of all types, one that is no core::Error on SIGHUP would have ended a serving process with start_failed. A reload now rejects the settings on any exception. Found by review; no input is known that throws one.

--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -146,7 +146,7 @@
     }
     telemetry::Log(Level::error, Event::settings_rejected,
                    {{"file", path}, {"error", schema::Describe(result.problems.front())}});
-  } catch (const core::Error& error) {
+  } catch (const std::exception& error) {
     telemetry::Log(Level::error, Event::settings_rejected,
                    {{"file", path}, {"error", error.what()}});
   }
