--- a/libs/relay/test/drain_test.cc
+++ b/libs/relay/test/drain_test.cc
@@ -144,7 +144,8 @@
     CPPUNIT_ASSERT_EQUAL(calls - sent, refused);
     CPPUNIT_ASSERT_EQUAL(sent, replica.Requests().size());
     // The last request counts until its connection's fiber has run after the response.
-    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, entry.node.in_flight.WaitUntilIdle(node::Now() + kTimeout));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         entry.node.in_flight.WaitUntilIdle(node::Now() + kTimeout));
   }
 
   // Guards against a second attempt for which no time remains.
