--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -559,7 +559,8 @@
   // of others.
   auto testMalformedRequestsAreRefused() -> void {
     std::string failed;
-    for (const auto& [name, bytes] : MalformedRequests()) {
+    for (const auto& [name, text] : MalformedRequests()) {
+      const std::string bytes = text;
       std::atomic<int> requests = 0;
       std::string response;
       RunPair(
@@ -581,7 +582,8 @@
   // Guards against refusing what the standard allows.
   auto testUnusualRequestsAreServed() -> void {
     std::string failed;
-    for (const auto& [name, bytes] : UnusualRequests()) {
+    for (const auto& [name, text] : UnusualRequests()) {
+      const std::string bytes = text;
       std::string response;
       RunPair([](const HttpRequest&, Responder& responder) { responder.Respond(200, {}, ""); },
               [&](const std::string& address) { response = ExchangeHalfClosed(address, bytes); });
