Let a restarted store of the soak go on with higher versions

A store that was started again published version 1, which no entry takes over the one in force, so an entry that had missed the version before it kept a revoked key. The platform keeps its store, and its versions only rise; the stand-in now does the same.

--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -21,6 +21,8 @@
 constexpr std::int64_t kRestartDelayUs = 100'000;
 // Revisions of the store between two of its starts.
 constexpr int kRevisionStep = 100'000;
+// The same of versions of the configuration: an entry takes no older one.
+constexpr int kVersionStep = 100;
 // Time for which the store and replicas are waited for.
 constexpr milliseconds kStandinTime{10'000};
 // Longest wait for one answer about readiness. Faults are applied by the same thread and must not
@@ -136,9 +138,10 @@
 }
 
 auto StartStore(Deployment& deployment) -> void {
-  std::vector<std::string> arguments = {
-      "--store", deployment.store, "--revision",
-      std::to_string(10 + deployment.store_starts++ * kRevisionStep)};
+  const int start = deployment.store_starts++;
+  std::vector<std::string> arguments = {"--store",    deployment.store,
+                                        "--revision", std::to_string(10 + start * kRevisionStep),
+                                        "--version",  std::to_string(1 + start * kVersionStep)};
   if (deployment.revoked_at > 0) arguments.emplace_back("--revoked");
   for (const auto& replica : deployment.replicas) {
     arguments.insert(arguments.end(), {"--listed", Describe(replica, replica.relay_address)});
