Accept pending connections by one function

The loop that accepts the backlog of a listener in a planned stop repeated the one of the accept loop, with its own handling of errors. AcceptPending now takes the largest number of connections and returns how many it accepted and whether an error calls for a pause. Connections that were aborted before they were accepted no longer count toward a batch.

--- a/libs/net/src/acceptor.h
+++ b/libs/net/src/acceptor.h
@@ -22,7 +22,7 @@
 // Connections accepted per iteration of the accept loop. Accepting only one lets the backlog grow
 // on a busy worker until every accepted connection has been abandoned by its caller. Accepting many
 // more would delay running requests: a screened connection takes about 30 us of CPU time.
-inline constexpr int kAcceptBatch = 32;
+inline constexpr std::size_t kAcceptBatch = 32;
 // Delay before accepting again after an error such as too many open files.
 inline constexpr std::chrono::milliseconds kAcceptBackoff{100};
 
@@ -84,32 +84,28 @@
       });
 }
 
-// Accepts up to kAcceptBatch pending connections. Returns false on an error that calls for
-// kAcceptBackoff.
-inline auto AcceptPending(Tcp::acceptor& acceptor, const Tcp& protocol,
-                          const AcceptHandlers& handlers) -> bool {
-  for (int i = 0; i < kAcceptBatch; ++i) {
-    const int accepted =
-        accept4(acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0 && errno == ECONNABORTED) continue;
-    if (accepted < 0) return errno == EAGAIN || errno == EWOULDBLOCK;
-    Dispatch(accepted, protocol, handlers);
-  }
-  return true;
-}
+struct AcceptResult {
+  std::size_t accepted = 0;
+  // Whether an error occurred that calls for kAcceptBackoff.
+  bool failed = false;
+};
 
-// Accepts all pending connections. Returns their number.
-inline auto AcceptBacklog(Tcp::acceptor& acceptor, const Tcp& protocol,
-                          const AcceptHandlers& handlers) -> std::size_t {
-  std::size_t count = 0;
-  while (true) {
+// Accepts up to `most` pending connections.
+inline auto AcceptPending(Tcp::acceptor& acceptor, const Tcp& protocol,
+                          const AcceptHandlers& handlers, std::size_t most) -> AcceptResult {
+  AcceptResult result;
+  while (result.accepted < most) {
     const int accepted =
         accept4(acceptor.native_handle(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted < 0 && errno == ECONNABORTED) continue;
-    if (accepted < 0) return count;
+    if (accepted < 0) {
+      result.failed = errno != EAGAIN && errno != EWOULDBLOCK;
+      break;
+    }
     Dispatch(accepted, protocol, handlers);
-    ++count;
+    ++result.accepted;
   }
+  return result;
 }
 
 // Accepts connections until the acceptor is closed.
@@ -126,7 +122,7 @@
             [handler](const boost::system::error_code& error) mutable { handler(error); });
       });
       if (!acceptor->is_open()) break;
-      if (result.error || !AcceptPending(*acceptor, protocol, handlers)) {
+      if (result.error || AcceptPending(*acceptor, protocol, handlers, kAcceptBatch).failed) {
         runtime::SleepFor(kAcceptBackoff);
       }
     }
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -497,8 +497,10 @@
   const auto protocol = this->state->acceptor->local_endpoint(ignored).protocol();
   // Closing the acceptor resets the connections in its backlog, on which requests may have arrived.
 #ifndef FILBERTSTAIR_BROKEN_accept_backlog
-  counts.accepted = detail::AcceptBacklog(*this->state->acceptor, protocol,
-                                          detail::MakeAcceptHandlers(this->state));
+  constexpr auto all = std::numeric_limits<std::size_t>::max();
+  counts.accepted = detail::AcceptPending(*this->state->acceptor, protocol,
+                                          detail::MakeAcceptHandlers(this->state), all)
+                        .accepted;
 #endif
   this->state->acceptor->close(ignored);
   for (auto& [stream, work] : this->state->idle) {
