Drain the listeners of both kinds of entries by one function

Both waited for the end of the drain notice on each worker, drained its listener and logged the counts, in the same lines. node::DrainListeners does it for both; LogListenerClosed is internal to it.

--- a/libs/entry/src/entry.cc
+++ b/libs/entry/src/entry.cc
@@ -102,17 +102,9 @@
 }
 
 auto Drain(Entry& entry) -> void {
-  if (!node::BeginDrain(entry.node)) return;
-  const auto close_at = node::DrainNoticeEnd(entry.node);
-  for (std::size_t i = 0; i < entry.workers.size(); ++i) {
-    // `work` keeps the process from exiting before the connections in the backlog are accepted.
-    entry.node.pool.Post(i, [&entry, i, close_at, work = node::BeginWork(entry.node)] {
-      runtime::SleepFor(close_at - node::Now());
-      if (entry.workers[i].caller_listener) {
-        node::LogListenerClosed(entry.workers[i].caller_listener->Drain());
-      }
-    });
-  }
+  node::DrainListeners(entry.node, [&entry](std::size_t worker) {
+    return entry.workers[worker].caller_listener.get();
+  });
 }
 
 auto CancelRequests(Entry& entry, node::StopScope scope) -> void {
--- a/libs/node/include/filbertstair/node/node.h
+++ b/libs/node/include/filbertstair/node/node.h
@@ -120,8 +120,12 @@
 // Counts a request as in flight until the result is released.
 auto BeginWork(Node& node) -> std::shared_ptr<void>;
 
-// Logs that a planned stop has closed a listener for callers.
-auto LogListenerClosed(const net::DrainCounts& counts) -> void;
+// Begins to drain, and drains each worker's listener for callers at the end of the notice.
+// `listener_of` is called on the worker and returns null if it has none. Does nothing if the
+// process was draining already.
+auto DrainListeners(Node& node,
+                    const std::function<net::HttpListener*(std::size_t worker)>& listener_of)
+    -> void;
 
 // Adds an event with the current wall-clock time to the request's trace. The caller must hold no
 // lock of rank `traces` or above.
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -7,6 +7,16 @@
 #include "filbertstair/core/error.h"
 
 namespace filbertstair::node {
+namespace {
+
+auto LogListenerClosed(const net::DrainCounts& counts) -> void {
+  telemetry::Log(telemetry::Level::info, telemetry::Event::listener_closed,
+                 {{"accepted", std::to_string(counts.accepted)},
+                  {"idle", std::to_string(counts.idle)},
+                  {"unread", std::to_string(counts.unread)}});
+}
+
+}  // namespace
 
 Node::Node(settings::Settings settings, core::Incarnation incarnation)
     : settings(std::move(settings)),
@@ -45,11 +55,19 @@
   return std::make_shared<InFlightGuard>(node.in_flight);
 }
 
-auto LogListenerClosed(const net::DrainCounts& counts) -> void {
-  telemetry::Log(telemetry::Level::info, telemetry::Event::listener_closed,
-                 {{"accepted", std::to_string(counts.accepted)},
-                  {"idle", std::to_string(counts.idle)},
-                  {"unread", std::to_string(counts.unread)}});
+auto DrainListeners(Node& node,
+                    const std::function<net::HttpListener*(std::size_t worker)>& listener_of)
+    -> void {
+  if (!BeginDrain(node)) return;
+  const auto close_at = DrainNoticeEnd(node);
+  for (std::size_t i = 0; i < node.pool.Size(); ++i) {
+    // `work` keeps the process from exiting before the connections in the backlog are accepted.
+    node.pool.Post(i, [listener_of, i, close_at, work = BeginWork(node)] {
+      runtime::SleepFor(close_at - Now());
+      auto* listener = listener_of(i);
+      if (listener != nullptr) LogListenerClosed(listener->Drain());
+    });
+  }
 }
 
 auto RecordEvent(Node& node, std::string_view request, TraceEvent event) -> void {
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -292,17 +292,9 @@
 }
 
 auto Drain(Relay& relay) -> void {
-  if (!node::BeginDrain(relay.node)) return;
-  const auto close_at = node::DrainNoticeEnd(relay.node);
-  for (std::size_t i = 0; i < relay.workers.size(); ++i) {
-    // `work` keeps the process from exiting before the connections in the backlog are accepted.
-    relay.node.pool.Post(i, [&relay, i, close_at, work = node::BeginWork(relay.node)] {
-      runtime::SleepFor(close_at - node::Now());
-      if (relay.workers[i].caller_listener) {
-        node::LogListenerClosed(relay.workers[i].caller_listener->Drain());
-      }
-    });
-  }
+  node::DrainListeners(relay.node, [&relay](std::size_t worker) {
+    return relay.workers[worker].caller_listener.get();
+  });
 }
 
 auto Stop(Relay& relay, node::StopScope scope) -> void {
