Parse the addresses of stand-ins and tests by one function

"ip:port" was parsed in four places of tests/; the copy of the soak left out the check for a missing port. standins::ParseEndpoint serves all of them.

--- a/tests/fleet/caller.cc
+++ b/tests/fleet/caller.cc
@@ -19,13 +19,6 @@
 namespace json = boost::json;
 using tcp = asio::ip::tcp;
 
-auto Endpoint(const std::string& address) -> tcp::endpoint {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) throw std::runtime_error("not ip:port: " + address);
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-}
-
 auto MakeRequest(const Call& call) -> http::request<http::string_body> {
   http::request<http::string_body> request(http::string_to_verb(call.method), call.target, 11);
   request.set(http::field::host, call.host.empty() ? call.address : call.host);
@@ -57,7 +50,7 @@
 auto Exchange(const Call& call, Reply& reply) -> asio::awaitable<void> {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   stream.expires_after(call.timeout);
-  co_await stream.async_connect(Endpoint(call.address), asio::use_awaitable);
+  co_await stream.async_connect(standins::ParseEndpoint(call.address), asio::use_awaitable);
   stream.socket().set_option(tcp::no_delay(true));
   const auto request = MakeRequest(call);
   co_await http::async_write(stream, request, asio::use_awaitable);
--- a/tests/fleet/relay.cc
+++ b/tests/fleet/relay.cc
@@ -26,13 +26,6 @@
 // Blocks that one direction holds at most, so that a silent link pushes back on its sender.
 constexpr std::size_t kMaxHeld = 64;
 
-auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) throw std::runtime_error("not ip:port: " + address);
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-}
-
 // One direction of a connection: blocks that were read, with the time at which they are due.
 struct Direction {
   explicit Direction(asio::io_context& io) : changed(io, Clock::time_point::max()) {}
@@ -56,8 +49,8 @@
 
 struct Relay::State {
   State(const std::string& listen, const std::string& target, IdentifySource identify)
-      : acceptor(this->io, ParseEndpoint(listen)),
-        target(ParseEndpoint(target)),
+      : acceptor(this->io, standins::ParseEndpoint(listen)),
+        target(standins::ParseEndpoint(target)),
         identify(std::move(identify)) {}
 
   auto LinkOf(const std::string& source) const -> LinkState {
--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -52,12 +52,6 @@
   auto Chance(double share) -> bool { return std::bernoulli_distribution(share)(this->random); }
 };
 
-auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
-  const auto colon = address.rfind(':');
-  return {asio::ip::make_address(address.substr(0, colon)),
-          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
-}
-
 auto PickKind(Caller& caller) -> CallKind {
   const int roll = caller.Uniform(99);
   if (roll < 30) return CallKind::stream;
@@ -197,8 +191,9 @@
     stream.expires_after(kConnectTimeout);
     record.connected_at = standins::NowUs();
     beast::error_code error;
-    co_await stream.async_connect(ParseEndpoint(addresses[static_cast<std::size_t>(record.entry)]),
-                                  asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(
+        standins::ParseEndpoint(addresses[static_cast<std::size_t>(record.entry)]),
+        asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       co_await standins::Sleep(kReconnectDelay);
       continue;
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -52,6 +52,14 @@
   }
 };
 
+// Parses "ip:port".
+inline auto ParseEndpoint(const std::string& address) -> tcp::endpoint {
+  const auto colon = address.rfind(':');
+  if (colon == std::string::npos) throw std::runtime_error("not ip:port: " + address);
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
 inline auto ParseTarget(const Request& request) -> Target {
   std::string_view text(request.target().data(), request.target().size());
   Target target;
@@ -146,12 +154,9 @@
 // Listens at `address` ("ip:port") and answers each request by `handler`.
 inline auto Listen(asio::io_context& io, const std::string& address, Handler handler,
                    Gate gate = {}) -> void {
-  const auto colon = address.rfind(':');
-  if (colon == std::string::npos) throw std::runtime_error("not ip:port: " + address);
-  const tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
-                               static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
   asio::co_spawn(io,
-                 detail::Accept(tcp::acceptor(io, endpoint), std::move(handler), std::move(gate)),
+                 detail::Accept(tcp::acceptor(io, ParseEndpoint(address)), std::move(handler),
+                                std::move(gate)),
                  asio::detached);
 }
 
