--- a/apps/filbertstaird/main.cc
+++ b/apps/filbertstaird/main.cc
@@ -89,14 +89,20 @@
                                             .count());
 }
 
-// Blocks the signals that stop the daemon or reload its settings in all threads that are started
-// later; AwaitEnd receives them. Must come first: until then each of them ends the process at once,
-// and the platform may send SIGHUP right after a start.
-auto BlockSignals() -> sigset_t {
+// Signals that stop the daemon.
+auto StopSignals() -> sigset_t {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// Blocks the signals that stop the daemon or reload its settings in all threads that are started
+// later; AwaitEnd receives them. Must come first: until then each of them ends the process at once,
+// and the platform may send SIGHUP right after a start.
+auto BlockSignals() -> sigset_t {
+  auto signals = StopSignals();
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
@@ -166,10 +172,7 @@
 // Sleeps for the time, or until a signal arrives that stops the daemon. Returns whether one has.
 // SIGHUP stays pending.
 auto SleepUntilStopped(core::Duration duration) -> bool {
-  sigset_t stopping;
-  sigemptyset(&stopping);
-  sigaddset(&stopping, SIGTERM);
-  sigaddset(&stopping, SIGINT);
+  const auto stopping = StopSignals();
   const auto nanoseconds = std::chrono::nanoseconds(duration).count();
   const timespec timeout{nanoseconds / std::nano::den, nanoseconds % std::nano::den};
   return sigtimedwait(&stopping, nullptr, &timeout) > 0;
