Hold back prompts whose requests end replicas before they answer

Cause: the end of a replica counts as evidence if the head of the answer had just arrived, or if the same request had lost another replica before. A process that ends before its head leaves the machine gives neither on a route with one attempt, so no evidence ever arose.

Now the last loss without an answer is kept for each block of a prompt until a response to the block goes well. A second loss of another replica under the block is evidence, as a second loss of one request was before, once the replica refuses connections; the earlier loss counts for the blocks that both requests have.

relay.quarantine_test testRequestsSentOnceCrashReplicasBeforeTheyAnswer fails without the change (all eight replicas end).

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -39,10 +39,19 @@
   core::Time last{};
 };
 
-// Suspected blocks, and blocks with recent sound responses, by id.
+// The end of a connection to a replica on which the response to a request had not begun. The
+// replica may have ended.
+struct UnansweredLoss {
+  ReplicaCrash crash;
+  std::string address;
+};
+
+// Suspected blocks, blocks with recent sound responses, and the last loss of a request with a block
+// since its last sound response, by id.
 struct QuarantineTable {
   std::map<std::uint64_t, BlockSuspicion> blocks;
   std::unordered_map<std::uint64_t, SoundRecord> sound;
+  std::unordered_map<std::uint64_t, UnansweredLoss> losses;
 };
 
 struct QuarantinePolicy {
@@ -67,11 +76,15 @@
   core::Duration quarantine_time = std::chrono::minutes(10);
   // Time after the last crash at which a block is forgotten.
   core::Duration forget_after = std::chrono::hours(1);
+  // Time for which an unanswered loss is remembered for the next one.
+  core::Duration loss_memory = std::chrono::minutes(10);
   std::size_t max_crashes_per_block = 8;
   std::size_t max_blocks = 512;
   // Blocks whose sound responses are remembered, of about 60 bytes each. Beyond that a quarter is
   // dropped, the least popular first: scanning them takes processor time from requests.
   std::size_t max_sound_blocks = 4096;
+  // Blocks whose last loss is remembered; beyond that the oldest is dropped.
+  std::size_t max_losses = 1024;
 };
 
 // A crash as evidence against one block: the unit in which entries tell each other.
@@ -90,8 +103,22 @@
 // be shared with other requests; the last one identifies a request that its caller repeats.
 auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t>;
 
+// An earlier loss of another replica, and the blocks that its request shares with a later one.
+struct EarlierLoss {
+  UnansweredLoss loss;
+  Prompt shared;
+};
+
+// Records a loss for all blocks of the prompt. Returns the latest earlier one of another replica
+// under any of them. Requests of a route with a single attempt lose one replica each, so that only
+// what they share shows that they crash replicas.
+auto RecordUnansweredLoss(QuarantineTable& table, const QuarantinePolicy& policy,
+                          const Prompt& prompt, const UnansweredLoss& loss)
+    -> std::optional<EarlierLoss>;
+
 // Returns whether an attempt whose connection ended may have crashed its replica: its response had
-// just begun, or no response had and the same request had lost another replica before.
+// just begun, or no response had and a request with one of its blocks had lost another replica
+// before.
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
                     bool lost_replica_before, core::Time cut_at) -> bool;
 
@@ -111,7 +138,8 @@
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
 
 // Records that a response to the prompt went well, which offsets one crash of each of its blocks: a
-// block that crashes replicas has no such response. Remembers it for the blocks that may be shared.
+// block that crashes replicas has no such response. Remembers it for the blocks that may be shared,
+// and forgets their unanswered losses.
 // Returns the blocks whose suspicion changed.
 auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
     -> std::vector<std::uint64_t>;
@@ -144,7 +172,7 @@
 auto MayRetryAfterCrash(const QuarantineTable& table, const QuarantinePolicy& policy,
                         const Prompt& prompt, core::Time now) -> bool;
 
-// Forgets crashes and sound responses that no longer matter. Of the latter keeps at most
+// Forgets crashes, losses and sound responses that no longer matter. Of the latter keeps at most
 // `max_sound_blocks` blocks.
 auto RemoveOldEvidence(QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
     -> void;
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -176,6 +176,15 @@
   std::for_each(items.begin(), end, [&](const Item& item) { table.sound.erase(item.second); });
 }
 
+// Makes a place for the loss of another block: drops the oldest one.
+auto MakeRoomForLoss(QuarantineTable& table, std::size_t max_losses) -> void {
+  if (table.losses.size() < max_losses) return;
+  const auto oldest = std::min_element(
+      table.losses.begin(), table.losses.end(),
+      [](const auto& a, const auto& b) { return a.second.crash.at < b.second.crash.at; });
+  if (oldest != table.losses.end()) table.losses.erase(oldest);
+}
+
 }  // namespace
 
 auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
@@ -186,6 +195,27 @@
   return ids;
 }
 
+auto RecordUnansweredLoss(QuarantineTable& table, const QuarantinePolicy& policy,
+                          const Prompt& prompt, const UnansweredLoss& loss)
+    -> std::optional<EarlierLoss> {
+  std::optional<EarlierLoss> earlier;
+  for (const auto& block : prompt.blocks) {
+    const auto found = table.losses.find(block.id);
+    if (found == table.losses.end()) continue;
+    const auto& [crash, address] = found->second;
+    if (crash.replica == loss.crash.replica || loss.crash.at - crash.at > policy.loss_memory) {
+      continue;
+    }
+    if (!earlier || crash.at > earlier->loss.crash.at) earlier = {found->second, {}};
+    if (crash == earlier->loss.crash) earlier->shared.blocks.push_back(block);
+  }
+  for (const auto id : ListBlockIds(prompt)) {
+    if (!table.losses.contains(id)) MakeRoomForLoss(table, policy.max_losses);
+    table.losses[id] = loss;
+  }
+  return earlier;
+}
+
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
                     bool lost_replica_before, core::Time cut_at) -> bool {
   if (assignment.stage == AttemptStage::sent) return lost_replica_before;
@@ -249,6 +279,7 @@
     ++record.count;
     record.last = now;
   }
+  for (const auto id : ids) table.losses.erase(id);
   std::erase_if(ids, [&](std::uint64_t id) { return !OffsetCrash(table, id); });
   return ids;
 }
@@ -282,6 +313,8 @@
   std::erase_if(table.blocks, [&](const auto& item) {
     return now - item.second.crashes.back().at > policy.forget_after;
   });
+  std::erase_if(table.losses,
+                [&](const auto& item) { return now - item.second.crash.at > policy.loss_memory; });
   std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
   LimitSoundRecords(table, policy.max_sound_blocks);
 }
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
+  CPPUNIT_TEST(testLossesOfRequestsThatShareABlock);
+  CPPUNIT_TEST(testLossesAreBounded);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
   CPPUNIT_TEST(testTableIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -271,6 +273,37 @@
     CPPUNIT_ASSERT(!suspect(true, this->now + milliseconds(1500)));
   }
 
+  // Guards against requests with one attempt whose replicas end before they answer: only the block
+  // that they share shows it, and only while no response to it went well.
+  auto testLossesOfRequestsThatShareABlock() -> void {
+    const auto lose = [&](const std::string& replica, core::Duration at) {
+      return RecordUnansweredLoss(this->table, this->policy, MakePrompt({kCommon, kDeadly}),
+                                  {{replica, this->now + at}, replica + ":80"});
+    };
+    CPPUNIT_ASSERT(!lose("a", seconds(0)));
+    CPPUNIT_ASSERT(!lose("a", seconds(1)));
+    RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now + seconds(1));
+    const auto earlier = lose("b", seconds(2));
+    CPPUNIT_ASSERT(earlier);
+    CPPUNIT_ASSERT_EQUAL(std::string("a:80"), earlier->loss.address);
+    CPPUNIT_ASSERT(ListBlockIds(earlier->shared) == std::vector<std::uint64_t>{kDeadly});
+    RecordSoundResponse(this->table, MakePrompt({kCommon, kDeadly}), this->now + seconds(3));
+    CPPUNIT_ASSERT(!lose("c", seconds(4)));
+    CPPUNIT_ASSERT(!lose("d", seconds(5) + this->policy.loss_memory));
+  }
+
+  // Guards against memory that grows with the requests that are lost.
+  auto testLossesAreBounded() -> void {
+    for (std::uint64_t i = 0; i < 2 * this->policy.max_losses; ++i) {
+      RecordUnansweredLoss(this->table, this->policy, MakePrompt({i}),
+                           {{"a", this->now + milliseconds(i)}, "a:80"});
+    }
+    CPPUNIT_ASSERT_EQUAL(this->policy.max_losses, this->table.losses.size());
+    CPPUNIT_ASSERT(!this->table.losses.contains(0));
+    RemoveOldEvidence(this->table, this->policy, this->now + minutes(11));
+    CPPUNIT_ASSERT(this->table.losses.empty());
+  }
+
   // Guards against an entry that starts anew and sends what the others hold back.
   auto testEvidenceOfATableReproducesIt() -> void {
     for (const auto* replica : {"a", "b", "c"}) {
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -132,20 +132,25 @@
   });
 }
 
-auto RecordIfCrashed(Relay& relay, Call& call, const Assignment& assignment) -> bool {
-  const auto cut_at = node::Now();
+auto RecordIfCrashed(Relay& relay, const Call& call, const Assignment& assignment) -> bool {
   if (!call.head.prompt) return false;
-  const bool suspect = direct::IsCrashSuspect(relay.policies.quarantine, assignment,
-                                              call.unanswered_loss.has_value(), cut_at);
-  const auto previous = std::exchange(call.unanswered_loss, std::nullopt);
+  const auto& prompt = *call.head.prompt;
+  const direct::ReplicaCrash crash{assignment.replica, node::Now()};
+  std::optional<direct::EarlierLoss> earlier;
   if (assignment.stage == direct::AttemptStage::sent) {
-    call.unanswered_loss = {{assignment.replica, cut_at}, assignment.address};
+    earlier = relay.dispatch.With([&](DispatchTable& table) {
+      return direct::RecordUnansweredLoss(table.quarantine, relay.policies.quarantine, prompt,
+                                          {crash, assignment.address});
+    });
+  }
+  if (!direct::IsCrashSuspect(relay.policies.quarantine, assignment, earlier.has_value(),
+                              crash.at)) {
+    return false;
   }
-  if (!suspect || !net::RefusesConnections(assignment.address, kCrashCheckTimeout)) return false;
-  RecordCrash(relay, *call.head.prompt, {assignment.replica, cut_at});
-  if (assignment.stage == direct::AttemptStage::sent &&
-      net::RefusesConnections(previous->address, kCrashCheckTimeout)) {
-    RecordCrash(relay, *call.head.prompt, previous->crash);
+  if (!net::RefusesConnections(assignment.address, kCrashCheckTimeout)) return false;
+  RecordCrash(relay, prompt, crash);
+  if (earlier && net::RefusesConnections(earlier->loss.address, kCrashCheckTimeout)) {
+    RecordCrash(relay, earlier->shared, earlier->loss.crash);
   }
   return true;
 }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -200,12 +200,6 @@
   net::Framing framing = net::Framing::self_delimited;
 };
 
-// A replica that ended before it had begun the response to a request.
-struct UnansweredLoss {
-  direct::ReplicaCrash crash;
-  std::string address;
-};
-
 // A caller's request while the relay handles it. Used by the fiber that handles it and by the fiber
 // that detects that the caller has disconnected.
 struct Call {
@@ -229,8 +223,6 @@
   bool stopped = false;
   // Set when an attempt is ended because the prompt was quarantined meanwhile.
   bool quarantined = false;
-  // The last attempt, if its replica may have ended before the response began.
-  std::optional<UnansweredLoss> unanswered_loss;
   // The replica of the last attempt, and all replicas that received the request.
   std::string replica;
   std::set<std::string> tried;
@@ -309,7 +301,7 @@
 // Handles that an attempt was cut. If the request may have crashed the replica and that refuses
 // connections, records this as evidence against the blocks of the prompt and returns true. Suspends
 // the fiber for a round trip to the replica.
-auto RecordIfCrashed(Relay& relay, Call& call, const Assignment& assignment) -> bool;
+auto RecordIfCrashed(Relay& relay, const Call& call, const Assignment& assignment) -> bool;
 
 // Returns whether the request may be sent to another replica although it may have crashed one.
 auto MayRetryAfterCrash(Relay& relay, const Call& call) -> bool;
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -60,8 +60,9 @@
   std::vector<std::unique_ptr<FragileReplica>> items;
 };
 
-auto PromptRequest(const std::string& id, const std::string& blocks) -> net::HttpRequest {
-  auto request = Get("/stream/x", id);
+auto PromptRequest(const std::string& id, const std::string& blocks,
+                   const std::string& target = "/stream/x") -> net::HttpRequest {
+  auto request = Get(target, id);
   request.headers.emplace_back("Blocks", blocks);
   return request;
 }
@@ -72,6 +73,7 @@
   CPPUNIT_TEST(testEntryThatStartsLaterHoldsThePromptBack);
   CPPUNIT_TEST(testAttemptsAtReplicasEndWithTheQuarantine);
   CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
+  CPPUNIT_TEST(testRequestsSentOnceCrashReplicasBeforeTheyAnswer);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
   CPPUNIT_TEST_SUITE_END();
@@ -147,19 +149,13 @@
 
   // Guards against prompts that crash replicas before any response begins.
   auto testReplicaThatCrashesBeforeItAnswers() -> void {
-    std::vector<std::unique_ptr<RawReplica>> replicas;
-    TestEntry entry;
-    entry.Configure(MakeFleetConfig());
-    for (int i = 0; i < 8; ++i) {
-      replicas.push_back(std::make_unique<RawReplica>(
-          "r" + std::to_string(i),
-          [&replicas, i](int, const std::string&, const auto&) { replicas[i]->Crash(); }));
-      entry.List(*replicas.back());
-    }
-    for (int i = 0; i < 4; ++i) entry.Call(PromptRequest("deadly-" + std::to_string(i), "13"));
-    const auto crashed = std::count_if(replicas.begin(), replicas.end(),
-                                       [](const auto& r) { return r->HasCrashed(); });
-    CPPUNIT_ASSERT(crashed < 5);
+    CPPUNIT_ASSERT(CountCrashesBeforeAnswers("/stream/x", 4) < 5);
+  }
+
+  // Guards against requests of a route with one attempt that crash replicas before any response
+  // begins: none of them loses two replicas.
+  auto testRequestsSentOnceCrashReplicasBeforeTheyAnswer() -> void {
+    CPPUNIT_ASSERT(CountCrashesBeforeAnswers("/stream-once/x", 8) < 5);
   }
 
   // Guards against refusing sound prompts because replicas that live on broke off responses.
@@ -220,6 +216,24 @@
     }
     CPPUNIT_FAIL("the prompt is not held back");
   }
+
+  // Sends requests that crash replicas before any response begins. Returns how many of eight ended.
+  static auto CountCrashesBeforeAnswers(const std::string& target, int requests) -> std::ptrdiff_t {
+    std::vector<std::unique_ptr<RawReplica>> replicas;
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    for (int i = 0; i < 8; ++i) {
+      replicas.push_back(std::make_unique<RawReplica>(
+          "r" + std::to_string(i),
+          [&replicas, i](int, const std::string&, const auto&) { replicas[i]->Crash(); }));
+      entry.List(*replicas.back());
+    }
+    for (int i = 0; i < requests; ++i) {
+      entry.Call(PromptRequest("deadly-" + std::to_string(i), "13", target));
+    }
+    return std::count_if(replicas.begin(), replicas.end(),
+                         [](const auto& replica) { return replica->HasCrashed(); });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantineTest);
