Recognise a replica's end by its new start if its address stays open

Cause: only an address that refuses connections right after the cut showed that the replica had ended.

A suspected crash that the address does not confirm is now kept for 15 s. A listing that names a later start of the replica, or another replica at its address, confirms it as evidence. Cut responses of replicas that live on are still no evidence.

relay.quarantine_test testReplicasThatCrashBehindAnOpenAddress fails without the change.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 #include "filbertstair/core/types.h"
 #include "filbertstair/direct/assignment.h"
 #include "filbertstair/direct/kept.h"
+#include "filbertstair/direct/replicas.h"
 
 // Decides which prompts are no longer sent to replicas because a block of theirs crashes them.
 namespace filbertstair::direct {
@@ -46,12 +48,24 @@
   std::string address;
 };
 
+// A cut attempt that may have crashed its replica, although the address still accepts connections:
+// a supervisor may hold it while it starts the process again.
+struct UnconfirmedCrash {
+  ReplicaCrash crash;
+  std::string address;
+  // Start of the replica as it was listed at that time.
+  std::int64_t started_ms = 0;
+  Prompt prompt;
+};
+
 // Suspected blocks, blocks with recent sound responses, and the last loss of a request with a block
 // since its last sound response, by id.
 struct QuarantineTable {
   std::map<std::uint64_t, BlockSuspicion> blocks;
   std::unordered_map<std::uint64_t, SoundRecord> sound;
   std::unordered_map<std::uint64_t, UnansweredLoss> losses;
+  // Oldest first.
+  std::deque<UnconfirmedCrash> unconfirmed;
 };
 
 struct QuarantinePolicy {
@@ -83,6 +97,10 @@
   // Blocks whose sound responses are remembered, of about 60 bytes each. Beyond that a quarter is
   // dropped, the least popular first: scanning them takes processor time from requests.
   std::size_t max_sound_blocks = 4096;
+  // Time after a cut attempt within which a new start of its replica shows that the replica had
+  // ended. A restart takes some seconds, and the platform lists it up to a second later.
+  core::Duration confirm_within = std::chrono::seconds(15);
+  std::size_t max_unconfirmed = 256;
   // Blocks whose last loss is remembered; beyond that the oldest is dropped.
   std::size_t max_losses = 1024;
 };
@@ -122,6 +140,16 @@
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
                     bool lost_replica_before, core::Time cut_at) -> bool;
 
+// Records a crash that a new start of the replica may confirm; beyond the limit the oldest is
+// dropped.
+auto RecordUnconfirmedCrash(QuarantineTable& table, const QuarantinePolicy& policy,
+                            UnconfirmedCrash crash) -> void;
+
+// Removes and returns the crashes that the listing confirms: it names a later start of the replica,
+// or another one at its address.
+auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
+                          const Listing& listing, core::Time now) -> std::vector<UnconfirmedCrash>;
+
 // Returns the evidence that the crash of a replica under the prompt gives against each of its
 // blocks. The last one counts as well: a request may crash replicas by what it shares with none,
 // and come again.
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -222,6 +222,25 @@
   return cut_at - assignment.head_received_at <= policy.max_crash_delay;
 }
 
+auto RecordUnconfirmedCrash(QuarantineTable& table, const QuarantinePolicy& policy,
+                            UnconfirmedCrash crash) -> void {
+  table.unconfirmed.push_back(std::move(crash));
+  if (table.unconfirmed.size() > policy.max_unconfirmed) table.unconfirmed.pop_front();
+}
+
+auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
+                          const Listing& listing, core::Time now) -> std::vector<UnconfirmedCrash> {
+  std::vector<UnconfirmedCrash> confirmed;
+  std::erase_if(table.unconfirmed, [&](auto& item) {
+    if (now - item.crash.at > policy.confirm_within) return true;
+    const bool restarted = listing.id == item.crash.replica ? listing.started_ms > item.started_ms
+                                                            : listing.address == item.address;
+    if (restarted) confirmed.push_back(std::move(item));
+    return restarted;
+  });
+  return confirmed;
+}
+
 auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash)
     -> std::vector<CrashEvidence> {
   const auto ids = ListBlockIds(prompt);
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
   CPPUNIT_TEST(testLossesOfRequestsThatShareABlock);
   CPPUNIT_TEST(testLossesAreBounded);
+  CPPUNIT_TEST(testNewStartConfirmsACrash);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
   CPPUNIT_TEST(testTableIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -292,6 +293,34 @@
     CPPUNIT_ASSERT(!lose("d", seconds(5) + this->policy.loss_memory));
   }
 
+  // Guards against crashes that stay unseen because a supervisor holds the address, and against
+  // taking a listing of the same start, of another replica or of much later for the confirmation.
+  auto testNewStartConfirmsACrash() -> void {
+    const auto take = [&](const std::string& id, const std::string& address,
+                          std::int64_t started_ms, core::Duration at) {
+      return TakeConfirmedCrashes(this->table, this->policy,
+                                  {.id = id, .address = address, .started_ms = started_ms},
+                                  this->now + at)
+          .size();
+    };
+    const auto cut = [&] {
+      RecordUnconfirmedCrash(this->table, this->policy,
+                             {{"a", this->now}, "a:80", 5, MakePrompt({kDeadly})});
+    };
+    cut();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, take("a", "a:80", 5, seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, take("b", "b:80", 9, seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take("a", "a:81", 6, seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, take("a", "a:81", 6, seconds(1)));
+    cut();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take("c", "a:80", 0, seconds(1)));
+    cut();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, take("c", "a:80", 0, minutes(1)));
+    CPPUNIT_ASSERT(this->table.unconfirmed.empty());
+    for (std::size_t i = 0; i <= this->policy.max_unconfirmed; ++i) cut();
+    CPPUNIT_ASSERT_EQUAL(this->policy.max_unconfirmed, this->table.unconfirmed.size());
+  }
+
   // Guards against memory that grows with the requests that are lost.
   auto testLossesAreBounded() -> void {
     for (std::uint64_t i = 0; i < 2 * this->policy.max_losses; ++i) {
--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -92,6 +92,7 @@
 }
 
 auto AcceptListing(Relay& relay, direct::Listing listing) -> void {
+  ConfirmCrashes(relay, {listing});
   relay.dispatch.With(
       [&](DispatchTable& table) { UpsertLocked(relay, table, std::move(listing)); });
 }
@@ -104,6 +105,7 @@
 }
 
 auto ReplaceListings(Relay& relay, std::vector<direct::Listing> listings) -> void {
+  ConfirmCrashes(relay, listings);
   relay.dispatch.With([&](DispatchTable& table) {
     std::set<std::string> missing;
     for (const auto& [id, service] : table.replicas.service_of) missing.insert(id);
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -106,6 +106,19 @@
   WakePeers(relay);
 }
 
+// Keeps a suspected crash until a new start of the replica is listed.
+auto AwaitConfirmation(Relay& relay, const direct::Prompt& prompt,
+                       const direct::ReplicaCrash& crash, const Assignment& assignment) -> void {
+  relay.dispatch.With([&](DispatchTable& table) {
+    const auto* replica =
+        direct::FindReplica(table.replicas, assignment.service, assignment.replica);
+    if (replica == nullptr) return;
+    direct::RecordUnconfirmedCrash(
+        table.quarantine, relay.policies.quarantine,
+        {crash, assignment.address, replica->listing.started_ms, prompt});
+  });
+}
+
 auto ToRow(const direct::CrashEvidence& evidence, core::Time now) -> wire::BlockCrash {
   return {evidence.block, evidence.crash.replica,
           std::max(now - evidence.crash.at, core::Duration{}), evidence.prefix,
@@ -132,6 +145,21 @@
   });
 }
 
+auto ConfirmCrashes(Relay& relay, const std::vector<direct::Listing>& listings) -> void {
+  const auto now = node::Now();
+  std::vector<direct::UnconfirmedCrash> confirmed;
+  relay.dispatch.With([&](DispatchTable& table) {
+    for (const auto& listing : listings) {
+      if (table.quarantine.unconfirmed.empty()) return;
+      for (auto& crash : direct::TakeConfirmedCrashes(table.quarantine, relay.policies.quarantine,
+                                                      listing, now)) {
+        confirmed.push_back(std::move(crash));
+      }
+    }
+  });
+  for (const auto& item : confirmed) RecordCrash(relay, item.prompt, item.crash);
+}
+
 auto RecordIfCrashed(Relay& relay, const Call& call, const Assignment& assignment) -> bool {
   if (!call.head.prompt) return false;
   const auto& prompt = *call.head.prompt;
@@ -147,7 +175,10 @@
                               crash.at)) {
     return false;
   }
-  if (!net::RefusesConnections(assignment.address, kCrashCheckTimeout)) return false;
+  if (!net::RefusesConnections(assignment.address, kCrashCheckTimeout)) {
+    AwaitConfirmation(relay, prompt, crash, assignment);
+    return false;
+  }
   RecordCrash(relay, prompt, crash);
   if (earlier && net::RefusesConnections(earlier->loss.address, kCrashCheckTimeout)) {
     RecordCrash(relay, earlier->shared, earlier->loss.crash);
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -212,6 +212,12 @@
     ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
     for (auto& socket : this->sockets) ::shutdown(socket.native_handle(), SHUT_RDWR);
   }
+  // Ends all connections and goes on accepting new ones, as the crash of a process does whose
+  // supervisor holds the address. May be called by `serve`.
+  auto EndConnections() -> void {
+    const std::lock_guard lock(this->mutex);
+    for (auto& socket : this->sockets) ::shutdown(socket.native_handle(), SHUT_RDWR);
+  }
   auto HasCrashed() const -> bool { return this->crashed; }
 
   const std::string id;
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 
 #include "fixture.h"
 
@@ -74,6 +75,7 @@
   CPPUNIT_TEST(testAttemptsAtReplicasEndWithTheQuarantine);
   CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
   CPPUNIT_TEST(testRequestsSentOnceCrashReplicasBeforeTheyAnswer);
+  CPPUNIT_TEST(testReplicasThatCrashBehindAnOpenAddress);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
   CPPUNIT_TEST_SUITE_END();
@@ -158,6 +160,45 @@
     CPPUNIT_ASSERT(CountCrashesBeforeAnswers("/stream-once/x", 8) < 5);
   }
 
+  // Guards against requests that crash one replica after the other whose addresses go on accepting
+  // connections: only their new starts show that they ended.
+  auto testReplicasThatCrashBehindAnOpenAddress() -> void {
+    std::atomic<int> deadly_requests = 0;
+    std::vector<std::unique_ptr<RawReplica>> replicas;
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    std::array<std::atomic<int>, 8> starts{};
+    std::array<int, 8> listed{};
+    std::array<std::string, 8> ids;
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+      ids[i] = "r" + std::to_string(i);
+      replicas.push_back(std::make_unique<RawReplica>(
+          ids[i], [&, i](int, const std::string& request, const RawReplica::Writer& write) {
+            ++deadly_requests;
+            write(StreamHead(request));
+            std::this_thread::sleep_for(milliseconds(20));
+            ++starts[i];
+            replicas[i]->EndConnections();
+          }));
+      entry.List(*replicas.back());
+    }
+    for (int i = 0; i < 8; ++i) {
+      entry.Call(PromptRequest("deadly-" + std::to_string(i), kDeadlyBlocks));
+      for (std::size_t r = 0; r < starts.size(); ++r) {
+        if (starts[r] == listed[r]) continue;
+        direct::Listing listing;
+        listing.id = ids[r] + "'";
+        listing.service = "s";
+        listing.address = replicas[r]->address;
+        listing.slots = 8;
+        AcceptListing(*entry.relay, listing);
+        AcceptDelisting(*entry.relay, std::exchange(ids[r], listing.id));
+        listed[r] = starts[r];
+      }
+    }
+    CPPUNIT_ASSERT(deadly_requests < 5);
+  }
+
   // Guards against refusing sound prompts because replicas that live on broke off responses.
   auto testCutResponsesOfLiveReplicasAreNoEvidence() -> void {
     RawReplica replica("a", [](int, const std::string& id, const RawReplica::Writer& write) {
