Show how much of the retry budget is used, and what it refuses

Repeats that were refused for lack of budget were visible only in the text of an error, and how full the budget is nowhere, so that too many repeats (BUDGET) could not be told from too few (cut streams).

--- a/libs/direct/include/filbertstair/direct/budget.h
+++ b/libs/direct/include/filbertstair/direct/budget.h
@@ -42,6 +42,16 @@
 auto TryConsumeRetry(RetryBudget& budget, const RetryBudgetPolicy& policy, std::size_t entries,
                      core::Time now) -> bool;
 
+// Retries of the last window, and the most that the requests of that window and the entry's part of
+// the constant allow.
+struct RetryBudgetUse {
+  double retries = 0;
+  double allowed = 0;
+};
+
+auto MeasureRetryBudget(RetryBudget& budget, const RetryBudgetPolicy& policy, std::size_t entries,
+                        core::Time now) -> RetryBudgetUse;
+
 }  // namespace filbertstair::direct
 
 #endif  // FILBERTSTAIR_DIRECT_BUDGET_H_
--- a/libs/direct/src/budget.cc
+++ b/libs/direct/src/budget.cc
@@ -23,6 +23,10 @@
   return static_cast<std::size_t>(bucket % count);
 }
 
+auto Sum(const std::array<std::uint32_t, kBudgetBuckets>& counts) -> double {
+  return std::accumulate(counts.begin(), counts.end(), 0.0);
+}
+
 }  // namespace
 
 auto RecordRequest(RetryBudget& budget, const RetryBudgetPolicy& policy, core::Time now) -> void {
@@ -31,16 +35,19 @@
 
 auto TryConsumeRetry(RetryBudget& budget, const RetryBudgetPolicy& policy, std::size_t entries,
                      core::Time now) -> bool {
-  const auto bucket = AdvanceWindow(budget, policy, now);
-  const auto sum = [](const auto& counts) {
-    return std::accumulate(counts.begin(), counts.end(), 0.0);
-  };
+  const auto use = MeasureRetryBudget(budget, policy, entries, now);
+  if (use.retries + 1 > use.allowed) return false;
+  ++budget.retries[AdvanceWindow(budget, policy, now)];
+  return true;
+}
+
+auto MeasureRetryBudget(RetryBudget& budget, const RetryBudgetPolicy& policy, std::size_t entries,
+                        core::Time now) -> RetryBudgetUse {
+  AdvanceWindow(budget, policy, now);
   const double allowed =
-      policy.retry_share * sum(budget.requests) +
+      policy.retry_share * Sum(budget.requests) +
       policy.fleet_constant / static_cast<double>(std::max(entries, policy.min_entries));
-  if (sum(budget.retries) + 1 > allowed) return false;
-  ++budget.retries[bucket];
-  return true;
+  return {Sum(budget.retries), allowed};
 }
 
 }  // namespace filbertstair::direct
--- a/libs/direct/test/budget_test.cc
+++ b/libs/direct/test/budget_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(testConstantAndShare);
   CPPUNIT_TEST(testWindowForgets);
   CPPUNIT_TEST(testFleetStaysBelowItsBound);
+  CPPUNIT_TEST(testMeasuredUseMatchesTheDecision);
   CPPUNIT_TEST_SUITE_END();
 
   const RetryBudgetPolicy policy{};
@@ -48,6 +49,16 @@
     for (const std::size_t count : {8u, 31u}) this->CheckFleet(count);
   }
 
+  // Guards against a metric that shows a budget with room left while retries are refused.
+  auto testMeasuredUseMatchesTheDecision() -> void {
+    RetryBudget budget;
+    for (int i = 0; i < 30; ++i) RecordRequest(budget, this->policy, this->start);
+    const int taken = this->ConsumeAllRetries(budget, this->start);
+    const auto use = MeasureRetryBudget(budget, this->policy, 1, this->start);
+    CPPUNIT_ASSERT_EQUAL(static_cast<double>(taken), use.retries);
+    CPPUNIT_ASSERT(use.retries <= use.allowed && use.retries + 1 > use.allowed);
+  }
+
  private:
   auto CheckFleet(std::size_t size) const -> void {
     std::vector<RetryBudget> entries(size);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -166,6 +166,21 @@
   });
 }
 
+auto SetBudgetGauges(Relay& relay) -> void {
+  const auto entries = CountEntries(relay);
+  std::map<std::string, double> used;
+  relay.dispatch.With([&](DispatchTable& table) {
+    for (auto& [service, budget] : table.budgets) {
+      const auto use =
+          direct::MeasureRetryBudget(budget, relay.policies.budget, entries, node::Now());
+      used[service] = use.allowed > 0 ? use.retries / use.allowed : 0;
+    }
+  });
+  for (const auto& [service, share] : used) {
+    relay.node.metrics.Set(Metric::retry_budget_used, share, service);
+  }
+}
+
 auto StartAdmin(const std::shared_ptr<Relay>& relay) -> void {
   node::AdminHandlers handlers;
   handlers.is_ready = [relay] { return IsReady(*relay); };
@@ -176,6 +191,7 @@
     relay->node.metrics.Set(Metric::waiting, static_cast<double>(waiting));
     relay->node.metrics.Set(Metric::quarantined_blocks,
                             static_cast<double>(CountQuarantinedBlocks(*relay)));
+    SetBudgetGauges(*relay);
   };
   handlers.begin_drain = [relay] { Drain(*relay); };
   node::ListenAdmin(relay->node, handlers);
--- a/libs/telemetry/include/filbertstair/telemetry/metrics.h
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -33,6 +33,8 @@
   platform_calls,
   members,
   quarantined_blocks,
+  retry_budget_used,
+  retry_budget_refusals,
 };
 
 // Description of a metric. `label` is the name of its single label; empty for none.
@@ -44,7 +46,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 20> kMetrics{{
+inline constexpr std::array<MetricInfo, 22> kMetrics{{
     {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
      "Requests answered, by outcome"},
     {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
@@ -85,6 +87,11 @@
      "Known processes, by state"},
     {Metric::quarantined_blocks, MetricKind::gauge, "filbertstair_quarantined_blocks", "",
      "Prompt blocks that are quarantined because replicas crashed under them"},
+    {Metric::retry_budget_used, MetricKind::gauge, "filbertstair_retry_budget_used_ratio",
+     "service",
+     "Retries of the last window as a share of those that the budget allows, by service"},
+    {Metric::retry_budget_refusals, MetricKind::counter, "filbertstair_retry_budget_refusals_total",
+     "service", "Retries that were not made because the budget was used up, by service"},
 }};
 
 namespace detail {
