Count retries for at least the 10 s of the users' limit

The buckets covered 9 to 10 s, the users' window slides over 10, so that two bursts 9.1 s apart each had the whole budget: the new test got 5 retries in place of 0 at the second burst. The window is 10.5 s in buckets of 250 ms, which covers 10.25 s and leaves 0.25 s for the way to the replica. Requests are counted over the same window, so that the share under steady load stays 0.15; the new test passes.

--- a/libs/direct/include/filbertstair/direct/budget.h
+++ b/libs/direct/include/filbertstair/direct/budget.h
@@ -13,7 +13,9 @@
 // plus a constant per window. The share scales with each entry's own requests; each entry gets an
 // equal part of the constant, so that the sum holds without coordination.
 struct RetryBudgetPolicy {
-  core::Duration window = std::chrono::seconds(10);
+  // Longer than the 10 s of the fleet's limit, since the first bucket is incomplete and a retry
+  // arrives at its replica later than it is counted.
+  core::Duration window = std::chrono::milliseconds(10500);
   // Retries per request. Below the fleet's 0.2, since requests arrive at a replica later than they
   // are counted here.
   double retry_share = 0.15;
@@ -25,10 +27,10 @@
 };
 
 namespace detail {
-inline constexpr std::size_t kBudgetBuckets = 10;
+inline constexpr std::size_t kBudgetBuckets = 42;
 }  // namespace detail
 
-// Requests and retries of the last window, in buckets of a tenth of it.
+// Requests and retries of the last window, in buckets of 250 ms.
 struct RetryBudget {
   std::array<std::uint32_t, detail::kBudgetBuckets> requests{};
   std::array<std::uint32_t, detail::kBudgetBuckets> retries{};
--- a/libs/direct/test/budget_test.cc
+++ b/libs/direct/test/budget_test.cc
@@ -5,6 +5,7 @@
 namespace filbertstair::direct {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 class BudgetTest : public CppUnit::TestFixture {
@@ -13,6 +14,7 @@
   CPPUNIT_TEST(testWindowForgets);
   CPPUNIT_TEST(testFleetStaysBelowItsBound);
   CPPUNIT_TEST(testMeasuredUseMatchesTheDecision);
+  CPPUNIT_TEST(testBurstsWithinTenSecondsCountTogether);
   CPPUNIT_TEST_SUITE_END();
 
   const RetryBudgetPolicy policy{};
@@ -59,6 +61,18 @@
     CPPUNIT_ASSERT(use.retries <= use.allowed && use.retries + 1 > use.allowed);
   }
 
+  // Guards against retries that are forgotten before the users' window has passed: with buckets of
+  // 1 s in a window of 10 s, a burst at the end of a bucket counted for 9 s only.
+  auto testBurstsWithinTenSecondsCountTogether() -> void {
+    for (int offset_ms = 0; offset_ms < 2000; offset_ms += 10) {
+      RetryBudget budget;
+      const auto first = this->start + milliseconds(offset_ms);
+      this->ConsumeAllRetries(budget, first);
+      CPPUNIT_ASSERT_EQUAL(0, this->ConsumeAllRetries(budget, first + milliseconds(9100)));
+      CPPUNIT_ASSERT_EQUAL(0, this->ConsumeAllRetries(budget, first + milliseconds(9999)));
+    }
+  }
+
  private:
   auto CheckFleet(std::size_t size) const -> void {
     std::vector<RetryBudget> entries(size);
