Bound the repeats of a fleet whose entries restart or whose load moves

Cause: a process that had just started had a whole part of the fleet's constant and 0.15 of its requests, though its predecessor had used both for the same load a moment before; an entry that takes over the load of another likewise.

--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -262,8 +262,8 @@
 auto ConsumeRetryBudget(Relay& relay, const Call& call) -> bool {
   const auto entries = CountEntries(relay);
   const bool consumed = relay.dispatch.With([&](DispatchTable& table) {
-    return direct::TryConsumeRetry(table.budgets[call.service], relay.policies.budget, entries,
-                                   node::Now());
+    return direct::TryConsumeRetry(FindOrAddBudget(relay, table, call.service),
+                                   relay.policies.budget, entries, node::Now());
   });
   if (!consumed) relay.node.metrics.Count(Metric::retry_budget_refusals, call.service);
   return consumed;
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -178,6 +178,7 @@
   const Policies policies;
   direct::Origin origin;
   runtime::Guarded<std::shared_ptr<const direct::FleetConfig>, runtime::Rank::config> fleet;
+  const core::Time started_at = node::Now();
   runtime::Guarded<DispatchTable, runtime::Rank::queue> dispatch;
   runtime::Guarded<PeerTable, runtime::Rank::links> peers;
   // Notified when capacity was freed that waiting requests may use.
@@ -279,6 +280,10 @@
 // and responses that have started are truncated if `scope` is `all`.
 auto StopCalls(WorkerState& worker, node::StopScope scope) -> void;
 
+// Returns the retry budget of the service. Call with the table locked.
+auto FindOrAddBudget(const Relay& relay, DispatchTable& table, const std::string& service)
+    -> direct::RetryBudget&;
+
 // Count a request that arrived, one that was admitted, and one that was refused.
 auto CountArrival(Relay& relay, const Call& call) -> void;
 auto CountAdmission(Relay& relay, const Call& call) -> void;
--- a/libs/relay/src/usage.cc
+++ b/libs/relay/src/usage.cc
@@ -33,6 +33,13 @@
 
 }  // namespace
 
+auto FindOrAddBudget(const Relay& relay, DispatchTable& table, const std::string& service)
+    -> direct::RetryBudget& {
+  const auto [found, is_new] = table.budgets.try_emplace(service);
+  if (is_new) found->second.started_at = relay.started_at;
+  return found->second;
+}
+
 auto CountArrival(Relay& relay, const Call& call) -> void {
   relay.dispatch.With([&](DispatchTable& table) {
     auto& usage = table.usage[call.service][call.workspace];
@@ -48,7 +55,7 @@
     const auto now = node::Now();
     direct::RecordAdmittedService(table.queues[call.service], relay.policies.queue, call.workspace,
                                   call.cost, now);
-    direct::RecordRequest(table.budgets[call.service], relay.policies.budget, now);
+    direct::RecordRequest(FindOrAddBudget(relay, table, call.service), relay.policies.budget, now);
   });
 }
 
