Tell why an attempt was cut in event 404 and in a metric

Event attempt_cut said "timed out" for a replica that the entry gave up because it was silent and was not logged at the caller's deadline, so that neither repeats nor cut streams could be traced to silence. The field cause and the counter filbertstair_attempts_cut_total name the three cases: replica, silence, deadline. The test requires the right one for each.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -62,11 +62,13 @@
 }
 
 // Returns the deadline of the next event of the response, or of its head if `first`.
-auto NextPartDeadline(const Call& call, bool first) -> core::Time {
+auto NextPartDeadline(Call& call, bool first) -> core::Time {
+  call.silent_at = core::Time::max();
   if (!CanTryAnotherReplica(call)) return call.deadline;
   const core::Duration timeout =
       first ? call.route->latency_objective * kFirstEventObjectives : kMaxEventGap;
-  return std::min(call.deadline, node::Now() + timeout);
+  call.silent_at = node::Now() + timeout;
+  return std::min(call.deadline, call.silent_at);
 }
 
 // Deadline for reading a part of a response.
@@ -139,8 +141,14 @@
   });
 }
 
-auto LogCutAttempt(const Call& call, const Assignment& assignment, const core::Error& error)
-    -> void {
+auto FindCutCause(const Call& call, core::Time now) -> CutCause {
+  if (now >= call.deadline) return CutCause::deadline;
+  return now >= call.silent_at ? CutCause::silence : CutCause::replica;
+}
+
+auto ReportCutAttempt(Relay& relay, const Call& call, const Assignment& assignment, CutCause cause,
+                      const core::Error& error) -> void {
+  relay.node.metrics.Count(Metric::attempts_cut, core::Name(cause));
   const auto head_age = assignment.stage == direct::AttemptStage::sent
                             ? core::Duration::zero()
                             : node::Now() - assignment.head_received_at;
@@ -151,6 +159,7 @@
       {{"request", call.id},
        {"peer", assignment.replica},
        {"step", core::Name(error.GetStep())},
+       {"cause", core::Name(cause)},
        {"stage", core::Name(assignment.stage)},
        {"head_age_ms",
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(head_age).count())},
@@ -384,6 +393,7 @@
     return std::nullopt;
   }
   MarkResponseStarted(relay, assignment);
+  call.silent_at = core::Time::max();
   auto failure = RelayBody(relay, call, assignment, response, responder);
   if (!failure && IsSuccess(response.http.status)) RecordSoundResponse(relay, call);
   return failure;
@@ -397,11 +407,13 @@
     return Fail(Reason::connection_lost, Outcome::unknown, error.GetStep(),
                 "ended because a block of the prompt crashes replicas");
   }
-  const bool in_time = node::Now() < call.deadline;
+  const auto cause = FindCutCause(call, node::Now());
+  const bool in_time = cause != CutCause::deadline;
   auto failure = Fail(in_time ? Reason::connection_lost : Reason::deadline_exceeded,
                       Outcome::unknown, error.GetStep(), error.what());
-  if (call.caller_disconnected || !in_time) return failure;
-  LogCutAttempt(call, assignment, error);
+  if (call.caller_disconnected) return failure;
+  ReportCutAttempt(relay, call, assignment, cause, error);
+  if (!in_time) return failure;
   failure.crashed_replica = RecordIfCrashed(relay, call, assignment);
   CountFailure(relay, call, assignment,
                failure.crashed_replica ? direct::ReplicaFault::unreachable
@@ -425,6 +437,7 @@
                 net::Responder& responder) -> std::optional<Failure> {
   node::RecordEvent(relay.node, call.id,
                     {.kind = node::TraceKind::attempted, .peer = assignment.replica});
+  call.silent_at = core::Time::max();
   bool reused = false;
   if (auto failure = ConnectToReplica(relay, call, assignment, reused)) {
     if (call.stopped) {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -200,6 +200,11 @@
   net::Framing framing = net::Framing::self_delimited;
 };
 
+// Why an attempt ended without a whole response: the replica or the network ended the connection or
+// the response was invalid, the entry ended it because the replica was silent, or the caller's
+// deadline was reached.
+enum class CutCause { replica, silence, deadline };
+
 // A replica that ended before it had begun the response to a request.
 struct UnansweredLoss {
   direct::ReplicaCrash crash;
@@ -224,6 +229,9 @@
   std::shared_ptr<PendingRequest> pending = std::make_shared<PendingRequest>();
   // Connection to the replica during an attempt.
   Exchange exchange;
+  // Time at which the attempt counts as silent unless the next part of the response arrives before;
+  // the maximum while silence does not end it.
+  core::Time silent_at = core::Time::max();
   bool caller_disconnected = false;
   // Set when the request is ended because the process exits.
   bool stopped = false;
@@ -380,6 +388,11 @@
     {{relay::ReportSource::list, "list"},
      {relay::ReportSource::replica, "replica"},
      {relay::ReportSource::peer, "peer"}}};
+template <>
+inline constexpr NameTable<relay::CutCause, 3> kNames<relay::CutCause>{
+    {{relay::CutCause::replica, "replica"},
+     {relay::CutCause::silence, "silence"},
+     {relay::CutCause::deadline, "deadline"}}};
 }  // namespace filbertstair::core
 
 #endif  // FILBERTSTAIR_RELAY_SRC_STATE_H_
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -43,6 +43,18 @@
   };
 }
 
+// Streams all events with a pause after one of them, or before the first one after event 0.
+auto PauseAfter(int event, milliseconds pause) -> FakeReplica::Serve {
+  return [event, pause](const net::HttpRequest& request, net::Responder& responder) {
+    responder.Begin(200, AnswerHeaders(request));
+    for (int id = 0; id <= kEvents; ++id) {
+      if (id > 0) responder.Write(Event(id));
+      runtime::SleepFor(id == event ? pause : milliseconds(2));
+    }
+    responder.End();
+  };
+}
+
 class StreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamTest);
   CPPUNIT_TEST(testWholeStream);
@@ -54,6 +66,7 @@
   CPPUNIT_TEST(testResumedWhereTheCallerResumes);
   CPPUNIT_TEST(testCallerThatLeavesFreesTheReplica);
   CPPUNIT_TEST(testRequestOfACallerThatLeftIsNotSent);
+  CPPUNIT_TEST(testCutAttemptsAreCountedByCause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -243,6 +256,28 @@
       CPPUNIT_ASSERT(net::FindHeader(request.headers, "Id") == "stays");
     }
   }
+
+  // Guards against metrics that do not tell a replica that broke off from one that was given up
+  // because it was silent and from one that had no time left.
+  auto testCutAttemptsAreCountedByCause() -> void {
+    const auto count = [](const FakeReplica::Serve& serve, const std::string& cause) {
+      FakeReplica first("a", serve);
+      FakeReplica second("b", StreamCutAt(0));
+      TestEntry entry;
+      auto fleet = MakeFleetConfig();
+      for (auto& route : fleet.routes) route.timeout = seconds(cause == "deadline" ? 1 : 4);
+      entry.Configure(std::move(fleet));
+      entry.List(first);
+      if (cause != "deadline") entry.List(second);
+      entry.Call(Get("/stream/x"));
+      const auto line = "filbertstair_attempts_cut_total{cause=\"" + cause + "\"} 1\n";
+      CPPUNIT_ASSERT(entry.node.metrics.Render().find(line) != std::string::npos);
+    };
+    count(StreamCutAt(3), "replica");
+    const auto pause = PauseAfter(3, milliseconds(2500));
+    count(pause, "silence");
+    count(pause, "deadline");
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamTest);
