Keep a silent replica's attempt until a successor is in hand

Callers saw 502, or a stream that was cut, though their replica only paused: after three objectives without a first event, or 1.5 s without a further one, the attempt was closed first, and only then another replica and a part of the retry budget were looked for. Without either, the caller lost a response that would have gone on.

The read now lasts until the caller's deadline. The worker's check for overload, each 50 ms, also looks at its requests, and ends a silent attempt only after a replica with capacity that is not ejected was assigned and a retry was taken, both under one lock; RunAttempts uses that successor in place of a new search, and releases it if the request ends first. An entry that stops does not leave a replica, since it would refuse the next attempt. The time for which the caller does not read is no longer counted.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -23,10 +23,10 @@
 // Plain responses up to this size are read to their end before any byte is forwarded, so that a
 // truncated one can be retried.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{256} << 10;
-// Time to wait for the first event before another replica is tried, as a multiple of the latency
-// objective; a request queued at a replica is answered well before.
+// Time to wait for the first event before another replica may take over, as a multiple of the
+// latency objective; a request queued at a replica is answered well before.
 constexpr int kFirstEventObjectives = 3;
-// Maximum time between two events before the replica counts as failed. Callers give up after 2 s at
+// Time between two events after which another replica may take over. Callers give up after 2 s at
 // the earliest.
 constexpr std::chrono::milliseconds kMaxEventGap{1500};
 
@@ -35,6 +35,7 @@
 
 constexpr int kHttpOk = 200;
 constexpr auto* kStopped = "this entry was stopped before the response arrived";
+constexpr auto* kSilent = "the replica was silent, and another one takes over";
 
 // Limits on reading a body that is discarded. A refusal takes less than a kilobyte and arrives with
 // its head; a new connection costs two round trips, 80 ms between regions.
@@ -61,16 +62,18 @@
   return direct::IsRetryable(*call.route) && call.tried.size() + 1 < call.route->attempts;
 }
 
-// Returns the deadline of the next event of the response, or of its head if `first`.
-auto NextPartDeadline(Call& call, bool first) -> core::Time {
-  call.silent_at = core::Time::max();
-  if (!CanTryAnotherReplica(call)) return call.deadline;
+// Marks that the next event of the response is awaited, or its head if `first`.
+auto AwaitNextPart(Call& call, bool first) -> void {
+  if (!CanTryAnotherReplica(call)) return;
   const core::Duration timeout =
       first ? call.route->latency_objective * kFirstEventObjectives : kMaxEventGap;
   call.silent_at = node::Now() + timeout;
-  return std::min(call.deadline, call.silent_at);
+  call.seen_silent = false;
 }
 
+// Marks that no part of the response is awaited, so that silence does not end the attempt.
+auto EndAwaitedPart(Call& call) -> void { call.silent_at = core::Time::max(); }
+
 // Deadline for reading a part of a response.
 struct ReadDeadline {
   core::Time read_until{};
@@ -143,11 +146,11 @@
 
 auto FindCutCause(const Call& call, core::Time now) -> CutCause {
   if (now >= call.deadline) return CutCause::deadline;
-  return now >= call.silent_at ? CutCause::silence : CutCause::replica;
+  return call.successor ? CutCause::silence : CutCause::replica;
 }
 
 auto ReportCutAttempt(Relay& relay, const Call& call, const Assignment& assignment, CutCause cause,
-                      const core::Error& error) -> void {
+                      Step step, const std::string& message) -> void {
   relay.node.metrics.Count(Metric::attempts_cut, core::Name(cause));
   const auto head_age = assignment.stage == direct::AttemptStage::sent
                             ? core::Duration::zero()
@@ -158,13 +161,13 @@
       Level::info, Event::attempt_cut,
       {{"request", call.id},
        {"peer", assignment.replica},
-       {"step", core::Name(error.GetStep())},
+       {"step", core::Name(step)},
        {"cause", core::Name(cause)},
        {"stage", core::Name(assignment.stage)},
        {"head_age_ms",
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(head_age).count())},
        {"blocks", core::FormatHexList(blocks)},
-       {"error", error.what()}});
+       {"error", message}});
 }
 
 auto ConnectToReplica(Relay& relay, Call& call, const Assignment& assignment, bool& reused)
@@ -217,10 +220,10 @@
 auto ReadResponse(Relay& relay, Call& call, const Assignment& assignment, bool reused)
     -> ReplicaResponse {
   for (int stray = 0; stray < kMaxStrayResponses; ++stray) {
-    const auto read_until = NextPartDeadline(call, true);
+    AwaitNextPart(call, true);
     ReplicaResponse out;
     out.after_stray = stray > 0;
-    out.http = call.exchange->ReadHead(RoundUpToMilliseconds(read_until - node::Now()));
+    out.http = call.exchange->ReadHead(TimeToDeadline(call));
     out.head = relay.dialect.parse_response(out.http);
     ApplyAvailability(relay, call, assignment, out.head);
 #ifdef FILBERTSTAIR_BROKEN_answer_id
@@ -228,7 +231,7 @@
 #endif
     if (out.head.request_id == call.head.request_id) return out;
     if (out.head.request_id.empty() && out.head.refused && !reused) return out;
-    if (!DiscardBody(*call.exchange, assignment, read_until)) break;
+    if (!DiscardBody(*call.exchange, assignment, call.deadline)) break;
   }
   throw core::Error(Step::read, assignment.address, "received only responses to other requests");
 }
@@ -270,7 +273,8 @@
   const auto sound_at = assignment.head_received_at + relay.policies.quarantine.sound_after;
   bool is_sound = false;
   call.event_splitter.partial_event.clear();
-  ReadDeadline read_limit{NextPartDeadline(call, true)};
+  ReadDeadline read_limit{call.deadline};
+  AwaitNextPart(call, true);
   while (true) {
     const auto piece = ReadBodyPiece(*call.exchange, assignment, read_limit);
     if (piece.empty()) break;
@@ -280,7 +284,8 @@
                         "event of more than " + std::to_string(direct::kMaxEventBytes) + " bytes");
     }
     if (events.empty()) continue;
-    read_limit = {NextPartDeadline(call, false), read_limit.late_reads};
+    // The time that the caller takes to receive the events is not the replica's.
+    EndAwaitedPart(call);
     MarkResponseStarted(relay, assignment);
     ObservePartLatency(relay, call, last);
     BeginResponse(relay, call, response, responder);
@@ -290,7 +295,9 @@
       RecordSoundResponse(relay, call);
     }
     if (!call.exchange->IsBodyComplete()) WaitForBatch(relay, *call.route);
+    AwaitNextPart(call, false);
   }
+  EndAwaitedPart(call);
   if (!call.event_splitter.partial_event.empty()) {
     throw core::Error(Step::read, assignment.address, "stream ended in the middle of an event");
   }
@@ -393,7 +400,6 @@
     return std::nullopt;
   }
   MarkResponseStarted(relay, assignment);
-  call.silent_at = core::Time::max();
   auto failure = RelayBody(relay, call, assignment, response, responder);
   if (!failure && IsSuccess(response.http.status)) RecordSoundResponse(relay, call);
   return failure;
@@ -409,10 +415,11 @@
   }
   const auto cause = FindCutCause(call, node::Now());
   const bool in_time = cause != CutCause::deadline;
-  auto failure = Fail(in_time ? Reason::connection_lost : Reason::deadline_exceeded,
-                      Outcome::unknown, error.GetStep(), error.what());
+  auto failure =
+      Fail(in_time ? Reason::connection_lost : Reason::deadline_exceeded, Outcome::unknown,
+           error.GetStep(), cause == CutCause::silence ? kSilent : error.what());
   if (call.caller_disconnected) return failure;
-  ReportCutAttempt(relay, call, assignment, cause, error);
+  ReportCutAttempt(relay, call, assignment, cause, failure.step, failure.message);
   if (!in_time) return failure;
   failure.crashed_replica = RecordIfCrashed(relay, call, assignment);
   CountFailure(relay, call, assignment,
@@ -437,7 +444,6 @@
                 net::Responder& responder) -> std::optional<Failure> {
   node::RecordEvent(relay.node, call.id,
                     {.kind = node::TraceKind::attempted, .peer = assignment.replica});
-  call.silent_at = core::Time::max();
   bool reused = false;
   if (auto failure = ConnectToReplica(relay, call, assignment, reused)) {
     if (call.stopped) {
@@ -467,6 +473,7 @@
   try {
     call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment), kSendTimeout);
     const auto response = ReadResponse(relay, call, assignment, reused);
+    EndAwaitedPart(call);
     direct::RecordResponseHead(assignment, node::Now());
     auto failure = RelayResponse(relay, call, assignment, response, responder);
     // A replica that sends responses without a request may do so again, and the next may have no
@@ -479,6 +486,7 @@
     return failure;
   } catch (const core::Error& error) {
     call.exchange->Cancel();
+    EndAwaitedPart(call);
     if (error.GetStep() == Step::respond) throw;
     cut = error;
   }
--- a/libs/relay/src/dispatch.cc
+++ b/libs/relay/src/dispatch.cc
@@ -138,6 +138,41 @@
   });
 }
 
+auto AssignSuccessor(Relay& relay, const Call& call) -> std::optional<Assignment> {
+  const auto entries = CountEntries(relay);
+  auto tried = call.tried;
+  tried.insert(call.replica);
+  PendingRequest pending;
+  pending.service = call.service;
+  pending.prompt = call.head.prompt ? &*call.head.prompt : nullptr;
+  pending.workspace = call.workspace;
+  pending.cost = call.cost;
+  relay.dispatch.With([&](DispatchTable& table) {
+    const auto now = node::Now();
+    // Stored only if a replica is assigned.
+    auto budget = table.budgets[call.service];
+    if (!direct::TryConsumeRetry(budget, relay.policies.budget, entries, now)) return;
+    // Waiting requests come first: each has been offered all replicas, and those for which it waits
+    // are reserved.
+    const direct::PlacementRequest request{
+        .service = call.service,
+        .prompt = pending.prompt,
+        .tried = &tried,
+        .capacity_share = direct::CapacityShare(table.queues[call.service], relay.policies.queue,
+                                                call.workspace, now),
+        .reserved = &table.rounds[call.service].reserved,
+        .wait_until = now};
+    const auto choice =
+        direct::ChooseReplica(table.replicas, relay.policies.replicas, relay.origin, request, now);
+    if (choice.status != direct::ChoiceStatus::chosen) return;
+    if (direct::FindReplica(table.replicas, call.service, choice.id)->ejected_until > now) return;
+    table.budgets[call.service] = budget;
+    AssignReplica(relay, table, pending, choice, now);
+  });
+  if (pending.assignment) WakePeers(relay);
+  return pending.assignment;
+}
+
 auto MarkResponseStarted(Relay& relay, Assignment& assignment) -> void {
   if (assignment.stage == direct::AttemptStage::content) return;
   const bool frees_capacity = assignment.prefill_tokens > 0;
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -19,8 +19,8 @@
 
 // Interval at which expired idle connections, decayed accounts and delisted replicas are removed.
 constexpr core::Duration kSweepInterval = std::chrono::milliseconds(500);
-// Interval at which the delay of timers is sampled.
-constexpr core::Duration kOverloadCheckInterval = std::chrono::milliseconds(50);
+// Interval at which the delay of timers is sampled and silent replicas are looked for.
+constexpr core::Duration kWatchInterval = std::chrono::milliseconds(50);
 // Interval at which usage by workspace is logged; shares are evaluated second by second.
 constexpr core::Duration kUsageInterval = std::chrono::seconds(1);
 // Memory of a process without connections, with its tables, links and log: 20 to 40 MB.
@@ -213,17 +213,19 @@
                  {{"state", core::Name(state)}, {"left", leaves ? "true" : "false"}});
 }
 
-// Samples how late the worker's timers run, and adapts its admission rate.
-auto MonitorOverload(Relay& relay) -> void {
+// Samples how late the worker's timers run, adapts its admission rate, and ends attempts whose
+// replicas are silent.
+auto WatchWorker(Relay& relay) -> void {
   auto& overload = ThisWorker(relay).overload;
   auto& limiter = ThisWorker(relay).limiter;
   const double cores = relay.node.settings.cores.value_or(0);
   limiter = direct::MakeAdmissionLimiter(
       relay.policies.admission, cores / static_cast<double>(relay.workers.size()), node::Now());
   while (true) {
-    const auto due = node::Now() + kOverloadCheckInterval;
-    runtime::SleepFor(kOverloadCheckInterval);
+    const auto due = node::Now() + kWatchInterval;
+    runtime::SleepFor(kWatchInterval);
     const auto now = node::Now();
+    EndSilentAttempts(relay);
     const bool was_overloaded = overload.overloaded_until != core::Time{};
     direct::RecordTimerDelay(overload, relay.policies.overload, now - due, now);
     direct::UpdateAdmissionRate(limiter, relay.policies.admission, overload.mean_delay, now);
@@ -282,7 +284,7 @@
       ListenCallers(relay);
     });
     node.pool.Post(i, [relay] { SweepLoop(*relay); });
-    node.pool.Post(i, [relay] { MonitorOverload(*relay); });
+    node.pool.Post(i, [relay] { WatchWorker(*relay); });
   }
   node.pool.Post(0, [relay] { AssignLoop(*relay); });
   node.pool.Post(0, [relay] { UsageLoop(*relay); });
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -22,6 +22,8 @@
 constexpr double kMaxQueueShare = 0.4;
 // Replicas that may fail to accept a connection before the request is refused.
 constexpr int kMaxUnreached = 3;
+// Interval at which a successor is looked for while a replica stays silent.
+constexpr core::Duration kSuccessorRetryInterval = std::chrono::milliseconds(250);
 // Retry delay for callers of an entry that has no configuration, or a stale one.
 constexpr core::Duration kUnconfiguredRetryDelay = std::chrono::milliseconds(500);
 
@@ -193,6 +195,15 @@
   return core::RetryReason::connection_lost;
 }
 
+// Releases a successor that is not used when the request ends.
+struct SuccessorGuard {
+  ~SuccessorGuard() {
+    if (this->call.successor) ReleaseAssignment(this->relay, *this->call.successor);
+  }
+  Relay& relay;
+  Call& call;
+};
+
 // Progress of a request over its attempts.
 struct RequestProgress {
   int unreached = 0;
@@ -285,12 +296,23 @@
   return std::min(call.deadline, (first ? call.arrived : node::Now()) + max_wait);
 }
 
+// Returns whether the request may be sent to another replica at this moment.
+auto MayMove(Relay& relay, const Call& call) -> bool {
+  if (call.caller_disconnected || call.stopped || node::Now() >= call.deadline) return false;
+  return !RefuseIfDraining(relay, call) && !RefuseQuarantined(relay, call);
+}
+
 // Attempts the request until the caller has a response or no attempt remains.
 auto RunAttempts(Relay& relay, Call& call, const net::HttpRequest& request,
                  net::Responder& responder) -> std::optional<RequestRefusal> {
   RequestProgress progress;
+  const SuccessorGuard successor{relay, call};
   while (true) {
-    auto assignment = AcquireReplica(relay, call, QueueDeadline(call, call.tried.empty()));
+    // A successor comes with a retry.
+    const bool has_retry = call.successor.has_value();
+    auto assignment = has_retry
+                          ? std::exchange(call.successor, std::nullopt)
+                          : AcquireReplica(relay, call, QueueDeadline(call, call.tried.empty()));
     if (call.caller_disconnected) {
       if (assignment) ReleaseAssignment(relay, *assignment);
       return MakeRefusal(Reason::withdrawn, Step::queue, "the caller closed its connection");
@@ -304,7 +326,7 @@
       return progress.may_have_run ? ToRefused(relay, progress, call) : refused;
     }
     if (!assignment) return ToRefused(relay, progress, call);
-    if (!call.tried.empty() && !ConsumeRetryBudget(relay, call)) {
+    if (!call.tried.empty() && !has_retry && !ConsumeRetryBudget(relay, call)) {
       ReleaseAssignment(relay, *assignment);
       if (progress.last) progress.last->message += "; the retry budget is exhausted";
       return ToRefused(relay, progress, call);
@@ -445,6 +467,23 @@
   return {.refusal = node::MakeRefusalResponse(relay.node, call.id, call.workspace, *refused)};
 }
 
+auto EndSilentAttempts(Relay& relay) -> void {
+  const auto now = node::Now();
+  for (const auto& call : ThisWorker(relay).calls) {
+    if (now < call->silent_at) continue;
+    // After this VM was suspended or busy, what has arrived meanwhile is read before the next look.
+    if (!std::exchange(call->seen_silent, true)) continue;
+    if (MayMove(relay, *call)) call->successor = AssignSuccessor(relay, *call);
+    if (call->successor) {
+      call->silent_at = core::Time::max();
+      call->exchange->Cancel();
+    } else {
+      call->silent_at = now + kSuccessorRetryInterval;
+      call->seen_silent = false;
+    }
+  }
+}
+
 auto StopCalls(WorkerState& worker, node::StopScope scope) -> void {
   for (const auto& call : worker.calls) {
     if (call->response_started && scope == node::StopScope::unanswered) continue;
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -229,9 +229,13 @@
   std::shared_ptr<PendingRequest> pending = std::make_shared<PendingRequest>();
   // Connection to the replica during an attempt.
   Exchange exchange;
-  // Time at which the attempt counts as silent unless the next part of the response arrives before;
-  // the maximum while silence does not end it.
+  // Time at which the attempt counts as silent unless the next part of the response arrives before,
+  // and whether EndSilentAttempts has seen that pass. The maximum while no part is awaited, and if
+  // no other replica may be tried.
   core::Time silent_at = core::Time::max();
+  bool seen_silent = false;
+  // The replica that takes over from a silent one, with a retry taken from the budget.
+  std::optional<Assignment> successor;
   bool caller_disconnected = false;
   // Set when the request is ended because the process exits.
   bool stopped = false;
@@ -299,6 +303,15 @@
 // was.
 auto AcquireReplica(Relay& relay, Call& call, core::Time latest) -> std::optional<Assignment>;
 
+// Assigns another replica to a request that is at a replica and takes a retry from the budget.
+// Returns nothing and changes nothing unless both can be done at once. Does not suspend the fiber.
+auto AssignSuccessor(Relay& relay, const Call& call) -> std::optional<Assignment>;
+
+// Ends attempts of the worker whose replicas have been silent for too long, if a successor can be
+// assigned: silence alone does not tell a failed replica from one that is paused and will go on.
+// Call at short intervals. Does not suspend the fiber.
+auto EndSilentAttempts(Relay& relay) -> void;
+
 // Record the first part of the response, and the end of the request at the replica.
 auto MarkResponseStarted(Relay& relay, Assignment& assignment) -> void;
 auto ReleaseAssignment(Relay& relay, Assignment& assignment) -> void;
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -1,6 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <atomic>
+#include <boost/json.hpp>
+
 #include "fixture.h"
+#include "libs/relay/src/state.h"
 
 namespace filbertstair::relay {
 namespace {
@@ -67,6 +71,15 @@
   CPPUNIT_TEST(testCallerThatLeavesFreesTheReplica);
   CPPUNIT_TEST(testRequestOfACallerThatLeftIsNotSent);
   CPPUNIT_TEST(testCutAttemptsAreCountedByCause);
+  CPPUNIT_TEST(testPauseWithoutAnotherReplicaDoesNotCutTheStream);
+  CPPUNIT_TEST(testPauseWithoutARetryBudgetDoesNotCutTheStream);
+  CPPUNIT_TEST(testLateFirstPartWithoutAnotherReplicaIsAwaited);
+  CPPUNIT_TEST(testLateFirstPartWithoutARetryBudgetIsAwaited);
+  CPPUNIT_TEST(testSilentReplicaIsLeftForAnotherOne);
+  CPPUNIT_TEST(testPauseAtAnEntryThatStopsDoesNotCutTheStream);
+  CPPUNIT_TEST(testSuspendedEntryStaysAtTheReplica);
+  CPPUNIT_TEST(testSlowCallerStaysAtTheReplica);
+  CPPUNIT_TEST(testEventWithoutAnEndIsLeftForAnotherReplica);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -278,6 +291,246 @@
     count(pause, "silence");
     count(pause, "deadline");
   }
+
+  // Guards against cutting a stream whose replica only pauses although no other replica can take it
+  // over: the caller would have had the rest from the same replica.
+  auto testPauseWithoutAnotherReplicaDoesNotCutTheStream() -> void {
+    FakeReplica replica("a", PauseAfter(3, milliseconds(2000)));
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    AssertServedOnce(entry, {&replica}, "/stream/x");
+    // A replica that is ejected is no better.
+    FakeReplica ejected("b", StreamCutAt(0));
+    entry.List(ejected);
+    entry.relay->dispatch.With([](DispatchTable& table) {
+      direct::FindReplica(table.replicas, "s", "b")->ejected_until = node::Now() + seconds(60);
+    });
+    AssertServedOnce(entry, {&replica}, "/stream/x");
+  }
+
+  // Guards against the same while other replicas are there but the retry budget is used up.
+  auto testPauseWithoutARetryBudgetDoesNotCutTheStream() -> void {
+    FakeReplica first("a", PauseAfter(3, milliseconds(2000)));
+    FakeReplica second("b", PauseAfter(3, milliseconds(2000)));
+    TestEntry entry(MakeSettings("entry-1"), PoliciesWithoutRetries());
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    AssertServedOnce(entry, {&first, &second}, "/stream/x");
+  }
+
+  // Guards against refusing a request whose replica is slow to begin its response although no other
+  // one can run it: the first part comes late, with or without the head before it.
+  auto testLateFirstPartWithoutAnotherReplicaIsAwaited() -> void {
+    for (const auto& [target, serve] : LateFirstParts()) {
+      FakeReplica replica("a", serve);
+      TestEntry entry;
+      entry.Configure(MakeUrgentFleetConfig());
+      entry.List(replica);
+      AssertServedOnce(entry, {&replica}, target);
+    }
+  }
+
+  // Guards against the same while other replicas are there but the retry budget is used up.
+  auto testLateFirstPartWithoutARetryBudgetIsAwaited() -> void {
+    for (const auto& [target, serve] : LateFirstParts()) {
+      FakeReplica first("a", serve);
+      FakeReplica second("b", serve);
+      TestEntry entry(MakeSettings("entry-1"), PoliciesWithoutRetries());
+      entry.Configure(MakeUrgentFleetConfig());
+      entry.List(first);
+      entry.List(second);
+      AssertServedOnce(entry, {&first, &second}, target);
+    }
+  }
+
+  // Guards against a caller that waits for a replica that hangs while another one could go on, and
+  // against two replicas at work on one request.
+  auto testSilentReplicaIsLeftForAnotherOne() -> void {
+    std::promise<void> left;
+    FakeReplica first("a", [&](const net::HttpRequest& request, net::Responder& responder) {
+      responder.OnCallerDisconnect([&] { left.set_value(); });
+      responder.Begin(200, AnswerHeaders(request));
+      for (int id = 1; id <= 3; ++id) responder.Write(Event(id));
+      runtime::SleepFor(seconds(4));
+    });
+    std::atomic<bool> left_before_resumed = false;
+    auto has_left = left.get_future();
+    FakeReplica second("b", [&](const net::HttpRequest& request, net::Responder& responder) {
+      left_before_resumed = has_left.wait_for(milliseconds(100)) == std::future_status::ready;
+      Stream(request, responder, 0);
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = entry.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(std::string("3"),
+                         std::string(net::FindHeader(second.Requests().at(0).headers, "After")));
+    CPPUNIT_ASSERT(left_before_resumed);
+    AssertNothingInFlight(entry);
+  }
+
+  // Guards against cutting a stream whose replica pauses at an entry that stops and sends nothing
+  // to another replica that it could not finish.
+  auto testPauseAtAnEntryThatStopsDoesNotCutTheStream() -> void {
+    std::atomic<node::Node*> stopping = nullptr;
+    const auto serve = [&](const net::HttpRequest& request, net::Responder& responder) {
+      stopping.load()->draining = true;
+      PauseAfter(3, milliseconds(2000))(request, responder);
+    };
+    FakeReplica first("a", serve);
+    FakeReplica second("b", serve);
+    TestEntry entry;
+    stopping = &entry.node;
+    entry.node.exit_at = node::Now() + milliseconds(3000) + node::kFinalAnswerTime;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    AssertServedOnce(entry, {&first, &second}, "/stream/x");
+  }
+
+  // Guards against an entry that was suspended, takes the time for silence of its replicas and runs
+  // their streams again elsewhere.
+  auto testSuspendedEntryStaysAtTheReplica() -> void {
+    const auto serve = PauseAfter(3, milliseconds(300));
+    FakeReplica first("a", serve);
+    FakeReplica second("b", serve);
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    entry.node.pool.Post(0, [] {
+      runtime::SleepFor(milliseconds(150));
+      std::this_thread::sleep_for(milliseconds(2000));
+    });
+    AssertServedOnce(entry, {&first, &second}, "/stream/x");
+  }
+
+  // Guards against taking the time for which a caller does not read for silence of the replica.
+  auto testSlowCallerStaysAtTheReplica() -> void {
+    constexpr int events = 600;
+    const auto serve = [](const net::HttpRequest& request, net::Responder& responder) {
+      const std::string text(32000, 'x');
+      responder.Begin(200, AnswerHeaders(request));
+      for (int id = 1; id <= events; ++id) {
+        responder.Write("id: " + std::to_string(id) + "\ndata: " + text + "\n\n");
+      }
+      responder.End();
+    };
+    FakeReplica first("a", serve);
+    FakeReplica second("b", serve);
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    std::promise<std::size_t> received;
+    entry.callers.Post(0, [&] {
+      std::size_t size = 0;
+      net::HttpExchange exchange;
+      exchange.Connect(settings::FormatAddress(entry.node.settings.callers), kTimeout);
+      auto request = Get("/stream/x");
+      request.headers.emplace_back("Host", "a.example");
+      exchange.Send(request, kTimeout);
+      exchange.ReadHead(kTimeout);
+      runtime::SleepFor(milliseconds(2500));
+      try {
+        for (auto piece = exchange.ReadBody(kTimeout); !piece.empty();
+             piece = exchange.ReadBody(kTimeout)) {
+          size += piece.size();
+        }
+      } catch (const core::Error&) {
+        size = 0;
+      }
+      received.set_value(size);
+    });
+    CPPUNIT_ASSERT(received.get_future().get() > std::size_t{32000} * events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.Requests().size() + second.Requests().size());
+  }
+
+  // Guards against bytes that keep arriving without ever completing an event and hold a caller
+  // although another replica could serve it.
+  auto testEventWithoutAnEndIsLeftForAnotherReplica() -> void {
+    RawReplica first("a", [](int, const std::string& id, const RawReplica::Writer& write) {
+      write("HTTP/1.1 200 OK\r\nId: " + id +
+            "\r\nReceipt: r\r\nTransfer-Encoding: chunked\r\n\r\n");
+      while (write("1\r\nx\r\n")) std::this_thread::sleep_for(milliseconds(20));
+    });
+    FakeReplica second("b", StreamCutAt(0));
+    TestEntry entry;
+    entry.Configure(MakeUrgentFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = entry.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(1, first.Requests());
+  }
+
+ private:
+  // Policies under which no request is sent a second time.
+  static auto PoliciesWithoutRetries() -> Policies {
+    Policies policies;
+    policies.budget.retry_share = 0;
+    policies.budget.fleet_constant = 0;
+    return policies;
+  }
+
+  // Routes with a latency objective of which the tests can wait for several.
+  static auto MakeUrgentFleetConfig() -> direct::FleetConfig {
+    auto fleet = MakeFleetConfig();
+    for (auto& route : fleet.routes) route.latency_objective = milliseconds(300);
+    return fleet;
+  }
+
+  // Repeatable requests and replicas that begin the response to them after more than three of these
+  // objectives.
+  static auto LateFirstParts() -> std::vector<std::pair<std::string, FakeReplica::Serve>> {
+    constexpr milliseconds delay{1500};
+    const auto late_head = [=](const net::HttpRequest& request, net::Responder& responder) {
+      runtime::SleepFor(delay);
+      Stream(request, responder, 0);
+    };
+    return {{"/stream/x", PauseAfter(0, delay)}, {"/stream/x", late_head}, {"/again/x", late_head}};
+  }
+
+  // Requires that the entry serves the whole response by a single run at one of the replicas.
+  static auto AssertServedOnce(TestEntry& entry, const std::vector<FakeReplica*>& replicas,
+                               const std::string& target) -> void {
+    const auto count = [&] {
+      std::size_t requests = 0;
+      for (auto* replica : replicas) requests += replica->Requests().size();
+      return requests;
+    };
+    const auto before = count();
+    const auto answer = entry.Call(Get(target));
+    CPPUNIT_ASSERT_EQUAL(200, answer.status);
+    CPPUNIT_ASSERT_EQUAL(AllEvents(), answer.body);
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT_EQUAL(before + 1, count());
+    AssertNothingInFlight(entry);
+  }
+
+  // Requires that all slots at replicas are released soon, which may be after the response.
+  static auto AssertNothingInFlight(TestEntry& entry) -> void {
+    std::int64_t in_flight = 1;
+    for (int i = 0; i < 50 && in_flight > 0; ++i) {
+      const auto status = boost::json::parse(entry.Call(Get("/status"), true).body);
+      in_flight = 0;
+      for (const auto& replica : status.at("replicas").as_array()) {
+        in_flight += replica.at("in_flight").to_number<std::int64_t>();
+      }
+      if (in_flight > 0) std::this_thread::sleep_for(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, in_flight);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StreamTest);
