Free the slot of a caller that leaves while events are written to it

When a write to the caller failed, the exception left RunAttempts before the assignment was released: the slot at the replica, its pending prefill and the charge of the workspace stayed until the entry restarted. Each caller that reset its connection during a write took a slot away, and with enough of them sound replicas counted as full.

Assignments and successors are now released at the end of their scope. Before: testCallerThatResetsFreesTheSlot left 5 of 5 slots occupied; now none.

--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -195,13 +195,13 @@
   return core::RetryReason::connection_lost;
 }
 
-// Releases a successor that is not used when the request ends.
-struct SuccessorGuard {
-  ~SuccessorGuard() {
-    if (this->call.successor) ReleaseAssignment(this->relay, *this->call.successor);
+// Releases the assignment, if there is one, at the end of its scope, also after an exception.
+struct AssignmentGuard {
+  ~AssignmentGuard() {
+    if (this->assignment) ReleaseAssignment(this->relay, *this->assignment);
   }
   Relay& relay;
-  Call& call;
+  std::optional<Assignment>& assignment;
 };
 
 // Progress of a request over its attempts.
@@ -306,28 +306,25 @@
 auto RunAttempts(Relay& relay, Call& call, const net::HttpRequest& request,
                  net::Responder& responder) -> std::optional<RequestRefusal> {
   RequestProgress progress;
-  const SuccessorGuard successor{relay, call};
+  const AssignmentGuard successor_guard{relay, call.successor};
   while (true) {
     // A successor comes with a retry.
     const bool has_retry = call.successor.has_value();
     auto assignment = has_retry
                           ? std::exchange(call.successor, std::nullopt)
                           : AcquireReplica(relay, call, QueueDeadline(call, call.tried.empty()));
+    const AssignmentGuard assignment_guard{relay, assignment};
     if (call.caller_disconnected) {
-      if (assignment) ReleaseAssignment(relay, *assignment);
       return MakeRefusal(Reason::withdrawn, Step::queue, "the caller closed its connection");
     }
     if (auto refused = RefuseIfDraining(relay, call)) {
-      if (assignment) ReleaseAssignment(relay, *assignment);
       return progress.last ? ToRefused(relay, progress, call) : refused;
     }
     if (auto refused = RefuseQuarantined(relay, call)) {
-      if (assignment) ReleaseAssignment(relay, *assignment);
       return progress.may_have_run ? ToRefused(relay, progress, call) : refused;
     }
     if (!assignment) return ToRefused(relay, progress, call);
     if (!call.tried.empty() && !has_retry && !ConsumeRetryBudget(relay, call)) {
-      ReleaseAssignment(relay, *assignment);
       if (progress.last) progress.last->message += "; the retry budget is exhausted";
       return ToRefused(relay, progress, call);
     }
@@ -336,7 +333,6 @@
     }
     call.replica = assignment->replica;
     auto failure = RunAttempt(relay, call, request, *assignment, responder);
-    ReleaseAssignment(relay, *assignment);
     if (!failure) return std::nullopt;
     node::RecordEvent(relay.node, call.id,
                       {.kind = node::TraceKind::failed,
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(testSuspendedEntryStaysAtTheReplica);
   CPPUNIT_TEST(testSlowCallerStaysAtTheReplica);
   CPPUNIT_TEST(testEventWithoutAnEndIsLeftForAnotherReplica);
+  CPPUNIT_TEST(testCallerThatResetsFreesTheSlot);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -474,6 +475,36 @@
     CPPUNIT_ASSERT_EQUAL(1, first.Requests());
   }
 
+  // Guards against slots of replicas that stay occupied for good after a caller left while events
+  // were written to it.
+  auto testCallerThatResetsFreesTheSlot() -> void {
+    FakeReplica replica("a", [](const net::HttpRequest& request, net::Responder& responder) {
+      const std::string event = "data: " + std::string(32000, 'x') + "\n\n";
+      responder.Begin(200, AnswerHeaders(request));
+      for (int id = 1; id <= 2000; ++id) responder.Write(event);
+    });
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    for (int i = 0; i < 5; ++i) {
+      std::promise<void> gone;
+      entry.callers.Post(0, [&] {
+        net::HttpExchange exchange;
+        exchange.Connect(settings::FormatAddress(entry.node.settings.callers), kTimeout);
+        auto request = Get("/stream/x");
+        request.headers.emplace_back("Host", "a.example");
+        exchange.Send(request, kTimeout);
+        exchange.ReadHead(kTimeout);
+        runtime::SleepFor(milliseconds(200));
+        // Unread data makes the system reset the connection.
+        exchange.Cancel();
+        gone.set_value();
+      });
+      gone.get_future().get();
+    }
+    AssertNothingInFlight(entry);
+  }
+
  private:
   // Policies under which no request is sent a second time.
   static auto PoliciesWithoutRetries() -> Policies {
