Judge the forms of BUDGET from the history of a run

The library knows no process and no file. From what callers and replicas saw and what was done to the processes, Judge reports which rule is broken, by which requests, and Measure gives the figures in which a trend shows before a rule breaks: worst window of repeats against its bound, late deadlines, closes without an answer.

--- /dev/null
+++ b/tests/judge/judge.h
@@ -0,0 +1,95 @@
+#ifndef FILBERTSTAIR_TESTS_JUDGE_JUDGE_H_
+#define FILBERTSTAIR_TESTS_JUDGE_JUDGE_H_
+
+#include <string>
+#include <vector>
+
+#include "filbertstair/core/names.h"
+#include "tests/judge/history.h"
+
+namespace filbertstair::judge {
+
+// A rule of the users' page.
+enum class Rule { budget, lost, refused, twice, drain, gone, config, order, denied, recover };
+
+// A way in which a rule is broken.
+enum class Form {
+  // More repeats at a service within the retry window than its bound.
+  repeats,
+  // Requests that ran at more replicas than their route's attempts.
+  replicas,
+  // Requests that were handed to replicas with more time than was left.
+  deadlines,
+  // Requests that reached a replica before the end of its `Retry-After`.
+  unwanted,
+  // Requests that crash replicas, sent on after the fifth crash.
+  deadly
+};
+
+// A broken rule. `at` is the time of the first request or the start of the window.
+struct Finding {
+  Rule rule = Rule::budget;
+  Form form = Form::repeats;
+  Time at = 0;
+  std::vector<std::string> requests;
+  std::string detail;
+};
+
+// Traffic of a service. The worst window is the one with the most repeats for its bound.
+struct ServiceFigures {
+  std::string service;
+  int requests = 0;
+  int arrivals = 0;
+  int repeats = 0;
+  Time worst_from = 0;
+  int worst_repeats = 0;
+  double worst_bound = 0;
+  // `worst_repeats` / `worst_bound`; the rule is broken above 1.
+  double worst_ratio = 0;
+};
+
+// Figures of a run in which a trend shows before a rule breaks. Nothing is excused in them.
+struct Figures {
+  int requests = 0;
+  int arrivals = 0;
+  std::vector<ServiceFigures> services;
+  // Arrivals without a deadline, or with one that ends over 0.5 s after the client's.
+  int late_deadlines = 0;
+  // Requests that ended without a status though the client had not given up, and those of them that
+  // a replica had.
+  int closes_without_answer = 0;
+  int closes_after_arrival = 0;
+};
+
+// Returns the rules that the run broke, one entry for each form and, where the form asks for it,
+// each service or pair of entry and replica.
+auto Judge(const History& history) -> std::vector<Finding>;
+
+auto Measure(const History& history) -> Figures;
+
+}  // namespace filbertstair::judge
+
+namespace filbertstair::core {
+template <>
+inline constexpr NameTable<judge::Rule, 10> kNames<judge::Rule>{
+    {{judge::Rule::budget, "BUDGET"},
+     {judge::Rule::lost, "LOST"},
+     {judge::Rule::refused, "REFUSED"},
+     {judge::Rule::twice, "TWICE"},
+     {judge::Rule::drain, "DRAIN"},
+     {judge::Rule::gone, "GONE"},
+     {judge::Rule::config, "CONFIG"},
+     {judge::Rule::order, "ORDER"},
+     {judge::Rule::denied, "DENIED"},
+     {judge::Rule::recover, "RECOVER"}}};
+
+template <>
+inline constexpr NameTable<judge::Form, 5> kNames<judge::Form>{
+    {{judge::Form::repeats, "repeats"},
+     {judge::Form::replicas, "replicas"},
+     {judge::Form::deadlines, "deadlines"},
+     {judge::Form::unwanted, "unwanted"},
+     {judge::Form::deadly, "deadly"}}};
+}  // namespace filbertstair::core
+
+#endif  // FILBERTSTAIR_TESTS_JUDGE_JUDGE_H_
