--- a/tests/judge/history.h
+++ b/tests/judge/history.h
@@ -43,6 +43,8 @@
   bool complete = false;
   // Whether the client gave up and closed the connection itself.
   bool gave_up = false;
+  // The route's timeout, from `began_at`; 0 if it is not known.
+  Time timeout = 0;
 };
 
 // How a replica ended a request that arrived there.
@@ -78,11 +80,12 @@
   int status = 0;
   // `Retry-After` of a refusal; 0 if there was none.
   Time retry_after = 0;
-  // Whether the prompt has a part that crashes replicas.
+  // Whether the prompt has a part that crashes replicas. It did if `ran` and `end` is `none`.
   bool deadly = false;
 };
 
-// What was done to the processes and links. `terminate` and `reload` are planned work.
+// What was done to the processes and links. `terminate`, `reload` and `configuration` (from its
+// sending until its acknowledgement) are planned work. `replica` is one that ended or was cut off.
 enum class DisturbanceKind {
   terminate,
   kill,
--- a/tests/judge/index.h
+++ b/tests/judge/index.h
@@ -62,6 +62,9 @@
 // Adds what broke BUDGET.
 auto JudgeBudget(const Index& index, std::vector<Finding>& findings) -> void;
 
+// Adds what broke LOST.
+auto JudgeLost(const Index& index, std::vector<Finding>& findings) -> void;
+
 // Requests that count towards a limit. `at` is the time of the first one added.
 struct Counted {
   Time at = 0;
--- a/tests/judge/judge.cc
+++ b/tests/judge/judge.cc
@@ -20,6 +20,7 @@
   const auto index = detail::MakeIndex(history);
   std::vector<Finding> findings;
   detail::JudgeBudget(index, findings);
+  detail::JudgeLost(index, findings);
   return findings;
 }
 
--- a/tests/judge/judge.h
+++ b/tests/judge/judge.h
@@ -23,7 +23,13 @@
   // Requests that reached a replica before the end of its `Retry-After`.
   unwanted,
   // Requests that crash replicas, sent on after the fifth crash.
-  deadly
+  deadly,
+  // Kept connections closed without an answer though a sound replica had the request.
+  kept_close,
+  // Requests that were read and cut around SIGTERM, SIGHUP or a new configuration.
+  stop,
+  reload,
+  configuration
 };
 
 // A broken rule. `at` is the time of the first request or the start of the window.
@@ -84,12 +90,16 @@
      {judge::Rule::recover, "RECOVER"}}};
 
 template <>
-inline constexpr NameTable<judge::Form, 5> kNames<judge::Form>{
+inline constexpr NameTable<judge::Form, 9> kNames<judge::Form>{
     {{judge::Form::repeats, "repeats"},
      {judge::Form::replicas, "replicas"},
      {judge::Form::deadlines, "deadlines"},
      {judge::Form::unwanted, "unwanted"},
-     {judge::Form::deadly, "deadly"}}};
+     {judge::Form::deadly, "deadly"},
+     {judge::Form::kept_close, "kept_close"},
+     {judge::Form::stop, "stop"},
+     {judge::Form::reload, "reload"},
+     {judge::Form::configuration, "configuration"}}};
 }  // namespace filbertstair::core
 
 #endif  // FILBERTSTAIR_TESTS_JUDGE_JUDGE_H_
