Test when the first deadline and a disturbance before a refusal excuse

Removing either condition from the judge of BUDGET had passed all tests. A refusal without Retry-After needs no condition of its own: its time is empty.

--- a/tests/judge/budget.cc
+++ b/tests/judge/budget.cc
@@ -131,8 +131,7 @@
 
 // Whether the arrival came in the time for which the refusal asked the entry to wait.
 auto IsUnwanted(const Index& index, const Arrival& refusal, const Arrival& arrival) -> bool {
-  if (refusal.status != 503 || refusal.retry_after == 0 ||
-      arrival.at <= refusal.ended_at + kUnwantedSlack ||
+  if (refusal.status != 503 || arrival.at <= refusal.ended_at + kUnwantedSlack ||
       arrival.at > refusal.ended_at + refusal.retry_after) {
     return false;
   }
--- a/tests/judge/budget_test.cc
+++ b/tests/judge/budget_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(testDeadlinesThatStartAnewAreFound);
   CPPUNIT_TEST(testRequestsBeforeTheEndOfRetryAfterAreFound);
   CPPUNIT_TEST(testRetryAfterIsForgottenInARestart);
+  CPPUNIT_TEST(testRetryAfterBindsEntriesInTouch);
   CPPUNIT_TEST(testRetryAfterBindsTheEntryThatGotIt);
   CPPUNIT_TEST(testRequestsAfterTheFifthCrashAreFound);
   CPPUNIT_TEST(testDisturbedEntriesMaySendDeadlyRequests);
@@ -240,6 +241,10 @@
     auto history = HandedOnAgain(21, 4'500'001);
     history.attempts.front().deadline = 6 * kSecond;
     AssertHeld(history);
+    // So may that of the first.
+    history = HandedOnAgain(21, 4'500'001);
+    history.arrivals.front().deadline = 5'000'001;
+    AssertHeld(history);
     // 21 of 105 are a fifth, 21 of 104 more.
     const auto add_sound = [&](int count) {
       history = HandedOnAgain(21, 4'500'001);
@@ -286,6 +291,16 @@
     }
   }
 
+  // Fails if an entry is bound that was disturbed shortly before the refusal.
+  auto testRetryAfterBindsEntriesInTouch() -> void {
+    auto history = RefusedThenSent(3, kSecond);
+    Disturb(history, DisturbanceKind::store, kStart - 3 * kSecond, kStart - 3 * kSecond, -1);
+    AssertHeld(history);
+    Disturb(history, DisturbanceKind::slow, kStart - 3 * kSecond - 1, kStart - 3 * kSecond - 1);
+    history.disturbances.erase(history.disturbances.begin());
+    AssertBudget(history, Form::unwanted, 3);
+  }
+
   // Fails if the requests of several entries or replicas are added up.
   auto testRetryAfterBindsTheEntryThatGotIt() -> void {
     auto history = RefusedThenSent(3, kSecond);
