Judge refusals, runs, leaving replicas, closes, timeouts and recovery

The judge also reports REFUSED, TWICE, DRAIN, GONE, ORDER, DENIED and RECOVER, and of CONFIG that requests outlast their route's timeout. The history gains departures of replicas, pieces of streams, whether a request is allowed, whose its status is, and the time to recover; they have defaults with which a history that lacks them breaks none of these rules.

Not judged, since the history does not hold them: requests handled as only an older configuration allows, readiness of entries during a stop, and calls made by replicas.

--- a/tests/judge/history.h
+++ b/tests/judge/history.h
@@ -45,6 +45,15 @@
   bool gave_up = false;
   // The route's timeout, from `began_at`; 0 if it is not known.
   Time timeout = 0;
+  // Numbers of a stream's pieces as they arrived, the first one that was asked for, and their count
+  // in the whole stream; 0 if that is not known.
+  std::vector<int> pieces;
+  int first_piece = 0;
+  int piece_count = 0;
+  // Whether the request is proper and allowed by every configuration that may be in force, and
+  // whether its status is a replica's.
+  bool allowed = true;
+  bool from_replica = false;
 };
 
 // How a replica ended a request that arrived there.
@@ -110,6 +119,16 @@
   Time until = 0;
 };
 
+// A replica that is draining or gone, from the acknowledgement until the same replica comes back; 0
+// if it does not.
+struct Departure {
+  std::string replica;
+  Time at = 0;
+  Time until = 0;
+  // Index of the entry that acknowledged it by itself, or -1 for the store.
+  int entry = -1;
+};
+
 // Bounds of a deployment.
 struct Bounds {
   Time contact = 4'000'000;
@@ -120,6 +139,7 @@
   Time retry_window = 10'000'000;
   double retry_ratio = 0.2;
   int retry_extra = 54;
+  Time recovery = 10'000'000;
 };
 
 // All that is known of a run.
@@ -128,6 +148,7 @@
   std::vector<Arrival> arrivals;
   std::vector<Disturbance> disturbances;
   Bounds bounds;
+  std::vector<Departure> departures;
 };
 
 }  // namespace filbertstair::judge
--- a/tests/judge/index.cc
+++ b/tests/judge/index.cc
@@ -54,12 +54,16 @@
                      });
 }
 
+auto IsCalm(const History& history, int entry, Time at) -> bool {
+  return !IsDisturbed(history, entry, at - history.bounds.contact, at,
+                      {DisturbanceKind::terminate, DisturbanceKind::kill, DisturbanceKind::start,
+                       DisturbanceKind::freeze, DisturbanceKind::slow,
+                       DisturbanceKind::reset_connections, DisturbanceKind::cut_link});
+}
+
 auto InTouch(const History& history, int entry, Time at) -> bool {
-  return !IsDisturbed(
-      history, entry, at - history.bounds.contact, at,
-      {DisturbanceKind::terminate, DisturbanceKind::kill, DisturbanceKind::start,
-       DisturbanceKind::freeze, DisturbanceKind::slow, DisturbanceKind::reset_connections,
-       DisturbanceKind::cut_link, DisturbanceKind::store});
+  return IsCalm(history, entry, at) &&
+         !IsDisturbed(history, -1, at - history.bounds.contact, at, {DisturbanceKind::store});
 }
 
 auto EndOf(const ClientAttempt& attempt) -> std::optional<Time> {
--- a/tests/judge/index.h
+++ b/tests/judge/index.h
@@ -47,6 +47,9 @@
 auto IsReplicaDisturbed(const History& history, const std::string& replica, Time from, Time until)
     -> bool;
 
+// Whether the entry was without disturbance for `Bounds::contact` before the time.
+auto IsCalm(const History& history, int entry, Time at) -> bool;
+
 // Whether the entry and the store were without disturbance for `Bounds::contact` before the time.
 auto InTouch(const History& history, int entry, Time at) -> bool;
 
@@ -65,6 +68,9 @@
 // Adds what broke LOST.
 auto JudgeLost(const Index& index, std::vector<Finding>& findings) -> void;
 
+// Adds what broke the other rules.
+auto JudgeRequests(const Index& index, std::vector<Finding>& findings) -> void;
+
 // Requests that count towards a limit. `at` is the time of the first one added.
 struct Counted {
   Time at = 0;
--- a/tests/judge/judge.cc
+++ b/tests/judge/judge.cc
@@ -21,6 +21,7 @@
   std::vector<Finding> findings;
   detail::JudgeBudget(index, findings);
   detail::JudgeLost(index, findings);
+  detail::JudgeRequests(index, findings);
   return findings;
 }
 
--- a/tests/judge/judge.h
+++ b/tests/judge/judge.h
@@ -29,7 +29,26 @@
   // Requests that were read and cut around SIGTERM, SIGHUP or a new configuration.
   stop,
   reload,
-  configuration
+  configuration,
+  // Requests that may run once, and were refused as not run or ran twice.
+  refused_and_ran,
+  ran_again,
+  // Requests that went on at another replica while the one before was at work.
+  overlap,
+  // Requests sent to a replica after its leaving was acknowledged.
+  left_replica,
+  // Requests sent to a replica, or still at work there, after the client's close.
+  sent_after_close,
+  work_after_close,
+  // Requests without an answer after their route's timeout.
+  timeouts,
+  // Streams with missing or repeated pieces.
+  pieces,
+  // Proper requests that were denied, by all entries and by those out of touch.
+  denied,
+  denied_out_of_touch,
+  // Requests that were not served after the last disturbance.
+  not_served
 };
 
 // A broken rule. `at` is the time of the first request or the start of the window.
@@ -90,7 +109,7 @@
      {judge::Rule::recover, "RECOVER"}}};
 
 template <>
-inline constexpr NameTable<judge::Form, 9> kNames<judge::Form>{
+inline constexpr NameTable<judge::Form, 20> kNames<judge::Form>{
     {{judge::Form::repeats, "repeats"},
      {judge::Form::replicas, "replicas"},
      {judge::Form::deadlines, "deadlines"},
@@ -99,7 +118,18 @@
      {judge::Form::kept_close, "kept_close"},
      {judge::Form::stop, "stop"},
      {judge::Form::reload, "reload"},
-     {judge::Form::configuration, "configuration"}}};
+     {judge::Form::configuration, "configuration"},
+     {judge::Form::refused_and_ran, "refused_and_ran"},
+     {judge::Form::ran_again, "ran_again"},
+     {judge::Form::overlap, "overlap"},
+     {judge::Form::left_replica, "left_replica"},
+     {judge::Form::sent_after_close, "sent_after_close"},
+     {judge::Form::work_after_close, "work_after_close"},
+     {judge::Form::timeouts, "timeouts"},
+     {judge::Form::pieces, "pieces"},
+     {judge::Form::denied, "denied"},
+     {judge::Form::denied_out_of_touch, "denied_out_of_touch"},
+     {judge::Form::not_served, "not_served"}}};
 }  // namespace filbertstair::core
 
 #endif  // FILBERTSTAIR_TESTS_JUDGE_JUDGE_H_
