--- a/tests/judge/lost_test.cc
+++ b/tests/judge/lost_test.cc
@@ -141,6 +141,9 @@
       return out;
     };
     AssertHeld(history(3 * kSecond, 5 * kSecond));
+    auto working = history(3 * kSecond, 5 * kSecond - 1);
+    working.arrivals.front().end = ArrivalEnd::none;
+    AssertHeld(working);
     AssertLost(history(3 * kSecond, 5 * kSecond - 1), Form::stop, 1);
     AssertLost(history(3 * kSecond + 1, 5 * kSecond), Form::stop, 1);
   }
--- a/tests/judge/requests_test.cc
+++ b/tests/judge/requests_test.cc
@@ -154,6 +154,16 @@
     history = Resumed(400'001);
     Disturb(history, DisturbanceKind::cut_link, kStart, kStart);
     AssertHeld(history);
+    // A paused replica is none at work, and a new attempt or the same replica no overlap.
+    history = Resumed(400'001);
+    history.arrivals.front().sound = false;
+    AssertHeld(history);
+    history = Resumed(400'001);
+    history.arrivals.back().resume_after.clear();
+    AssertHeld(history);
+    history = Resumed(400'001);
+    history.arrivals.back().replica = "r0";
+    AssertHeld(history);
   }
 
   // Fails if a replica gets requests later than the drain timeout after its leaving.
@@ -181,7 +191,17 @@
     AssertHeld(history);
     history.departures.front().entry = 0;
     AssertBroken(history, Rule::drain, Form::left_replica, 1);
-    Disturb(history, DisturbanceKind::freeze, kStart, kStart);
+    // It is excused if it, or the entry that took the request, was disturbed.
+    history.departures.front().entry = 1;
+    history.arrivals.front().entry = 1;
+    AssertBroken(history, Rule::drain, Form::left_replica, 1);
+    for (const int entry : {0, 1}) {
+      Disturb(history, DisturbanceKind::freeze, kStart, kStart, entry);
+      AssertHeld(history);
+      history.disturbances.pop_back();
+    }
+    history = SentAfterLeaving(5 * kSecond);
+    Disturb(history, DisturbanceKind::store, kStart, kStart, -1);
     AssertHeld(history);
   }
 
@@ -192,6 +212,10 @@
     auto history = GaveUp(2, 5);
     history.attempts.front().kind = RequestKind::unsafe;
     AssertHeld(history);
+    // One that was answered in time would not have lasted so long.
+    history = GaveUp(1, 3);
+    history.arrivals.back().end = ArrivalEnd::answered;
+    AssertBroken(history, Rule::gone, Form::work_after_close, 1);
     history = GaveUp(2, 5);
     Disturb(history, DisturbanceKind::slow, kStart, kStart);
     AssertHeld(history);
@@ -215,7 +239,11 @@
     AssertBroken(TimedOut(7, 6), Rule::config, Form::timeouts, 7);
     AssertHeld(TimedOut(8, 24));
     AssertBroken(TimedOut(8, 23), Rule::config, Form::timeouts, 8);
-    auto history = TimedOut(7, 6);
+    // A client that gave up shortly after the timeout tells nothing.
+    auto history = TimedOut(7, 7);
+    history.attempts.back().gave_up = true;
+    AssertBroken(history, Rule::config, Form::timeouts, 7);
+    history = TimedOut(7, 6);
     Disturb(history, DisturbanceKind::slow, kStart, kStart);
     AssertHeld(history);
   }
@@ -229,6 +257,10 @@
     auto history = Stream({0, 1, 2});
     history.attempts.front().complete = false;
     AssertHeld(history);
+    history = Stream({});
+    history.attempts.front().status = 503;
+    history.arrivals.front().ran = false;
+    AssertHeld(history);
     history = Stream({2, 3});
     history.attempts.front().first_piece = 2;
     AssertHeld(history);
@@ -243,6 +275,9 @@
     auto history = Denied(0, 7);
     history.attempts.front().status = 400;
     AssertHeld(history);
+    history = Denied(7, 0);
+    history.attempts.front().status = 429;
+    AssertHeld(history);
     for (const auto change : {&ClientAttempt::allowed, &ClientAttempt::from_replica}) {
       history = Denied(7, 0);
       history.attempts.front().*change = !(history.attempts.front().*change);
@@ -261,6 +296,15 @@
     auto history = Served(5, 4);
     history.disturbances.front().until += 1;
     AssertHeld(history);
+    // Planned work is no fault.
+    history = Served(5, 4);
+    Disturb(history, DisturbanceKind::reload, kStart + 18 * kSecond, kStart + 18 * kSecond);
+    AssertBroken(history, Rule::recover, Form::not_served, 16);
+    // What was not served during the fault tells nothing, and an incomplete answer is none.
+    AddAttempt(history, "during", kStart + 6 * kSecond).status = 503;
+    AssertBroken(history, Rule::recover, Form::not_served, 16);
+    history.attempts.front().complete = false;
+    AssertHeld(history);
   }
 };
 
