Judge denials only of requests that are known to be allowed

With allowed as the default, a history that does not tell would break DENIED by uploads beyond the limit and by revoked keys.

--- a/tests/judge/history.h
+++ b/tests/judge/history.h
@@ -50,9 +50,9 @@
   std::vector<int> pieces;
   int first_piece = 0;
   int piece_count = 0;
-  // Whether the request is proper and allowed by every configuration that may be in force, and
-  // whether its status is a replica's.
-  bool allowed = true;
+  // Whether the request is known to be proper and allowed by every configuration that may be in
+  // force, and whether its status is a replica's.
+  bool allowed = false;
   bool from_replica = false;
 };
 
--- a/tests/judge/requests_test.cc
+++ b/tests/judge/requests_test.cc
@@ -76,6 +76,7 @@
   History out;
   for (int i = 0; i < 500; ++i) {
     auto& attempt = AddAttempt(out, std::to_string(i), kStart);
+    attempt.allowed = true;
     if (i < denied + disturbed) attempt.status = 404;
     if (i >= denied) attempt.entry = 1;
   }
