Divide the constant of retries by all entries that peers report

An entry counted those that it is linked to, at most 48, so that each of 1,200 entries would use 1/49 of the fleet's constant, 24 times the limit in sum. In relay.peers_test, where a peer reports 120 others, CountEntries did not reach 122 within 8 s.

--- a/libs/relay/src/peers.cc
+++ b/libs/relay/src/peers.cc
@@ -38,6 +38,9 @@
 // replicas' own reports. The message rate is limited for all links together, so more links cost
 // memory and delay the updates to each peer.
 constexpr std::size_t kMaxLinks = 48;
+// Maximum reported addresses that are stored to count the entries, about three times those of the
+// two-year scale; a faulty peer may report any number.
+constexpr std::size_t kMaxReportedAddresses = 4096;
 
 // State that was last sent to a linked entry. Used by the link's own fibers.
 struct SentState {
@@ -322,7 +325,14 @@
 // retried repeatedly, displace another one and spread to all entries.
 auto AddReportedPeer(Relay& relay, const std::string& peer, const std::string& address) -> void {
   if (const auto target = core::ParseConnectAddress(address)) {
-    AddPeer(relay, core::FormatAddress(*target), false);
+    const auto formatted = core::FormatAddress(*target);
+    relay.peers.With([&](PeerTable& table) {
+      const bool full = table.reported_at.size() >= kMaxReportedAddresses;
+      if (!full || table.reported_at.contains(formatted)) {
+        table.reported_at[formatted] = node::Now();
+      }
+    });
+    AddPeer(relay, formatted, false);
   } else {
     node::LogError(
         Level::debug, Event::peer_lost,
@@ -367,9 +377,17 @@
 }
 
 auto CountEntries(Relay& relay) -> std::size_t {
-  return relay.peers.With([](const PeerTable& table) {
-    const auto others = std::count_if(table.peers.begin(), table.peers.end(),
-                                      [](const auto& item) { return !item.second.self; });
+  const auto self = settings::FormatAddress(relay.node.settings.peers);
+  return relay.peers.With([&, now = node::Now()](PeerTable& table) {
+    std::erase_if(table.reported_at,
+                  [now](const auto& item) { return now - item.second > kForgetPeerAfter; });
+    const auto is_linked_other = [](const auto& item) { return !item.second.self; };
+    const auto is_unlinked_other = [&](const auto& item) {
+      return item.first != self && !table.peers.contains(item.first);
+    };
+    const auto others =
+        std::count_if(table.peers.begin(), table.peers.end(), is_linked_other) +
+        std::count_if(table.reported_at.begin(), table.reported_at.end(), is_unlinked_other);
     return static_cast<std::size_t>(others) + 1;
   });
 }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -149,6 +149,8 @@
 };
 struct PeerTable {
   std::map<std::string, PeerLink> peers;
+  // Times at which peers last reported the addresses of entries, also of those without a link.
+  std::map<std::string, core::Time> reported_at;
   // Other entries of this entry's failure domain, by id.
   std::map<std::string, NeighborEntry> neighbors;
   // Times until which the configurations of the entries with a link to this one count as confirmed,
@@ -337,7 +339,7 @@
 // 60 s.
 auto ListNeighbors(Relay& relay) -> std::vector<direct::RotationMember>;
 
-// Returns the number of known entries, including this one.
+// Returns the number of known entries, including this one and those without a link.
 auto CountEntries(Relay& relay) -> std::size_t;
 
 // Wakes the links to peers so that they send the changed load soon. Call without holding the
--- a/libs/relay/test/peers_test.cc
+++ b/libs/relay/test/peers_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(testKeptPartsAreTold);
   CPPUNIT_TEST(testEnoughEntriesStayInRotation);
   CPPUNIT_TEST(testOddAddressesAreNotLearnt);
+  CPPUNIT_TEST(testEntriesBeyondTheLinksAreCounted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -254,6 +255,28 @@
     CPPUNIT_ASSERT(WaitFor([&] { return !known().empty(); }));
     CPPUNIT_ASSERT(known() == std::vector<std::string>{state.address});
   }
+
+  // Guards against a large fleet whose entries each count only those that they are linked to, at
+  // most 48, and so together use a multiple of the constant of retries.
+  auto testEntriesBeyondTheLinksAreCounted() -> void {
+    constexpr int reported = 120;
+    const auto settings = MakeSettings("entry-2");
+    wire::EntryState state;
+    state.address = settings::FormatAddress(settings.peers);
+    for (int i = 0; i < reported; ++i) {
+      state.known_addresses.push_back("127.0.1." + std::to_string(i + 1) + ":1");
+    }
+    TestEntry tested_entry;
+    node::Node peer(settings, 1);
+    const auto address = settings::FormatAddress(tested_entry.node.settings.peers);
+    const auto received = std::make_shared<ReceivedAddresses>();
+    peer.pool.Post(0, [&peer, received, state, address] {
+      const auto connection = net::Connect(address, milliseconds(1000));
+      const auto stream = connection->StartStream(std::string(node::kControlPath));
+      node::RunControl(peer, stream, PeerHandlers(received, state));
+    });
+    CPPUNIT_ASSERT(WaitFor([&] { return CountEntries(*tested_entry.relay) == reported + 2; }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeersTest);
