Record the arrivals of requests at replicas in the soak

Replicas noted only the starts of requests, so requests that they refused, the deadline that they were handed, and when and where a request arrived were lost.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -34,12 +34,14 @@
 constexpr double kIdleShare = 0.03;
 constexpr int kIdleMs = 3500;
 constexpr int kEvents = 8;
+constexpr int kDeadlineMs = 5000;
 
 struct Callers {
   const CallerOptions& options;
   std::int64_t end_at = 0;
   std::ofstream output;
   std::uint64_t serial = 0;
+  std::uint64_t connections = 0;
 };
 
 struct Caller {
@@ -79,8 +81,8 @@
          " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer " +
          std::string(record.second_key ? "key-2" : "key-1") +
          "\r\nX-Filbertstair-Attempt-Id: " + record.id +
-         "\r\nX-Filbertstair-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+         "\r\nX-Filbertstair-Deadline-Ms: " + std::to_string(record.deadline_ms) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 auto AllEvents() -> std::string {
@@ -125,7 +127,10 @@
         stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (parser.is_header_done()) record.status = static_cast<int>(parser.get().result_int());
     if (error) throw boost::system::system_error(error);
-    if (record.kind == CallKind::abandoned && !parser.get().body().empty()) co_return false;
+    if (record.kind == CallKind::abandoned && !parser.get().body().empty()) {
+      record.gave_up = true;
+      co_return false;
+    }
   }
   record.complete = true;
   JudgeResponse(parser.get(), record);
@@ -150,6 +155,7 @@
     keep = co_await ReadResponse(stream, buffer, record);
   } catch (const boost::system::system_error& error) {
     record.error = error.what();
+    record.gave_up = error.code() == beast::error::timeout;
   }
   record.ended_at = standins::NowUs();
   co_return keep && !send_failed;
@@ -167,7 +173,8 @@
 auto UseConnection(Callers& callers, Caller& caller, beast::tcp_stream& stream, CallRecord first)
     -> asio::awaitable<void> {
   beast::flat_buffer buffer;
-  for (bool keep = true; keep && standins::NowUs() < callers.end_at; first.kept = true) {
+  for (bool keep = true; keep && standins::NowUs() < callers.end_at;
+       first.kept = true, ++first.order) {
     if (first.kept && IsClosed(stream)) break;
     auto record = first;
     record.kind = PickKind(caller);
@@ -184,6 +191,8 @@
   while (standins::NowUs() < callers.end_at) {
     CallRecord record;
     record.entry = caller.Uniform(static_cast<int>(options.entries.size()) - 1);
+    record.connection = ++callers.connections;
+    record.deadline_ms = kDeadlineMs;
     record.second_key = caller.index % kKeyTurn == 0;
     record.relayed = caller.Chance(kRelayedShare);
     const auto& addresses = record.relayed ? options.relays : options.entries;
@@ -225,6 +234,10 @@
                                       {"second_key", record.second_key},
                                       {"relayed", record.relayed},
                                       {"kept", record.kept},
+                                      {"connection", record.connection},
+                                      {"order", record.order},
+                                      {"deadline_ms", record.deadline_ms},
+                                      {"gave_up", record.gave_up},
                                       {"connected_at", record.connected_at},
                                       {"began_at", record.began_at},
                                       {"sent_at", record.sent_at},
@@ -247,6 +260,10 @@
   out.second_key = object.at("second_key").as_bool();
   out.relayed = object.at("relayed").as_bool();
   out.kept = object.at("kept").as_bool();
+  out.connection = object.at("connection").to_number<std::uint64_t>();
+  out.order = object.at("order").to_number<int>();
+  out.deadline_ms = object.at("deadline_ms").to_number<int>();
+  out.gave_up = object.at("gave_up").as_bool();
   out.connected_at = object.at("connected_at").to_number<std::int64_t>();
   out.began_at = object.at("began_at").to_number<std::int64_t>();
   out.sent_at = object.at("sent_at").to_number<std::int64_t>();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -32,6 +32,13 @@
   // Whether a relay was in the path, and whether the connection had carried a request before.
   bool relayed = false;
   bool kept = false;
+  // Number of the connection among those of the callers, and position of the request on it.
+  std::uint64_t connection = 0;
+  int order = 0;
+  // Time that the request states, in milliseconds from `began_at`.
+  int deadline_ms = 0;
+  // Whether the caller closed the connection before the end of the response.
+  bool gave_up = false;
   // Time at which the connection was begun. On a busy machine the caller learns tens of
   // milliseconds later that it stands, when the entry may already have been killed.
   std::int64_t connected_at = 0;
--- a/tests/soak/check.h
+++ b/tests/soak/check.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "filbertstair/core/names.h"
+#include "tests/judge/history.h"
 #include "tests/soak/callers.h"
 #include "tests/soak/deployment.h"
 
@@ -52,6 +53,8 @@
 struct Observations {
   std::vector<CallRecord> calls;
   std::map<std::string, int> starts;
+  // All requests as they arrived at replicas.
+  std::vector<judge::Arrival> arrivals;
   std::vector<EntryRun> runs;
   std::vector<Disturbance> disturbances;
   std::vector<EntryUsage> usages;
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -35,6 +35,8 @@
   int entry = -1;
   std::int64_t from = 0;
   std::int64_t until = 0;
+  // Id of the replica for a fault of one.
+  std::string replica{};
 };
 
 // Memory in bytes, descriptors and threads of a process, from the kernel.
--- a/tests/soak/faults.cc
+++ b/tests/soak/faults.cc
@@ -295,8 +295,12 @@
         ScheduleStoreFault(schedule, fault.kind);
         break;
     }
-    deployment.disturbances.push_back(
-        {fault.kind, ScopeOf(fault.kind) == Scope::entry ? entry.index : -1});
+    Disturbance disturbance{fault.kind};
+    if (ScopeOf(fault.kind) == Scope::entry) disturbance.entry = entry.index;
+    if (ScopeOf(fault.kind) == Scope::replica) {
+      disturbance.replica = pick(deployment.replicas).id;
+    }
+    deployment.disturbances.push_back(disturbance);
     ++schedule.fault;
   }
   std::stable_sort(schedule.steps.begin(), schedule.steps.end(),
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -13,6 +13,7 @@
 
 #include "tests/soak/callers.h"
 #include "tests/soak/check.h"
+#include "tests/soak/convert.h"
 #include "tests/soak/deployment.h"
 #include "tests/soak/faults.h"
 #include "tests/soak/shorten.h"
@@ -99,9 +100,7 @@
   for (const auto& line : ReadLines(deployment.directory / "callers.jsonl")) {
     out.calls.push_back(ParseCall(line));
   }
-  for (const auto& line : ReadLines(deployment.directory / "replicas.jsonl")) {
-    ++out.starts[json::parse(line).as_object().at("id").as_string().c_str()];
-  }
+  ReadReplicas(ReadLines(deployment.directory / "replicas.jsonl"), out);
   for (const auto& entry : deployment.entries) {
     out.runs.insert(out.runs.end(), entry.runs.begin(), entry.runs.end());
     out.usages.push_back({entry.index, entry.usage_before, entry.usage_after, entry.peak_resident});
