--- a/tests/soak/convert.cc
+++ b/tests/soak/convert.cc
@@ -9,8 +9,9 @@
 namespace json = boost::json;
 
 constexpr judge::Time kMillisecond = 1000;
-// `attempts` of the stand-in's routes.
+// `attempts` and `timeout-ms` of the stand-in's routes.
 constexpr int kAttempts = 3;
+constexpr judge::Time kTimeout = 5000 * kMillisecond;
 
 auto Text(const json::object& object, const char* name) -> std::string {
   return std::string(object.at(name).as_string());
@@ -64,6 +65,7 @@
   out.began_at = call.began_at;
   out.sent_at = call.sent_at;
   out.deadline = call.deadline_ms * kMillisecond;
+  out.timeout = kTimeout;
   out.ended_at = call.ended_at;
   out.status = call.status;
   out.complete = call.complete;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -6,11 +6,13 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <map>
 #include <set>
 #include <thread>
 
+#include "tests/judge/judge.h"
 #include "tests/soak/callers.h"
 #include "tests/soak/check.h"
 #include "tests/soak/convert.h"
@@ -46,6 +48,12 @@
   CallerOptions callers;
 };
 
+// A promise or rule that did not hold, by its name.
+struct Broken {
+  std::string name;
+  std::string detail;
+};
+
 auto ReadLines(const std::filesystem::path& path) -> std::vector<std::string> {
   std::vector<std::string> out;
   std::ifstream in(path);
@@ -122,8 +130,38 @@
   for (const auto& [name, count] : counts) std::cout << "  " << name << ": " << count << '\n';
 }
 
+// Prints the figures in which a trend shows before a rule breaks.
+auto PrintFigures(const judge::Figures& figures) -> void {
+  std::cout << "arrivals: " << figures.arrivals << " for " << figures.requests
+            << " requests, late deadlines " << figures.late_deadlines << ", closes without answer "
+            << figures.closes_without_answer << ", of them after arrival "
+            << figures.closes_after_arrival << '\n';
+  for (const auto& service : figures.services) {
+    std::cout << "  service " << service.service << ": requests " << service.requests
+              << ", arrivals " << service.arrivals << ", repeats " << service.repeats
+              << ", worst window " << service.worst_repeats << " of " << std::fixed
+              << std::setprecision(1) << service.worst_bound << " (" << std::setprecision(2)
+              << service.worst_ratio << ")\n";
+  }
+}
+
+auto JudgeRun(const Observations& observed, std::vector<Broken>& broken) -> void {
+  for (const auto& violation : CheckRun(observed)) {
+    broken.push_back({std::string(core::Name(violation.promise)), violation.detail});
+  }
+  const auto history = ToHistory(observed);
+  PrintFigures(judge::Measure(history));
+  for (const auto& finding : judge::Judge(history)) {
+    auto detail = finding.detail + ", from " + std::to_string(finding.at) + ":";
+    for (const auto& request : finding.requests) detail += ' ' + request;
+    broken.push_back(
+        {std::string(core::Name(finding.rule)) + '.' + std::string(core::Name(finding.form)),
+         std::move(detail)});
+  }
+}
+
 // Waits until all entries are ready again, and adds those that are not.
-auto CheckRecovery(Deployment& deployment, std::vector<Violation>& violations) -> void {
+auto CheckRecovery(Deployment& deployment, std::vector<Broken>& broken) -> void {
   for (auto& entry : deployment.entries) {
     const bool ready = fleet::WaitFor(kRecoverTime, [&] {
       Supervise(deployment);
@@ -131,45 +169,46 @@
              fleet::WaitReady(entry.admin, milliseconds(0));
     });
     if (!ready) {
-      violations.push_back({Promise::start_is_quick, "entry " + std::to_string(entry.index) +
-                                                         " is not ready after the faults"});
+      broken.push_back({std::string(core::Name(Promise::start_is_quick)),
+                        "entry " + std::to_string(entry.index) + " is not ready after the faults"});
     }
   }
 }
 
 // Plays a plan, writes all files into the folder, prints and returns what was broken.
 auto PlayPlan(const Plan& plan, const std::filesystem::path& directory, const std::string& program)
-    -> std::vector<Violation> {
+    -> std::vector<Broken> {
   std::filesystem::create_directories(directory);
   std::ofstream(directory / "plan.json") << FormatPlan(plan);
   std::cout << "seed " << plan.seed << ", files in " << directory.string() << std::endl;
   auto deployment = StartDeployment(plan, directory);
   const auto callers = StartCallers(deployment, program, directory / "callers.jsonl");
   if (!PlayFaults(deployment, *callers)) throw std::runtime_error("the callers did not end");
-  std::vector<Violation> violations;
-  CheckRecovery(deployment, violations);
+  std::vector<Broken> broken;
+  CheckRecovery(deployment, broken);
   std::this_thread::sleep_for(kIdleTime);
   StopEntries(deployment, kStopTime);
   const auto observed = Observe(deployment);
-  for (auto& violation : CheckRun(observed)) violations.push_back(std::move(violation));
   PrintSummary(observed);
-  for (const auto& violation : violations) {
-    std::cout << "BROKEN " << core::Name(violation.promise) << ": " << violation.detail << '\n';
+  JudgeRun(observed, broken);
+  for (const auto& [name, detail] : broken) {
+    std::cout << "BROKEN " << name << ": " << detail << '\n';
   }
-  std::cout << (violations.empty() ? "held" : "broken") << std::endl;
-  return violations;
+  std::cout << (broken.empty() ? "held" : "broken") << std::endl;
+  return broken;
 }
 
-// Plays smaller plans while one breaks the same promise, and writes the smallest into the folder.
-auto WriteShortPlan(const Options& options, const Plan& plan, Promise promise,
+// Plays smaller plans while one breaks the same promise or rule, and writes the smallest into the
+// folder.
+auto WriteShortPlan(const Options& options, const Plan& plan, const std::string& name,
                     const std::filesystem::path& directory, const std::string& program) -> void {
   int tried = 0;
   const auto fails = [&](const Plan& smaller) {
     try {
-      const auto violations =
+      const auto broken =
           PlayPlan(smaller, directory / ("try-" + std::to_string(++tried)), program);
-      return std::any_of(violations.begin(), violations.end(),
-                         [&](const Violation& violation) { return violation.promise == promise; });
+      return std::any_of(broken.begin(), broken.end(),
+                         [&](const Broken& item) { return item.name == name; });
     } catch (const std::exception& error) {
       std::cout << "not judged: " << error.what() << std::endl;
       return false;
@@ -185,10 +224,10 @@
     -> int {
   const auto program = std::filesystem::read_symlink("/proc/self/exe").string();
   try {
-    const auto violations = PlayPlan(plan, directory, program);
-    if (violations.empty()) return 0;
+    const auto broken = PlayPlan(plan, directory, program);
+    if (broken.empty()) return 0;
     if (options.shorten) {
-      WriteShortPlan(options, plan, violations.front().promise, directory, program);
+      WriteShortPlan(options, plan, broken.front().name, directory, program);
     }
     return 1;
   } catch (const std::exception& error) {
