Play profiles of deployments with clients at their rate in the soak

The soak had 40 callers that send one request after the other to 3 entries, never come back and don't leave at their deadline, and single faults. Arrivals don't wait for answers; clients connect to entries that are ready, keep some connections, come back a few times, some at once, and leave at their deadline. Faults come in series of one kind. Two profiles have the size of the small deployments. A run whose callers fail is not judged; it was judged by what they had written.

Plans without a profile are drawn as before. A caller that leaves at its deadline is not one without an answer; the usual callers wait 1.5 s longer, so the check binds for them as before.

soak_profile_test, soak_plan_test, soak_check_test and soak_convert_test hold.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -161,15 +161,6 @@
   co_return keep && !send_failed;
 }
 
-// Whether the entry has closed the connection, as far as is known here.
-auto IsClosed(beast::tcp_stream& stream) -> bool {
-  char byte = 0;
-  beast::error_code error;
-  stream.socket().non_blocking(true, error);
-  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error != asio::error::would_block;
-}
-
 auto UseConnection(Callers& callers, Caller& caller, beast::tcp_stream& stream, CallRecord first)
     -> asio::awaitable<void> {
   beast::flat_buffer buffer;
@@ -227,6 +218,18 @@
   io.run();
 }
 
+auto IsClosed(beast::tcp_stream& stream) -> bool {
+  char byte = 0;
+  beast::error_code error;
+  stream.socket().non_blocking(true, error);
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+auto ServiceOf(CallKind kind) -> std::string {
+  return kind == CallKind::stream || kind == CallKind::abandoned ? "llm" : "app";
+}
+
 auto FormatCall(const CallRecord& record) -> std::string {
   return json::serialize(json::object{{"id", record.id},
                                       {"kind", core::Name(record.kind)},
@@ -236,6 +239,8 @@
                                       {"kept", record.kept},
                                       {"connection", record.connection},
                                       {"order", record.order},
+                                      {"attempts", record.attempts},
+                                      {"timeout_ms", record.timeout_ms},
                                       {"deadline_ms", record.deadline_ms},
                                       {"gave_up", record.gave_up},
                                       {"connected_at", record.connected_at},
@@ -262,6 +267,8 @@
   out.kept = object.at("kept").as_bool();
   out.connection = object.at("connection").to_number<std::uint64_t>();
   out.order = object.at("order").to_number<int>();
+  out.attempts = object.at("attempts").to_number<int>();
+  out.timeout_ms = object.at("timeout_ms").to_number<int>();
   out.deadline_ms = object.at("deadline_ms").to_number<int>();
   out.gave_up = object.at("gave_up").as_bool();
   out.connected_at = object.at("connected_at").to_number<std::int64_t>();
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -1,6 +1,7 @@
 #ifndef FILBERTSTAIR_TESTS_SOAK_CALLERS_H_
 #define FILBERTSTAIR_TESTS_SOAK_CALLERS_H_
 
+#include <boost/beast/core.hpp>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +23,9 @@
   abandoned
 };
 
+// Service of the stand-in's replicas that answers such requests.
+auto ServiceOf(CallKind kind) -> std::string;
+
 // What a caller saw of one request. Times are microseconds of the machine's monotonic clock.
 struct CallRecord {
   std::string id;
@@ -35,6 +39,9 @@
   // Number of the connection among those of the callers, and position of the request on it.
   std::uint64_t connection = 0;
   int order = 0;
+  // Replicas and time that the route allows for one attempt.
+  int attempts = 3;
+  int timeout_ms = 5000;
   // Time that the request states, in milliseconds from `began_at`.
   int deadline_ms = 0;
   // Whether the caller closed the connection before the end of the response.
@@ -61,6 +68,8 @@
   // Addresses of the entries, and of the relays in front of them.
   std::vector<std::string> entries;
   std::vector<std::string> relays;
+  // Addresses that answer whether the entries are ready.
+  std::vector<std::string> admins;
   std::uint64_t seed = 1;
   int callers = 40;
   int traffic_ms = 20'000;
@@ -70,6 +79,9 @@
 // Sends requests until the time is over and appends one line to the output for each.
 auto RunCallers(const CallerOptions& options) -> void;
 
+// Whether the peer has closed the connection, as far as is known here.
+auto IsClosed(boost::beast::tcp_stream& stream) -> bool;
+
 auto FormatCall(const CallRecord& record) -> std::string;
 auto ParseCall(const std::string& line) -> CallRecord;
 
--- a/tests/soak/deployment.h
+++ b/tests/soak/deployment.h
@@ -4,12 +4,14 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "tests/fleet/harness.h"
 #include "tests/fleet/relay.h"
 #include "tests/soak/plan.h"
+#include "tests/soak/profile.h"
 
 namespace filbertstair::soak {
 
@@ -48,6 +50,8 @@
 
 struct Entry {
   int index = 0;
+  ProfileZone zone;
+  double cores = 0;
   std::string callers;
   std::string peers;
   std::string admin;
@@ -72,6 +76,10 @@
   std::string id;
   std::string service;
   std::string address;
+  std::string zone;
+  std::uint32_t slots = 0;
+  // Further arguments of the stand-in.
+  std::vector<std::string> arguments;
   // The relay that the store lists.
   std::string relay_address;
   std::unique_ptr<fleet::Process> process;
@@ -82,6 +90,10 @@
 // them. All files are below `directory`.
 struct Deployment {
   Plan plan;
+  // The profile that the plan names.
+  std::optional<Profile> profile;
+  // Process ids of the entries by zone, for relays that tell zones apart.
+  std::shared_ptr<fleet::PidTable> pids = std::make_shared<fleet::PidTable>();
   std::filesystem::path directory;
   std::string store;
   std::string store_relay_address;
@@ -105,6 +117,9 @@
 auto StartReplica(Deployment& deployment, Replica& replica) -> void;
 auto StartStore(Deployment& deployment) -> void;
 
+// Sets the links of all entries to the replica. Open links between zones have the profile's delay.
+auto SetLink(const Deployment& deployment, Replica& replica, fleet::LinkMode mode) -> void;
+
 // Sends a command to a stand-in, for example "silent?on=1". Returns whether it answered.
 auto Control(const std::string& address, const std::string& command) -> bool;
 
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -9,11 +9,13 @@
 
 namespace filbertstair::soak {
 
+inline constexpr auto kNoFault = static_cast<std::size_t>(-1);
+
 // A step of a fault, due at a time of the machine's monotonic clock in microseconds.
 struct Step {
   std::int64_t at = 0;
   std::function<void()> apply;
-  // Index of the fault in the plan and of its disturbance.
+  // Index of the fault in the plan and of its disturbance, or kNoFault.
   std::size_t fault = 0;
 };
 
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(testOtherTextIsRefused);
   CPPUNIT_TEST(testEqualSeedsGiveEqualPlans);
   CPPUNIT_TEST(testFaultsLieInTheTraffic);
+  CPPUNIT_TEST(testProfileDrawsSeriesOfOneKind);
   CPPUNIT_TEST(testSmallerPlansBeginWithHalves);
   CPPUNIT_TEST(testSmallerPlansKeepOneReplicaOfEachService);
   CPPUNIT_TEST(testShorteningKeepsWhatFails);
@@ -72,6 +73,26 @@
     }
   }
 
+  // Guards against plans with a profile in which no two entries are hit within one window.
+  auto testProfileDrawsSeriesOfOneKind() -> void {
+    Plan plan;
+    plan.seed = 7;
+    plan.traffic_ms = 60'000;
+    plan.profile = "p.yaml";
+    plan = DrawFaults(plan);
+    CPPUNIT_ASSERT(ParsePlan(FormatPlan(plan)) == plan);
+    int followed = 0;
+    for (const auto& first : plan.faults) {
+      CPPUNIT_ASSERT(first.at_ms + first.for_ms < plan.traffic_ms);
+      followed += static_cast<int>(
+          std::any_of(plan.faults.begin(), plan.faults.end(), [&](const Fault& next) {
+            return next.kind == first.kind && next.target == first.target + 1 &&
+                   next.at_ms > first.at_ms && next.at_ms - first.at_ms < 1300;
+          }));
+    }
+    CPPUNIT_ASSERT(2 * followed > static_cast<int>(plan.faults.size()));
+  }
+
   auto testSmallerPlansBeginWithHalves() -> void {
     const auto plan = DrawnPlan(7);
     const auto smaller = SmallerPlans(plan);
--- a/tests/soak/shorten.cc
+++ b/tests/soak/shorten.cc
@@ -34,6 +34,8 @@
 }
 
 auto AddFewerProcesses(const Plan& plan, std::vector<Plan>& out) -> void {
+  // A profile states its processes.
+  if (!plan.profile.empty()) return;
   if (plan.entries > 1) {
     out.push_back(plan);
     --out.back().entries;
