Leave runs of requests that may run once to the judge

The check runs_once is now TWICE.ran_again of the judge, and the part of refusal_is_true that reads a status (408, 421, 429, 503) is REFUSED.refused_and_ran: both say the same of the same requests, without excuses. refusal_is_true keeps refusals that say "not run" in words, for all kinds of requests, which the judge does not read. The other checks stay: the judge's LOST and DENIED allow a number of requests, and it says nothing of processes, memory and the time of a start.

The history also has which requests were allowed and which replicas were leaving. A folder with the files of another run is refused, because histories are appended to.

--- a/tests/soak/check.cc
+++ b/tests/soak/check.cc
@@ -133,7 +133,6 @@
     violations.push_back({promise, Describe(observed, call)});
   };
   const int starts = StartsOf(observed, call);
-  if (call.kind == CallKind::once && starts > 1) add(Promise::runs_once);
   const bool late = observed.revoked_at > 0 && call.began_at > observed.revoked_at + kRevokeUs;
   if (call.second_key && late && starts > 0) add(Promise::key_is_revoked);
   if (call.kind == CallKind::abandoned) return;
@@ -157,9 +156,7 @@
     return;
   }
   if (call.status == kOk && !call.sound) add(Promise::answer_is_sound);
-  const bool promised = call.outcome == "not_run" ||
-                        (call.kind == CallKind::once && IsOneOf(call.status, {408, 421, 429, 503}));
-  if (promised && starts > 0) add(Promise::refusal_is_true);
+  if (call.outcome == "not_run" && starts > 0) add(Promise::refusal_is_true);
   const bool revoked =
       call.second_key && observed.revoke_began_at > 0 && call.ended_at >= observed.revoke_began_at;
   if (call.status == kUnauthorized && revoked) return;
--- a/tests/soak/check.h
+++ b/tests/soak/check.h
@@ -21,9 +21,8 @@
   // An answer is the replica's, and whole.
   answer_is_sound,
   answer_is_whole,
-  // A refusal as not run is true, and nothing that may run once starts twice.
+  // A refusal that says "not run" is true. The judge has those that say so by their status.
   refusal_is_true,
-  runs_once,
   // A proper request is not refused as improper.
   request_is_accepted,
   // A revoked key is not used after its time.
@@ -76,14 +75,13 @@
 }  // namespace filbertstair::soak
 
 template <>
-inline constexpr filbertstair::core::NameTable<filbertstair::soak::Promise, 12>
+inline constexpr filbertstair::core::NameTable<filbertstair::soak::Promise, 11>
     filbertstair::core::kNames<filbertstair::soak::Promise>{
         {{filbertstair::soak::Promise::run_is_answered, "run_is_answered"},
          {filbertstair::soak::Promise::request_is_answered, "request_is_answered"},
          {filbertstair::soak::Promise::answer_is_sound, "answer_is_sound"},
          {filbertstair::soak::Promise::answer_is_whole, "answer_is_whole"},
          {filbertstair::soak::Promise::refusal_is_true, "refusal_is_true"},
-         {filbertstair::soak::Promise::runs_once, "runs_once"},
          {filbertstair::soak::Promise::request_is_accepted, "request_is_accepted"},
          {filbertstair::soak::Promise::key_is_revoked, "key_is_revoked"},
          {filbertstair::soak::Promise::process_stays, "process_stays"},
--- a/tests/soak/check_test.cc
+++ b/tests/soak/check_test.cc
@@ -4,6 +4,9 @@
 
 #include <csignal>
 
+#include "tests/judge/judge.h"
+#include "tests/soak/convert.h"
+
 namespace filbertstair::soak {
 namespace {
 
@@ -90,7 +93,8 @@
   CPPUNIT_TEST(testUnsoundAnswer);
   CPPUNIT_TEST(testCutAnswer);
   CPPUNIT_TEST(testUntrueRefusal);
-  CPPUNIT_TEST(testSecondStart);
+  CPPUNIT_TEST(testJudgeHasWhatMayRunOnce);
+  CPPUNIT_TEST(testCallerLeavesAtItsDeadline);
   CPPUNIT_TEST(testProperRequestRefused);
   CPPUNIT_TEST(testRevokedKeyIsUsed);
   CPPUNIT_TEST(testRevokedKeyIsRefused);
@@ -160,11 +164,38 @@
     AssertBroken(observed, Promise::refusal_is_true);
   }
 
-  // A status that promises "not run" binds without the header too.
-  auto testSecondStart() -> void {
+  // Guards against a run that is refused or starts twice and that neither the check nor the judge
+  // finds: the judge is handed the kind, the status and each start.
+  auto testJudgeHasWhatMayRunOnce() -> void {
+    auto observed = SoundRun();
+    auto refused = Refused("c5", CallKind::once, 503);
+    refused.outcome.clear();
+    observed.calls = {Answered("c1", CallKind::once), refused, Answered("c6", CallKind::again)};
+    for (const auto* id : {"c1", "c1", "c5", "c6", "c6"}) {
+      judge::Arrival arrival;
+      arrival.id = id;
+      arrival.service = "app";
+      arrival.at = kSent;
+      arrival.ran = true;
+      observed.arrivals.push_back(arrival);
+    }
+    AssertHeld(observed);
+    const auto findings = judge::Judge(ToHistory(observed));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, findings.size());
+    CPPUNIT_ASSERT(findings[0].form == judge::Form::refused_and_ran);
+    CPPUNIT_ASSERT(findings[1].form == judge::Form::ran_again);
+    CPPUNIT_ASSERT(std::vector<std::string>{"c1"} == findings[1].requests);
+  }
+
+  // Guards against a silent entry that is excused because its caller gave up in the end.
+  auto testCallerLeavesAtItsDeadline() -> void {
     auto observed = SoundRun();
-    observed.starts["c1"] = 2;
-    AssertBroken(observed, Promise::runs_once);
+    observed.calls.push_back(Unanswered("c5", CallKind::again, 2 * kSecond));
+    observed.calls.back().gave_up = true;
+    observed.calls.back().deadline_ms = 2000;
+    AssertHeld(observed);
+    observed.calls.back().deadline_ms = 1000;
+    AssertBroken(observed, Promise::request_is_answered);
   }
 
   auto testProperRequestRefused() -> void {
--- a/tests/soak/convert.cc
+++ b/tests/soak/convert.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/convert.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <optional>
 
@@ -66,6 +67,8 @@
   out.timeout = call.timeout_ms * kMillisecond;
   out.ended_at = call.ended_at;
   out.status = call.status;
+  // Whether a revoked key or a large body is refused depends on the configuration in force.
+  out.allowed = !call.second_key && call.kind != CallKind::large_upload;
   out.complete = call.complete;
   out.gave_up = call.gave_up;
   return out;
@@ -113,6 +116,21 @@
   add(judge::DisturbanceKind::kill, run.killed_at, run.killed_at);
 }
 
+// Time at which a replica that drains since `from` is ready again: when a fault that made it drain
+// ends, or the store starts with all replicas ready.
+auto ReturnOf(const Observations& observed, const std::string& replica, judge::Time from)
+    -> judge::Time {
+  judge::Time out = 0;
+  for (const auto& fault : observed.disturbances) {
+    const bool returns = fault.kind == FaultKind::drain_replica && fault.replica == replica;
+    const auto at = returns ? fault.until : fault.from;
+    if ((returns || fault.kind == FaultKind::restart_store) && at > from) {
+      out = out == 0 ? at : std::min(out, at);
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 auto ReadReplicas(const std::vector<std::string>& lines, Observations& out) -> void {
@@ -152,6 +170,10 @@
   }
   for (const auto& run : observed.runs) AddRun(run, out.disturbances);
   for (const auto& fault : observed.disturbances) {
+    if (fault.kind == FaultKind::drain_replica && fault.from > 0) {
+      out.departures.push_back(
+          {fault.replica, fault.from, ReturnOf(observed, fault.replica, fault.from)});
+    }
     const auto kind = KindOf(fault.kind);
     if (kind && fault.from > 0) {
       out.disturbances.push_back({*kind, fault.entry, fault.replica, fault.from, fault.until});
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -183,6 +183,10 @@
 auto PlayPlan(const Plan& plan, const std::filesystem::path& directory, const std::string& program)
     -> std::vector<Broken> {
   std::filesystem::create_directories(directory);
+  // Histories are appended to.
+  if (std::filesystem::exists(directory / "callers.jsonl")) {
+    throw std::runtime_error(directory.string() + " has the files of another run");
+  }
   std::ofstream(directory / "plan.json") << FormatPlan(plan);
   std::cout << "seed " << plan.seed << ", files in " << directory.string() << std::endl;
   auto deployment = StartDeployment(plan, directory);
