Keep sending to a replica that pauses until a successor is in hand

A replica that did not read a long body for one second cost its caller a 502, also for requests that may not be repeated or had no other replica. Sending now lasts until the caller's deadline, and after one second another replica may take over as it does for silence. Before: testPauseWhileTheBodyIsSentIsAwaited got 502 after one second; now 200 by the same replica. testReplicaThatDoesNotReadIsLeftForAnotherOne holds before and after.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -17,7 +17,9 @@
 // Maximum time to open a connection. A live replica responds within the round trip between two
 // regions.
 constexpr std::chrono::milliseconds kConnectTimeout{400};
-constexpr std::chrono::milliseconds kSendTimeout{1000};
+// Time to send a request after which another replica may take over: one that is paused or busy
+// stops reading long bodies.
+constexpr std::chrono::milliseconds kMaxSendTime{1000};
 // Maximum responses to other requests that are skipped on a connection.
 constexpr int kMaxStrayResponses = 3;
 // Plain responses up to this size are read to their end before any byte is forwarded, so that a
@@ -62,17 +64,21 @@
   return direct::IsRetryable(*call.route) && call.tried.size() + 1 < call.route->attempts;
 }
 
-// Marks that the next event of the response is awaited, or its head if `first`.
-auto AwaitNextPart(Call& call, bool first) -> void {
+// Marks that the replica is awaited, and that another one may take over after `max_silence`.
+auto AwaitReplica(Call& call, core::Duration max_silence) -> void {
   if (!CanTryAnotherReplica(call)) return;
-  const core::Duration timeout =
-      first ? call.route->latency_objective * kFirstEventObjectives : kMaxEventGap;
-  call.silent_at = node::Now() + timeout;
+  call.silent_at = node::Now() + max_silence;
   call.seen_silent = false;
 }
 
-// Marks that no part of the response is awaited, so that silence does not end the attempt.
-auto EndAwaitedPart(Call& call) -> void { call.silent_at = core::Time::max(); }
+// Marks that the next event of the response is awaited, or its head if `first`.
+auto AwaitNextPart(Call& call, bool first) -> void {
+  AwaitReplica(call, first ? call.route->latency_objective * kFirstEventObjectives
+                           : core::Duration(kMaxEventGap));
+}
+
+// Marks that the replica is not awaited, so that silence does not end the attempt.
+auto EndAwait(Call& call) -> void { call.silent_at = core::Time::max(); }
 
 // Deadline for reading a part of a response.
 struct ReadDeadline {
@@ -285,7 +291,7 @@
     }
     if (events.empty()) continue;
     // The time that the caller takes to receive the events is not the replica's.
-    EndAwaitedPart(call);
+    EndAwait(call);
     MarkResponseStarted(relay, assignment);
     ObservePartLatency(relay, call, last);
     BeginResponse(relay, call, response, responder);
@@ -297,7 +303,7 @@
     if (!call.exchange->IsBodyComplete()) WaitForBatch(relay, *call.route);
     AwaitNextPart(call, false);
   }
-  EndAwaitedPart(call);
+  EndAwait(call);
   if (!call.event_splitter.partial_event.empty()) {
     throw core::Error(Step::read, assignment.address, "stream ended in the middle of an event");
   }
@@ -471,9 +477,11 @@
   }
   std::optional<core::Error> cut;
   try {
-    call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment), kSendTimeout);
+    AwaitReplica(call, kMaxSendTime);
+    call.exchange->Send(MakeForwardedRequest(relay, call, request, assignment),
+                        TimeToDeadline(call));
     const auto response = ReadResponse(relay, call, assignment, reused);
-    EndAwaitedPart(call);
+    EndAwait(call);
     direct::RecordResponseHead(assignment, node::Now());
     auto failure = RelayResponse(relay, call, assignment, response, responder);
     // A replica that sends responses without a request may do so again, and the next may have no
@@ -486,7 +494,7 @@
     return failure;
   } catch (const core::Error& error) {
     call.exchange->Cancel();
-    EndAwaitedPart(call);
+    EndAwait(call);
     if (error.GetStep() == Step::respond) throw;
     cut = error;
   }
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -229,9 +229,9 @@
   std::shared_ptr<PendingRequest> pending = std::make_shared<PendingRequest>();
   // Connection to the replica during an attempt.
   Exchange exchange;
-  // Time at which the attempt counts as silent unless the next part of the response arrives before,
-  // and whether EndSilentAttempts has seen that pass. The maximum while no part is awaited, and if
-  // no other replica may be tried.
+  // Time at which the attempt counts as silent unless the replica takes the request or sends the
+  // next part of its response before, and whether EndSilentAttempts has seen that pass. The maximum
+  // while the replica is not awaited, and if no other one may be tried.
   core::Time silent_at = core::Time::max();
   bool seen_silent = false;
   // The replica that takes over from a silent one, with a retry taken from the budget.
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <boost/asio/read.hpp>
 #include <boost/json.hpp>
 
 #include "fixture.h"
@@ -81,6 +82,8 @@
   CPPUNIT_TEST(testSlowCallerStaysAtTheReplica);
   CPPUNIT_TEST(testEventWithoutAnEndIsLeftForAnotherReplica);
   CPPUNIT_TEST(testCallerThatResetsFreesTheSlot);
+  CPPUNIT_TEST(testPauseWhileTheBodyIsSentIsAwaited);
+  CPPUNIT_TEST(testReplicaThatDoesNotReadIsLeftForAnotherOne);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -505,7 +508,59 @@
     AssertNothingInFlight(entry);
   }
 
+  // Guards against ending a request whose replica pauses before it has read the whole body,
+  // although no other replica can or may run it.
+  auto testPauseWhileTheBodyIsSentIsAwaited() -> void {
+    for (const auto* target : {"/once/x", "/again/x"}) {
+      RawReplica replica("a", ReadBodyAfter(milliseconds(2000)));
+      TestEntry entry;
+      entry.Configure(MakeFleetConfig());
+      entry.List(replica);
+      CPPUNIT_ASSERT_EQUAL(200, entry.Call(PostLongBody(target)).status);
+      CPPUNIT_ASSERT_EQUAL(1, replica.Requests());
+    }
+  }
+
+  // Guards against a caller that waits for a replica that hangs before it has read the whole body
+  // while another one could run the request.
+  auto testReplicaThatDoesNotReadIsLeftForAnotherOne() -> void {
+    RawReplica first("a", ReadBodyAfter(milliseconds(3500)));
+    RawReplica second("b", ReadBodyAfter(milliseconds(0)));
+    TestEntry entry;
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    const auto begin = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT_EQUAL(200, entry.Call(PostLongBody("/again/x")).status);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(1, second.Requests());
+  }
+
  private:
+  // More than the system buffers for a connection whose receiver does not read.
+  static constexpr std::size_t kLongBodyBytes = std::size_t{8} << 20;
+
+  static auto PostLongBody(const std::string& target) -> net::HttpRequest {
+    auto request = Get(target);
+    request.method = "POST";
+    request.body.assign(kLongBodyBytes, 'b');
+    return request;
+  }
+
+  // Reads the body and responds after a pause.
+  static auto ReadBodyAfter(milliseconds pause) -> RawReplica::Serve {
+    return [pause](int, const std::string& id, const RawReplica::Writer& write) {
+      std::this_thread::sleep_for(pause);
+      // The fixture has read less than this together with the head.
+      constexpr std::size_t max_read = std::size_t{64} << 10;
+      std::string body(kLongBodyBytes - max_read, ' ');
+      boost::system::error_code error;
+      boost::asio::read(write.socket, boost::asio::buffer(body), error);
+      if (error) return;
+      write("HTTP/1.1 200 OK\r\nId: " + id + "\r\nReceipt: r\r\nContent-Length: 0\r\n\r\n");
+    };
+  }
+
   // Policies under which no request is sent a second time.
   static auto PoliciesWithoutRetries() -> Policies {
     Policies policies;
