Test that a started entry repeats nothing at once and that metrics show it

No test of the relay would have noticed if it left out the start of the process: with started_at unset, two replicas got the request in place of one (the new test fails). Replicas that refuse connections are shown to take nothing from the budget.

--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(testNoCredentialWorksAfterTheLastIsRevoked);
   CPPUNIT_TEST(testOnceCallRunsOnce);
   CPPUNIT_TEST(testRepeatableCallIsRepeated);
+  CPPUNIT_TEST(testStartedEntryRepeatsNothingAtOnce);
+  CPPUNIT_TEST(testUnreachedReplicaTakesNoBudget);
   CPPUNIT_TEST(testRefusingReplicaProvesNotRun);
   CPPUNIT_TEST(testUnreachableReplicaProvesNotRun);
   CPPUNIT_TEST(testReplicasOwnFailureIsPassedOn);
@@ -169,6 +171,46 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.Requests().size());
   }
 
+  // Guards against a process that repeats requests from its start as if no process before it had,
+  // and against refused repeats that no metric shows.
+  auto testStartedEntryRepeatsNothingAtOnce() -> void {
+    FakeReplica first("a", AbortResponse);
+    FakeReplica second("b", AbortResponse);
+    TestEntry entry(MakeSettings("entry-1"), Policies{});
+    entry.Configure(MakeFleetConfig());
+    entry.List(first);
+    entry.List(second);
+    CPPUNIT_ASSERT_EQUAL(502, entry.Call(Get("/again/x")).status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.Requests().size() + second.Requests().size());
+    const auto metrics = entry.Call(Get("/metrics"), true).body;
+    CPPUNIT_ASSERT(metrics.find("filbertstair_retry_budget_refusals_total{service=\"s\"} 1") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(metrics.find("filbertstair_retry_budget_used_ratio{service=\"s\"} 0") !=
+                   std::string::npos);
+  }
+
+  // Guards against refused connections that use up the budget: the next replica gets the request
+  // for the first time.
+  auto testUnreachedReplicaTakesNoBudget() -> void {
+    FakeReplica replica("a", RespondOk);
+    TestEntry entry(MakeSettings("entry-1"), Policies{});
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    for (const auto* id : {"b", "c"}) {
+      direct::Listing gone;
+      gone.id = id;
+      gone.service = "s";
+      gone.address = "127.0.0.1:" + std::to_string(FreePorts(1)[0]);
+      gone.failure_domain = "n1";
+      gone.slots = 8;
+      AcceptListing(*entry.relay, gone);
+    }
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, entry.Call(Get("/once/x", std::to_string(i))).status);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, replica.Requests().size());
+  }
+
   // Guards against failing a call that a replica refused while another can run it, and against more
   // attempts than the route allows.
   auto testRefusingReplicaProvesNotRun() -> void {
