Export the time that requests waited before they were read

Nothing showed the time that a request spent in the backlog of the listener or in the buffer of its socket: the entry's clock starts when it reads the first byte. filbertstair_unread_wait_seconds takes the time since the last bytes arrived from TCP_INFO, by one call for each request. It is a lower bound for a request that arrived in parts, and zero on a socket that does not tell.

net.http_server_test blocks a listener's worker for 300 ms while a request waits on a new and on a kept connection; no deadline changes yet.

--- a/libs/entry/src/request.cc
+++ b/libs/entry/src/request.cc
@@ -405,6 +405,7 @@
   call.id = node::NextRequestId(entry.node);
   call.arrived_at = node::Now();
   call.snapshot = node::CurrentSnapshot(entry.node);
+  entry.node.metrics.Observe(Metric::unread_wait, request.unread_wait);
   node::RecordEvent(entry.node, call.id, {.kind = node::TraceKind::arrived});
   try {
     const auto refused = ProcessRequest(entry, request, shared, responder);
--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -34,6 +34,9 @@
   // Time at which the first bytes of the request arrived. Set only in requests passed to
   // HttpHandlers::request.
   core::Time began_at{};
+  // Time for which its first bytes had arrived at this machine before they were read: at least
+  // this, zero if the socket does not tell. Set with `began_at`.
+  core::Duration unread_wait{};
 };
 
 // Complete response with its body.
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -14,6 +14,7 @@
 #include "filbertstair/core/error.h"
 #include "peek.h"
 #include "screen.h"
+#include "unread.h"
 
 namespace filbertstair::net {
 namespace detail {
@@ -327,6 +328,7 @@
     const auto work = BeginWork(*listener);
     const auto began_at =
         std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+    const auto unread_wait = TimeSinceArrival(stream.socket().native_handle());
     initial_data.work.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
@@ -350,6 +352,7 @@
     auto request = ToHttpRequest(parser.release(), peer);
     request.admitted = std::exchange(initial_data.admitted, false);
     request.began_at = began_at;
+    request.unread_wait = unread_wait;
     HandleRequest(*listener, exchange, request);
     keep_open = exchange.keep_alive && !exchange.aborted;
     // An orderly close would make a truncated response look complete.
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -355,6 +356,51 @@
   return false;
 }
 
+// A request as a listener saw it, and when its first and last bytes were written.
+struct TimedRequest {
+  HttpRequest request;
+  std::chrono::steady_clock::time_point first_written{};
+  std::chrono::steady_clock::time_point last_written{};
+};
+
+// Time for which the worker of a listener is blocked while a request arrives, and the error that a
+// test allows, more than the kernel's timer tick.
+constexpr milliseconds kBlocked{300};
+constexpr milliseconds kTimeError{50};
+
+// Writes the parts of a request with 100 ms between them while the worker of the listener is
+// blocked for kBlocked: on a new connection that waits in the backlog, or on one that has been
+// used before.
+auto ArriveUnread(const std::vector<std::string>& parts, bool kept) -> TimedRequest {
+  TimedRequest out;
+  RunPair(
+      [&](const HttpRequest& request, Responder& responder) {
+        if (request.target == "/timed") out.request = request;
+        responder.Respond(200, {}, "");
+        if (request.target == "/hold") std::this_thread::sleep_for(kBlocked);
+      },
+      [&](const std::string& address) {
+        BlockingCallers caller;
+        std::array<char, 1024> received{};
+        if (kept) {
+          caller.Connect(address, 1);
+          caller.Write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+          caller.sockets[0].read_some(boost::asio::buffer(received));
+        }
+        HttpExchange hold;
+        hold.StartRequest(address, MakeGet("/hold"), kTimeout, kTimeout);
+        if (!kept) caller.Connect(address, 1);
+        out.first_written = std::chrono::steady_clock::now();
+        for (const auto& part : parts) {
+          if (&part != &parts.front()) std::this_thread::sleep_for(milliseconds(100));
+          out.last_written = std::chrono::steady_clock::now();
+          caller.Write(part);
+        }
+        caller.sockets[0].read_some(boost::asio::buffer(received));
+      });
+  return out;
+}
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(testWholeAnswer);
@@ -380,6 +426,7 @@
   CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
   CPPUNIT_TEST(testAnswerToHeadHasNoBody);
   CPPUNIT_TEST(testOldCallerGetsNoChunks);
+  CPPUNIT_TEST(testWaitBeforeReading);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -781,6 +828,31 @@
           CPPUNIT_ASSERT(response.ends_with("\r\n\r\nonetwo"));
         });
   }
+
+  // Guards against a wait in the backlog or in the socket's buffer that nothing shows.
+  auto testWaitBeforeReading() -> void {
+    for (const bool kept : {false, true}) {
+      const auto seen = ArriveUnread({"GET /timed HTTP/1.1\r\nHost: h\r\n\r\n"}, kept);
+      CPPUNIT_ASSERT(seen.request.unread_wait > kBlocked - kTimeError);
+      CPPUNIT_ASSERT(seen.request.unread_wait < kBlocked + milliseconds(2000));
+    }
+    // Bytes that are read as they arrive have not waited.
+    RunPair(
+        [&](const HttpRequest& request, Responder& responder) {
+          const bool read_at_once = request.unread_wait < kBlocked - kTimeError;
+          responder.Respond(read_at_once ? 200 : 500, {}, "");
+        },
+        [](const std::string& address) {
+          HttpExchange exchange;
+          exchange.Connect(address, kTimeout);
+          for (int i = 0; i < 2; ++i) {
+            runtime::SleepFor(kBlocked);
+            exchange.Send({"GET", "/", {{"Host", "a"}}, "", ""}, kTimeout);
+            CPPUNIT_ASSERT_EQUAL(200, exchange.ReadHead(kTimeout).status);
+            CPPUNIT_ASSERT_EQUAL(std::string(), exchange.ReadBody(kTimeout));
+          }
+        });
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -459,6 +459,7 @@
   const auto call = std::make_shared<Call>();
   const node::RegistrationGuard listed(ThisWorker(relay).calls, call);
   ParseCall(relay, request, *call);
+  relay.node.metrics.Observe(Metric::unread_wait, request.unread_wait);
   node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
   try {
     FinishCall(relay, *call, HandleCall(relay, request, call, responder), responder);
--- a/libs/telemetry/include/filbertstair/telemetry/metrics.h
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -16,6 +16,7 @@
   requests,
   refusals,
   retries,
+  unread_wait,
   queue_wait,
   first_byte,
   part_gap,
@@ -44,13 +45,15 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 20> kMetrics{{
+inline constexpr std::array<MetricInfo, 21> kMetrics{{
     {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
      "Requests answered, by outcome"},
     {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
      "Requests or submissions refused, by reason"},
     {Metric::retries, MetricKind::counter, "filbertstair_retries_total", "reason",
      "Requests submitted again, by reason"},
+    {Metric::unread_wait, MetricKind::histogram, "filbertstair_unread_wait_seconds", "",
+     "Time for which a request that had arrived was not read, as far as the kernel tells"},
     {Metric::queue_wait, MetricKind::histogram, "filbertstair_queue_wait_seconds", "",
      "Time from arrival at the entry to admission"},
     {Metric::first_byte, MetricKind::histogram, "filbertstair_first_byte_seconds", "",
