Count a request's time from its arrival in the kernel

Callers' requests reached replicas with more time than the callers had left. The entry took the moment at which it read the first byte as the beginning of a request, so that time in the backlog of the listener or in the buffer of the socket was not taken off. TCP_INFO tells when the last bytes arrived; what was read before is at least as old, also a pipelined request in the entry's own buffer. A deadline is never longer than before, and the same on a socket that does not tell.

A request that arrives in parts while it is not read counts from the last of them: the kernel keeps no other time.

--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -31,8 +31,8 @@
   std::string peer;
   // Whether the listener's screening has admitted the request.
   bool admitted = false;
-  // Time at which the first bytes of the request arrived. Set only in requests passed to
-  // HttpHandlers::request.
+  // Time at which the first bytes of the request arrived at this machine, or later if bytes that
+  // followed waited with them. Set only in requests passed to HttpHandlers::request.
   core::Time began_at{};
   // Time for which its first bytes had arrived at this machine before they were read: at least
   // this, zero if the socket does not tell. Set with `began_at`.
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -326,9 +326,10 @@
     if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
     if (WaitForRequest(*listener, stream, buffer)) break;
     const auto work = BeginWork(*listener);
-    const auto began_at =
-        std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
     const auto unread_wait = TimeSinceArrival(stream.socket().native_handle());
+    const auto began_at =
+        std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now()) -
+        unread_wait;
     initial_data.work.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -427,6 +427,8 @@
   CPPUNIT_TEST(testAnswerToHeadHasNoBody);
   CPPUNIT_TEST(testOldCallerGetsNoChunks);
   CPPUNIT_TEST(testWaitBeforeReading);
+  CPPUNIT_TEST(testRequestBeginsWhenItArrives);
+  CPPUNIT_TEST(testPipelinedRequestBeginsWhenItArrives);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -853,6 +855,41 @@
           }
         });
   }
+
+  // Guards against a replica that works longer than the caller waits, because the time for which
+  // the request lay unread in the backlog or in the socket's buffer is not taken off.
+  auto testRequestBeginsWhenItArrives() -> void {
+    const std::string head = "POST /timed HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo";
+    for (const bool kept : {false, true}) {
+      const auto whole = ArriveUnread({head + "dy"}, kept);
+      CPPUNIT_ASSERT(whole.request.began_at < whole.first_written + kTimeError);
+      CPPUNIT_ASSERT(whole.request.began_at > whole.first_written - kTimeError);
+      // The kernel tells only when the last part arrived.
+      const auto parts = ArriveUnread({head, "d", "y"}, kept);
+      CPPUNIT_ASSERT(parts.request.began_at < parts.last_written + kTimeError);
+      CPPUNIT_ASSERT(parts.request.began_at > parts.first_written - kTimeError);
+    }
+  }
+
+  // Guards against a request whose time begins only when the response before it is sent.
+  auto testPipelinedRequestBeginsWhenItArrives() -> void {
+    core::Time began_at{};
+    std::chrono::steady_clock::time_point written;
+    RunPair(
+        [&](const HttpRequest& request, Responder& responder) {
+          if (request.target == "/first") runtime::SleepFor(kBlocked);
+          if (request.target == "/second") began_at = request.began_at;
+          responder.Respond(200, {}, "");
+        },
+        [&](const std::string& address) {
+          written = std::chrono::steady_clock::now();
+          ExchangeBytes(address,
+                        "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /second HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        });
+    CPPUNIT_ASSERT(began_at < written + kBlocked - kTimeError);
+    CPPUNIT_ASSERT(began_at > written - kTimeError);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
