Don't begin a request with the empty line before it

A caller that sends an empty line after a body, as some do, had the time since then taken off its next request on the connection: the entry read the line at once and counted the request from there. After a pause longer than the deadline the request was refused or ended at once. The empty line is now skipped before the request begins, and the connection counts as idle meanwhile.

Before: net.http_server_test failed in testEmptyLineBeginsNoRequest; the second request began 300 ms before it was written. Now it passes.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -135,9 +135,9 @@
   return listener.handlers.limits ? listener.handlers.limits() : listener.limits;
 }
 
-// Waits for the first bytes of the next request unless some are already buffered.
-auto WaitForRequest(HttpListener::State& listener, beast::tcp_stream& stream,
-                    beast::flat_buffer& buffer) -> boost::system::error_code {
+// Waits for bytes on an idle connection unless some are already buffered.
+auto WaitForBytes(HttpListener::State& listener, beast::tcp_stream& stream,
+                  beast::flat_buffer& buffer) -> boost::system::error_code {
   constexpr std::size_t first_read = 4096;
   boost::system::error_code error;
   // A wait that was cancelled to close the connection goes on if a request has arrived meanwhile:
@@ -170,22 +170,25 @@
   return {static_cast<const char*>(buffer.cdata().data()), buffer.size()};
 }
 
-// Skips one empty line before a request: some callers send one after a body.
-auto SkipEmptyLine(beast::tcp_stream& stream, beast::flat_buffer& buffer)
-    -> boost::system::error_code {
+// Waits for the first bytes of the next request. Skips one empty line before it, which some callers
+// send after a body: it does not begin a request.
+auto WaitForRequest(HttpListener::State& listener, beast::tcp_stream& stream,
+                    beast::flat_buffer& buffer) -> boost::system::error_code {
   constexpr std::string_view line_end = "\r\n";
+  if (const auto error = WaitForBytes(listener, stream, buffer)) return error;
   if (Bytes(buffer) == "\r") {
+    stream.expires_after(CurrentLimits(listener).max_idle_time);
     if (const auto error = ReadMore(stream, buffer)) return error;
   }
-  if (Bytes(buffer).starts_with(line_end)) buffer.consume(line_end.size());
-  return {};
+  if (!Bytes(buffer).starts_with(line_end)) return {};
+  buffer.consume(line_end.size());
+  return WaitForBytes(listener, stream, buffer);
 }
 
 // Reads the head of a request. Unlike http::async_read_header, refuses folded fields, which the
 // parser joins without a trace.
 auto ReadHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
               http::request_parser<http::string_body>& parser) -> boost::system::error_code {
-  if (const auto error = SkipEmptyLine(stream, buffer)) return error;
   while (true) {
     boost::system::error_code error;
     if (buffer.size() > 0) {
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -429,6 +429,7 @@
   CPPUNIT_TEST(testWaitBeforeReading);
   CPPUNIT_TEST(testRequestBeginsWhenItArrives);
   CPPUNIT_TEST(testPipelinedRequestBeginsWhenItArrives);
+  CPPUNIT_TEST(testEmptyLineBeginsNoRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -890,6 +891,33 @@
     CPPUNIT_ASSERT(began_at < written + kBlocked - kTimeError);
     CPPUNIT_ASSERT(began_at > written - kTimeError);
   }
+
+  // Guards against a request whose time runs from the empty line that some callers send after the
+  // body before it, however long ago that was.
+  auto testEmptyLineBeginsNoRequest() -> void {
+    for (const std::string line : {"\r\n", "\r"}) {
+      core::Time began_at{};
+      std::chrono::steady_clock::time_point written;
+      RunPair(
+          [&](const HttpRequest& request, Responder& responder) {
+            if (request.target == "/second") began_at = request.began_at;
+            responder.Respond(200, {}, "");
+          },
+          [&](const std::string& address) {
+            BlockingCallers caller;
+            caller.Connect(address, 1);
+            caller.Write("POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" + line);
+            std::array<char, 1024> received{};
+            caller.sockets[0].read_some(boost::asio::buffer(received));
+            std::this_thread::sleep_for(kBlocked);
+            written = std::chrono::steady_clock::now();
+            caller.Write((line == "\r" ? "\n" : "") +
+                         std::string("GET /second HTTP/1.1\r\nHost: h\r\n\r\n"));
+            caller.sockets[0].read_some(boost::asio::buffer(received));
+          });
+      CPPUNIT_ASSERT(began_at > written - kTimeError);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
