Refuse requests whose time had passed when they were read

A request that an entry read after the caller's deadline still went to a replica, with no time left; the caller had given up, and learnt nothing of the outcome if it had not. It is now refused at once with 503 and the outcome not_run, because that status promises that the request did not run.

Before: platform.daemon_test failed in testRequestThatIsReadTooLate, with an entry that was paused for 1 s and a deadline of 500 ms. Now it passes.

--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -150,6 +150,14 @@
                      kDrainRetryDelay);
 }
 
+// Refuses a request whose time had passed before it was read. The reason is one whose status
+// promises that the request did not run.
+auto RefuseExpired(const Call& call) -> std::optional<RequestRefusal> {
+  if (node::Now() < call.deadline) return std::nullopt;
+  return MakeRefusal(Reason::overloaded, Step::read,
+                     "the time of the request had passed when it was read");
+}
+
 // Refuses a request whose prompt would crash a replica.
 auto RefuseQuarantined(Relay& relay, const Call& call) -> std::optional<RequestRefusal> {
   const auto quarantine = FindQuarantine(relay, call);
@@ -359,6 +367,10 @@
     node::SetTraceTarget(table, call->id, call->service, call->workspace);
   });
   CountArrival(relay, *call);
+  if (auto refused = RefuseExpired(*call)) {
+    CountRefusal(relay, *call, refused->reason);
+    return refused;
+  }
   if (auto refused = RefuseIfDraining(relay, *call)) {
     CountRefusal(relay, *call, refused->reason);
     return refused;
