Answer what a full listener has read

A listener without room for a further connection read what had arrived and closed the connection without an answer, if the request had not arrived whole, was malformed, or would have been refused for another reason: a caller could not tell whether it had run. Any bytes now get the refusal for overload, which promises that the request did not run. A connection on which nothing has arrived is closed as before.

--- a/libs/net/include/filbertstair/net/http_server.h
+++ b/libs/net/include/filbertstair/net/http_server.h
@@ -130,7 +130,9 @@
   // Returns whether new connections are screened. Screening handles a request that has arrived
   // completely when its connection is accepted: `screen` gets it without its body, and `full` tells
   // whether the listener has reached max_connections. A returned refusal is sent and the connection
-  // closed, at a fraction of the cost of a fiber for the connection. Neither function may suspend.
+  // closed, at a fraction of the cost of a fiber for the connection. On a full listener `screen`
+  // has to refuse every request, and gets an empty one for bytes that are no complete request.
+  // Neither function may suspend.
   std::function<bool()> should_screen{};
   std::function<ScreenResult(const HttpRequest&, bool full)> screen{};
   // Called when the first bytes of a request have arrived. The result is released once the request
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -273,8 +273,19 @@
   StopWatching(exchange);
 }
 
-// Sends the response to a refused request that has arrived completely. Returns whether the
-// connection is finished, which is always the case if the listener has reached max_connections.
+// Drops bytes that have arrived, within limits: closing a connection with unread bytes resets it,
+// and the caller may then lose the response.
+auto DiscardAvailable(int socket) -> void {
+  for (std::size_t discarded = 0; discarded < kMaxDiscardedBytes;) {
+    const auto bytes = ReceiveAvailable(socket);
+    if (bytes.empty()) return;
+    discarded += bytes.size();
+  }
+}
+
+// Sends the response to a refused request that has arrived completely; on a listener that has
+// reached max_connections, to any bytes. Returns whether the connection is finished, which is
+// always the case on such a listener.
 auto ScreenConnection(const HttpListener::State& listener, int socket, InitialData& initial_data)
     -> bool {
   const auto limits = CurrentLimits(listener);
@@ -289,10 +300,11 @@
   if (full && !listener.idle.empty()) listener.idle.begin()->first->cancel();
   initial_data.bytes = ReceiveAvailable(socket);
   const auto request = ParseCompleteRequest(initial_data.bytes, limits);
-  if (!request) return full;
-  const auto result = listener.handlers.screen(*request, full);
+  if (!request && (!full || initial_data.bytes.empty())) return full;
+  const auto result = listener.handlers.screen(request.value_or(HttpRequest()), full);
   initial_data.admitted = result.admitted;
   if (!result.refusal) return full;
+  if (!request) DiscardAvailable(socket);
   SendNonBlocking(socket, *result.refusal);
   return true;
 }
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -430,6 +430,7 @@
   CPPUNIT_TEST(testRequestBeginsWhenItArrives);
   CPPUNIT_TEST(testPipelinedRequestBeginsWhenItArrives);
   CPPUNIT_TEST(testEmptyLineBeginsNoRequest);
+  CPPUNIT_TEST(testFullListenerAnswersWhatItRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -918,6 +919,39 @@
       CPPUNIT_ASSERT(began_at > written - kTimeError);
     }
   }
+
+  // Guards against a full listener that reads bytes and closes the connection without an answer,
+  // because they are no complete request.
+  auto testFullListenerAnswersWhatItRead() -> void {
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+    const std::vector<std::string> parts = {
+        head + "body", head + "bo",          head,
+        "POST / HT",   "no request\r\n\r\n", head + std::string(200000, 'x')};
+    RunPair(
+        [](const HttpRequest&, Responder& responder) {
+          responder.Begin(200, {});
+          responder.Write("held");
+          // Lets the requests of the test arrive before their connections are accepted.
+          std::this_thread::sleep_for(kBlocked);
+          runtime::SleepFor(kBlocked);
+          responder.End();
+        },
+        [&](const std::string& address) {
+          HttpExchange hold;
+          hold.StartRequest(address, MakeGet("/"), kTimeout, kTimeout);
+          std::vector<std::future<std::string>> responses;
+          responses.reserve(parts.size());
+          for (const auto& part : parts) {
+            responses.push_back(
+                std::async(std::launch::async, [&] { return ExchangeBytes(address, part); }));
+          }
+          for (std::size_t i = 0; i < parts.size(); ++i) {
+            CPPUNIT_ASSERT_MESSAGE(parts[i].substr(0, 100),
+                                   responses[i].get().starts_with("HTTP/1.1 503 "));
+          }
+        },
+        RefuseSome, 1);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -443,7 +443,8 @@
 auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full) -> net::ScreenResult {
   Call call;
   ParseCall(relay, head, call);
-  if (ResolveRequest(relay, head, call)) return {};
+  const bool resolved = !ResolveRequest(relay, head, call);
+  if (!resolved && !full) return {};
   const auto refused =
       full ? MakeRefusal(Reason::overloaded, Step::allocate, "no memory for further connections",
                          relay.policies.admission.short_retry_delay)
@@ -452,8 +453,10 @@
     direct::RecordAdmission(ThisWorker(relay).limiter, relay.policies.admission, node::Now());
     return {.admitted = true};
   }
-  CountArrival(relay, call);
-  CountRefusal(relay, call, refused->reason);
+  if (resolved) {
+    CountArrival(relay, call);
+    CountRefusal(relay, call, refused->reason);
+  }
   return {.refusal = node::MakeRefusalResponse(relay.node, call.id, call.workspace, *refused)};
 }
 
