Answer a request whose handling ends unexpectedly

A request that a replica had run could end with a closed connection and no answer: relay::HandleRequest caught only core::Error, and any other exception, such as memory that is refused, ended the connection's fiber with it.

Before: relay.relay_test failed in testUnexpectedExceptionIsAnswered, with the connection closed and no status. Now it passes. The capacity that the request held at its replica is still not returned on this path.

--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -487,6 +487,14 @@
                        .step = error.GetStep(),
                        .reason = Reason::answer_cut});
     responder.Abort();
+  } catch (const std::exception& error) {
+    // A fault of this program, or memory that was refused: a replica may have run the request.
+    if (call->exchange) call->exchange->Cancel();
+    node::LogError(Level::error, Event::internal_error, error, call->id);
+    FinishCall(relay, *call,
+               RequestRefusal{Reason::connection_lost, Outcome::unknown, Step::respond, "",
+                              "the request failed unexpectedly", std::chrono::seconds(1)},
+               responder);
   }
 }
 
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -287,6 +287,9 @@
   explicit TestEntry(settings::Settings settings = MakeSettings("entry-1"))
       : node(std::move(settings), 1), relay(Start(this->node, TestDialect())) {}
 
+  explicit TestEntry(const Dialect& dialect)
+      : node(MakeSettings("entry-1"), 1), relay(Start(this->node, dialect)) {}
+
   TestEntry(settings::Settings settings, const Policies& policies)
       : node(std::move(settings), 1), relay(Start(this->node, TestDialect(), policies)) {}
 
--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(testAnswerToAnotherRequest);
   CPPUNIT_TEST(testDrain);
   CPPUNIT_TEST(testOverloadedEntryTurnsCallersAway);
+  CPPUNIT_TEST(testUnexpectedExceptionIsAnswered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -50,6 +51,26 @@
     CPPUNIT_ASSERT(net::FindHeader(request.headers, "Key").empty());
   }
 
+  // Guards against a caller's connection that is closed without an answer after a replica ran the
+  // request, because the handler ended by an exception that it does not expect.
+  auto testUnexpectedExceptionIsAnswered() -> void {
+    FakeReplica replica("a", RespondOk);
+    auto dialect = TestDialect();
+    dialect.make_response_headers = [](const net::HttpResponseHead&) -> net::Headers {
+      throw std::bad_alloc();
+    };
+    TestEntry entry(dialect);
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    const auto answer = entry.Call(Get("/once/x"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replica.Requests().size());
+    CPPUNIT_ASSERT_EQUAL(502, answer.status);
+    CPPUNIT_ASSERT(answer.whole);
+    CPPUNIT_ASSERT(net::FindHeader(answer.headers, "X-Outcome") == "unknown");
+    // The entry goes on to serve.
+    CPPUNIT_ASSERT_EQUAL(502, entry.Call(Get("/once/x", "2")).status);
+  }
+
   // Guards against statuses that misstate what happened, and against sending requests that are not
   // allowed to a replica.
   auto testRefusalsBeforeAnyReplica() -> void {
