--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -14,6 +14,7 @@
 #include "filbertstair/core/error.h"
 #include "peek.h"
 #include "screen.h"
+#include "unread.h"
 
 namespace filbertstair::net {
 namespace detail {
@@ -134,9 +135,9 @@
   return listener.handlers.limits ? listener.handlers.limits() : listener.limits;
 }
 
-// Waits for the first bytes of the next request unless some are already buffered.
-auto WaitForRequest(HttpListener::State& listener, beast::tcp_stream& stream,
-                    beast::flat_buffer& buffer) -> boost::system::error_code {
+// Waits for bytes on an idle connection unless some are already buffered.
+auto WaitForBytes(HttpListener::State& listener, beast::tcp_stream& stream,
+                  beast::flat_buffer& buffer) -> boost::system::error_code {
   constexpr std::size_t first_read = 4096;
   boost::system::error_code error;
   // A wait that was cancelled to close the connection goes on if a request has arrived meanwhile:
@@ -169,22 +170,25 @@
   return {static_cast<const char*>(buffer.cdata().data()), buffer.size()};
 }
 
-// Skips one empty line before a request: some callers send one after a body.
-auto SkipEmptyLine(beast::tcp_stream& stream, beast::flat_buffer& buffer)
-    -> boost::system::error_code {
+// Waits for the first bytes of the next request. Skips one empty line before it, which some callers
+// send after a body: it does not begin a request.
+auto WaitForRequest(HttpListener::State& listener, beast::tcp_stream& stream,
+                    beast::flat_buffer& buffer) -> boost::system::error_code {
   constexpr std::string_view line_end = "\r\n";
+  if (const auto error = WaitForBytes(listener, stream, buffer)) return error;
   if (Bytes(buffer) == "\r") {
+    stream.expires_after(CurrentLimits(listener).max_idle_time);
     if (const auto error = ReadMore(stream, buffer)) return error;
   }
-  if (Bytes(buffer).starts_with(line_end)) buffer.consume(line_end.size());
-  return {};
+  if (!Bytes(buffer).starts_with(line_end)) return {};
+  buffer.consume(line_end.size());
+  return WaitForBytes(listener, stream, buffer);
 }
 
 // Reads the head of a request. Unlike http::async_read_header, refuses folded fields, which the
 // parser joins without a trace.
 auto ReadHead(beast::tcp_stream& stream, beast::flat_buffer& buffer,
               http::request_parser<http::string_body>& parser) -> boost::system::error_code {
-  if (const auto error = SkipEmptyLine(stream, buffer)) return error;
   while (true) {
     boost::system::error_code error;
     if (buffer.size() > 0) {
@@ -269,8 +273,19 @@
   StopWatching(exchange);
 }
 
-// Sends the response to a refused request that has arrived completely. Returns whether the
-// connection is finished, which is always the case if the listener has reached max_connections.
+// Drops bytes that have arrived, within limits: closing a connection with unread bytes resets it,
+// and the caller may then lose the response.
+auto DiscardAvailable(int socket) -> void {
+  for (std::size_t discarded = 0; discarded < kMaxDiscardedBytes;) {
+    const auto bytes = ReceiveAvailable(socket);
+    if (bytes.empty()) return;
+    discarded += bytes.size();
+  }
+}
+
+// Sends the response to a refused request that has arrived completely; on a listener that has
+// reached max_connections, to any bytes. Returns whether the connection is finished, which is
+// always the case on such a listener.
 auto ScreenConnection(const HttpListener::State& listener, int socket, InitialData& initial_data)
     -> bool {
   const auto limits = CurrentLimits(listener);
@@ -285,10 +300,11 @@
   if (full && !listener.idle.empty()) listener.idle.begin()->first->cancel();
   initial_data.bytes = ReceiveAvailable(socket);
   const auto request = ParseCompleteRequest(initial_data.bytes, limits);
-  if (!request) return full;
-  const auto result = listener.handlers.screen(*request, full);
+  if (!request && (!full || initial_data.bytes.empty())) return full;
+  const auto result = listener.handlers.screen(request.value_or(HttpRequest()), full);
   initial_data.admitted = result.admitted;
   if (!result.refusal) return full;
+  if (!request) DiscardAvailable(socket);
   SendNonBlocking(socket, *result.refusal);
   return true;
 }
@@ -325,8 +341,10 @@
     if (listener->draining && !first && buffer.size() == 0 && !HasUnreadBytes(stream)) break;
     if (WaitForRequest(*listener, stream, buffer)) break;
     const auto work = BeginWork(*listener);
+    const auto unread_wait = TimeSinceArrival(stream.socket().native_handle());
     const auto began_at =
-        std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+        std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now()) -
+        unread_wait;
     initial_data.work.reset();
     http::request_parser<http::string_body> parser;
     const auto error = ReadRequest(*listener, stream, buffer, parser);
@@ -350,6 +368,7 @@
     auto request = ToHttpRequest(parser.release(), peer);
     request.admitted = std::exchange(initial_data.admitted, false);
     request.began_at = began_at;
+    request.unread_wait = unread_wait;
     HandleRequest(*listener, exchange, request);
     keep_open = exchange.keep_alive && !exchange.aborted;
     // An orderly close would make a truncated response look complete.
--- a/libs/net/test/http_server_test.cc
+++ b/libs/net/test/http_server_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -355,6 +356,51 @@
   return false;
 }
 
+// A request as a listener saw it, and when its first and last bytes were written.
+struct TimedRequest {
+  HttpRequest request;
+  std::chrono::steady_clock::time_point first_written{};
+  std::chrono::steady_clock::time_point last_written{};
+};
+
+// Time for which the worker of a listener is blocked while a request arrives, and the error that a
+// test allows, more than the kernel's timer tick.
+constexpr milliseconds kBlocked{300};
+constexpr milliseconds kTimeError{50};
+
+// Writes the parts of a request with 100 ms between them while the worker of the listener is
+// blocked for kBlocked: on a new connection that waits in the backlog, or on one that has been
+// used before.
+auto ArriveUnread(const std::vector<std::string>& parts, bool kept) -> TimedRequest {
+  TimedRequest out;
+  RunPair(
+      [&](const HttpRequest& request, Responder& responder) {
+        if (request.target == "/timed") out.request = request;
+        responder.Respond(200, {}, "");
+        if (request.target == "/hold") std::this_thread::sleep_for(kBlocked);
+      },
+      [&](const std::string& address) {
+        BlockingCallers caller;
+        std::array<char, 1024> received{};
+        if (kept) {
+          caller.Connect(address, 1);
+          caller.Write("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+          caller.sockets[0].read_some(boost::asio::buffer(received));
+        }
+        HttpExchange hold;
+        hold.StartRequest(address, MakeGet("/hold"), kTimeout, kTimeout);
+        if (!kept) caller.Connect(address, 1);
+        out.first_written = std::chrono::steady_clock::now();
+        for (const auto& part : parts) {
+          if (&part != &parts.front()) std::this_thread::sleep_for(milliseconds(100));
+          out.last_written = std::chrono::steady_clock::now();
+          caller.Write(part);
+        }
+        caller.sockets[0].read_some(boost::asio::buffer(received));
+      });
+  return out;
+}
+
 class HttpServerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpServerTest);
   CPPUNIT_TEST(testWholeAnswer);
@@ -380,6 +426,11 @@
   CPPUNIT_TEST(testFetchNeedsAMarkedEnd);
   CPPUNIT_TEST(testAnswerToHeadHasNoBody);
   CPPUNIT_TEST(testOldCallerGetsNoChunks);
+  CPPUNIT_TEST(testWaitBeforeReading);
+  CPPUNIT_TEST(testRequestBeginsWhenItArrives);
+  CPPUNIT_TEST(testPipelinedRequestBeginsWhenItArrives);
+  CPPUNIT_TEST(testEmptyLineBeginsNoRequest);
+  CPPUNIT_TEST(testFullListenerAnswersWhatItRead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -781,6 +832,126 @@
           CPPUNIT_ASSERT(response.ends_with("\r\n\r\nonetwo"));
         });
   }
+
+  // Guards against a wait in the backlog or in the socket's buffer that nothing shows.
+  auto testWaitBeforeReading() -> void {
+    for (const bool kept : {false, true}) {
+      const auto seen = ArriveUnread({"GET /timed HTTP/1.1\r\nHost: h\r\n\r\n"}, kept);
+      CPPUNIT_ASSERT(seen.request.unread_wait > kBlocked - kTimeError);
+      CPPUNIT_ASSERT(seen.request.unread_wait < kBlocked + milliseconds(2000));
+    }
+    // Bytes that are read as they arrive have not waited.
+    RunPair(
+        [&](const HttpRequest& request, Responder& responder) {
+          const bool read_at_once = request.unread_wait < kBlocked - kTimeError;
+          responder.Respond(read_at_once ? 200 : 500, {}, "");
+        },
+        [](const std::string& address) {
+          HttpExchange exchange;
+          exchange.Connect(address, kTimeout);
+          for (int i = 0; i < 2; ++i) {
+            runtime::SleepFor(kBlocked);
+            exchange.Send({"GET", "/", {{"Host", "a"}}, "", ""}, kTimeout);
+            CPPUNIT_ASSERT_EQUAL(200, exchange.ReadHead(kTimeout).status);
+            CPPUNIT_ASSERT_EQUAL(std::string(), exchange.ReadBody(kTimeout));
+          }
+        });
+  }
+
+  // Guards against a replica that works longer than the caller waits, because the time for which
+  // the request lay unread in the backlog or in the socket's buffer is not taken off.
+  auto testRequestBeginsWhenItArrives() -> void {
+    const std::string head = "POST /timed HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo";
+    for (const bool kept : {false, true}) {
+      const auto whole = ArriveUnread({head + "dy"}, kept);
+      CPPUNIT_ASSERT(whole.request.began_at < whole.first_written + kTimeError);
+      CPPUNIT_ASSERT(whole.request.began_at > whole.first_written - kTimeError);
+      // The kernel tells only when the last part arrived.
+      const auto parts = ArriveUnread({head, "d", "y"}, kept);
+      CPPUNIT_ASSERT(parts.request.began_at < parts.last_written + kTimeError);
+      CPPUNIT_ASSERT(parts.request.began_at > parts.first_written - kTimeError);
+    }
+  }
+
+  // Guards against a request whose time begins only when the response before it is sent.
+  auto testPipelinedRequestBeginsWhenItArrives() -> void {
+    core::Time began_at{};
+    std::chrono::steady_clock::time_point written;
+    RunPair(
+        [&](const HttpRequest& request, Responder& responder) {
+          if (request.target == "/first") runtime::SleepFor(kBlocked);
+          if (request.target == "/second") began_at = request.began_at;
+          responder.Respond(200, {}, "");
+        },
+        [&](const std::string& address) {
+          written = std::chrono::steady_clock::now();
+          ExchangeBytes(address,
+                        "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"
+                        "GET /second HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        });
+    CPPUNIT_ASSERT(began_at < written + kBlocked - kTimeError);
+    CPPUNIT_ASSERT(began_at > written - kTimeError);
+  }
+
+  // Guards against a request whose time runs from the empty line that some callers send after the
+  // body before it, however long ago that was.
+  auto testEmptyLineBeginsNoRequest() -> void {
+    for (const std::string line : {"\r\n", "\r"}) {
+      core::Time began_at{};
+      std::chrono::steady_clock::time_point written;
+      RunPair(
+          [&](const HttpRequest& request, Responder& responder) {
+            if (request.target == "/second") began_at = request.began_at;
+            responder.Respond(200, {}, "");
+          },
+          [&](const std::string& address) {
+            BlockingCallers caller;
+            caller.Connect(address, 1);
+            caller.Write("POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx" + line);
+            std::array<char, 1024> received{};
+            caller.sockets[0].read_some(boost::asio::buffer(received));
+            std::this_thread::sleep_for(kBlocked);
+            written = std::chrono::steady_clock::now();
+            caller.Write((line == "\r" ? "\n" : "") +
+                         std::string("GET /second HTTP/1.1\r\nHost: h\r\n\r\n"));
+            caller.sockets[0].read_some(boost::asio::buffer(received));
+          });
+      CPPUNIT_ASSERT(began_at > written - kTimeError);
+    }
+  }
+
+  // Guards against a full listener that reads bytes and closes the connection without an answer,
+  // because they are no complete request.
+  auto testFullListenerAnswersWhatItRead() -> void {
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+    const std::vector<std::string> parts = {
+        head + "body", head + "bo",          head,
+        "POST / HT",   "no request\r\n\r\n", head + std::string(200000, 'x')};
+    RunPair(
+        [](const HttpRequest&, Responder& responder) {
+          responder.Begin(200, {});
+          responder.Write("held");
+          // Lets the requests of the test arrive before their connections are accepted.
+          std::this_thread::sleep_for(kBlocked);
+          runtime::SleepFor(kBlocked);
+          responder.End();
+        },
+        [&](const std::string& address) {
+          HttpExchange hold;
+          hold.StartRequest(address, MakeGet("/"), kTimeout, kTimeout);
+          std::vector<std::future<std::string>> responses;
+          responses.reserve(parts.size());
+          for (const auto& part : parts) {
+            responses.push_back(
+                std::async(std::launch::async, [&] { return ExchangeBytes(address, part); }));
+          }
+          for (std::size_t i = 0; i < parts.size(); ++i) {
+            CPPUNIT_ASSERT_MESSAGE(parts[i].substr(0, 100),
+                                   responses[i].get().starts_with("HTTP/1.1 503 "));
+          }
+        },
+        RefuseSome, 1);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -152,6 +152,14 @@
                      kDrainRetryDelay);
 }
 
+// Refuses a request whose time had passed before it was read. The reason is one whose status
+// promises that the request did not run.
+auto RefuseExpired(const Call& call) -> std::optional<RequestRefusal> {
+  if (node::Now() < call.deadline) return std::nullopt;
+  return MakeRefusal(Reason::overloaded, Step::read,
+                     "the time of the request had passed when it was read");
+}
+
 // Refuses a request whose prompt would crash a replica.
 auto RefuseQuarantined(Relay& relay, const Call& call) -> std::optional<RequestRefusal> {
   const auto quarantine = FindQuarantine(relay, call);
@@ -379,6 +387,10 @@
     node::SetTraceTarget(table, call->id, call->service, call->workspace);
   });
   CountArrival(relay, *call);
+  if (auto refused = RefuseExpired(*call)) {
+    CountRefusal(relay, *call, refused->reason);
+    return refused;
+  }
   if (auto refused = RefuseIfDraining(relay, *call)) {
     CountRefusal(relay, *call, refused->reason);
     return refused;
@@ -451,7 +463,8 @@
 auto ScreenRequest(Relay& relay, const net::HttpRequest& head, bool full) -> net::ScreenResult {
   Call call;
   ParseCall(relay, head, call);
-  if (ResolveRequest(relay, head, call)) return {};
+  const bool resolved = !ResolveRequest(relay, head, call);
+  if (!resolved && !full) return {};
   const auto refused =
       full ? MakeRefusal(Reason::overloaded, Step::allocate, "no memory for further connections",
                          relay.policies.admission.short_retry_delay)
@@ -460,8 +473,10 @@
     direct::RecordAdmission(ThisWorker(relay).limiter, relay.policies.admission, node::Now());
     return {.admitted = true};
   }
-  CountArrival(relay, call);
-  CountRefusal(relay, call, refused->reason);
+  if (resolved) {
+    CountArrival(relay, call);
+    CountRefusal(relay, call, refused->reason);
+  }
   return {.refusal = node::MakeRefusalResponse(relay.node, call.id, call.workspace, *refused)};
 }
 
@@ -496,6 +511,7 @@
   const auto call = std::make_shared<Call>();
   const node::RegistrationGuard listed(ThisWorker(relay).calls, call);
   ParseCall(relay, request, *call);
+  relay.node.metrics.Observe(Metric::unread_wait, request.unread_wait);
   node::RecordEvent(relay.node, call->id, {.kind = node::TraceKind::arrived});
   try {
     FinishCall(relay, *call, HandleCall(relay, request, call, responder), responder);
@@ -508,6 +524,14 @@
                        .step = error.GetStep(),
                        .reason = Reason::answer_cut});
     responder.Abort();
+  } catch (const std::exception& error) {
+    // A fault of this program, or memory that was refused: a replica may have run the request.
+    if (call->exchange) call->exchange->Cancel();
+    node::LogError(Level::error, Event::internal_error, error, call->id);
+    FinishCall(relay, *call,
+               RequestRefusal{Reason::connection_lost, Outcome::unknown, Step::respond, "",
+                              "the request failed unexpectedly", std::chrono::seconds(1)},
+               responder);
   }
 }
 
--- a/libs/telemetry/include/filbertstair/telemetry/metrics.h
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -17,6 +17,7 @@
   refusals,
   retries,
   attempts_cut,
+  unread_wait,
   queue_wait,
   first_byte,
   part_gap,
@@ -47,7 +48,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 23> kMetrics{{
+inline constexpr std::array<MetricInfo, 24> kMetrics{{
     {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
      "Requests answered, by outcome"},
     {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
@@ -56,6 +57,8 @@
      "Requests submitted again, by reason"},
     {Metric::attempts_cut, MetricKind::counter, "filbertstair_attempts_cut_total", "cause",
      "Attempts that ended without a whole response, by cause: replica, silence or deadline"},
+    {Metric::unread_wait, MetricKind::histogram, "filbertstair_unread_wait_seconds", "",
+     "Time for which a request that had arrived was not read, as far as the kernel tells"},
     {Metric::queue_wait, MetricKind::histogram, "filbertstair_queue_wait_seconds", "",
      "Time from arrival at the entry to admission"},
     {Metric::first_byte, MetricKind::histogram, "filbertstair_first_byte_seconds", "",
