Return a replica's capacity when an attempt ends by an exception

The capacity that a request holds at its replica was returned only if the attempt returned. After an unexpected exception it stayed in use for good, until the replica got no requests and callers were refused for lack of room. An error that reached RunAttempts while the response was written to the caller took the same path. The capacity is now returned on every path.

Before: relay.relay_test failed in testUnexpectedExceptionReturnsCapacity, with 503 instead of 502 among 40 requests in a row. Now it passes.

--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -293,6 +293,21 @@
   return std::min(call.deadline, (first ? call.arrived : node::Now()) + max_wait);
 }
 
+// Runs one attempt and returns the capacity that it took, also if it ends by an exception.
+auto RunAssignedAttempt(Relay& relay, Call& call, const net::HttpRequest& request,
+                        Assignment& assignment, net::Responder& responder)
+    -> std::optional<Failure> {
+  std::optional<Failure> failure;
+  try {
+    failure = RunAttempt(relay, call, request, assignment, responder);
+  } catch (...) {
+    ReleaseAssignment(relay, assignment);
+    throw;
+  }
+  ReleaseAssignment(relay, assignment);
+  return failure;
+}
+
 // Attempts the request until the caller has a response or no attempt remains.
 auto RunAttempts(Relay& relay, Call& call, const net::HttpRequest& request,
                  net::Responder& responder) -> std::optional<RequestRefusal> {
@@ -321,8 +336,7 @@
       relay.node.metrics.Observe(Metric::queue_wait, node::Now() - call.arrived);
     }
     call.replica = assignment->replica;
-    auto failure = RunAttempt(relay, call, request, *assignment, responder);
-    ReleaseAssignment(relay, *assignment);
+    auto failure = RunAssignedAttempt(relay, call, request, *assignment, responder);
     if (!failure) return std::nullopt;
     node::RecordEvent(relay.node, call.id,
                       {.kind = node::TraceKind::failed,
--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(testDrain);
   CPPUNIT_TEST(testOverloadedEntryTurnsCallersAway);
   CPPUNIT_TEST(testUnexpectedExceptionIsAnswered);
+  CPPUNIT_TEST(testUnexpectedExceptionReturnsCapacity);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -71,6 +72,23 @@
     CPPUNIT_ASSERT_EQUAL(502, entry.Call(Get("/once/x", "2")).status);
   }
 
+  // Guards against capacity of a replica that stays in use after the handling of a request ended
+  // unexpectedly, until the replica gets no requests any more.
+  auto testUnexpectedExceptionReturnsCapacity() -> void {
+    FakeReplica replica("a", RespondOk);
+    auto dialect = TestDialect();
+    dialect.make_response_headers = [](const net::HttpResponseHead&) -> net::Headers {
+      throw std::bad_alloc();
+    };
+    TestEntry entry(dialect);
+    entry.Configure(MakeFleetConfig());
+    entry.List(replica);
+    // More than the replica has room for at once.
+    for (int i = 0; i < 40; ++i) {
+      CPPUNIT_ASSERT_EQUAL(502, entry.Call(Get("/once/x", std::to_string(i))).status);
+    }
+  }
+
   // Guards against statuses that misstate what happened, and against sending requests that are not
   // allowed to a replica.
   auto testRefusalsBeforeAnyReplica() -> void {
