--- a/tests/soak/clients.cc
+++ b/tests/soak/clients.cc
@@ -115,7 +115,9 @@
     target.misses = ready ? 0 : target.misses + 1;
     const auto rest = std::chrono::duration_cast<microseconds>(kProbeInterval) -
                       microseconds(standins::NowUs() - begin);
-    if (rest.count() > 0) co_await standins::Sleep(rest);
+    if (rest.count() > 0) {
+      co_await standins::Sleep(rest);
+    }
   }
 }
 
@@ -316,7 +318,9 @@
     next += static_cast<std::int64_t>(interval(clients.random)) + 1;
     if (next >= clients.end_at) co_return;
     const auto wait = next - standins::NowUs();
-    if (wait > 0) co_await standins::Sleep(microseconds(wait));
+    if (wait > 0) {
+      co_await standins::Sleep(microseconds(wait));
+    }
     Errand errand;
     errand.request = &request;
     errand.serial = ++clients.serial;
--- a/tests/soak/deployment.cc
+++ b/tests/soak/deployment.cc
@@ -95,6 +95,7 @@
     entries = pids.pids;
   }
   std::vector<pid_t> all;
+  all.reserve(entries.size());
   for (const auto& [name, pid] : entries) all.push_back(pid);
   const auto owner = fleet::FindSocketOwner(port, all);
   // A name is that of the zone, a space and the number of the entry.
@@ -203,7 +204,7 @@
     const auto name = "team-" + std::to_string(i);
     tenants.push_back({{"name", name}, {"api-keys", {"key-" + name}}, {"prio", 1}});
   }
-  const auto path = (deployment.directory / "configuration.json").string();
+  auto path = (deployment.directory / "configuration.json").string();
   std::ofstream(path) << boost::json::serialize(
       boost::json::object{{"routes", routes}, {"tenants", tenants}});
   return path;
