Confirm a crash only by a listing that started after the replica

Callers with sound prompts could get 503 (prompt_quarantined) after attempts were cut at replicas that lived on. The entry took each other listing at the replica's address for a new start, also one of an earlier replica that had not lapsed yet, which a complete list repeats.

The listing must now name a later start than the cut replica's. One without a start still counts.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -146,7 +146,7 @@
                             UnconfirmedCrash crash) -> void;
 
 // Removes and returns the crashes that the listing confirms: it names a later start of the replica,
-// or another one at its address.
+// or another one at its address that did not start before it.
 auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
                           const Listing& listing, core::Time now) -> std::vector<UnconfirmedCrash>;
 
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -233,8 +233,11 @@
   std::vector<UnconfirmedCrash> confirmed;
   std::erase_if(table.unconfirmed, [&](auto& item) {
     if (now - item.crash.at > policy.confirm_within) return true;
-    const bool restarted = listing.id == item.crash.replica ? listing.started_ms > item.started_ms
-                                                            : listing.address == item.address;
+    const bool is_later = listing.started_ms > item.started_ms;
+    const bool restarted =
+        listing.id == item.crash.replica
+            ? is_later
+            : listing.address == item.address && (is_later || listing.started_ms == 0);
     if (restarted) confirmed.push_back(std::move(item));
     return restarted;
   });
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testLossesOfRequestsThatShareABlock);
   CPPUNIT_TEST(testLossesAreBounded);
   CPPUNIT_TEST(testNewStartConfirmsACrash);
+  CPPUNIT_TEST(testOldListingAtTheAddressConfirmsNoCrash);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
   CPPUNIT_TEST(testTableIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -321,6 +322,23 @@
     CPPUNIT_ASSERT_EQUAL(this->policy.max_unconfirmed, this->table.unconfirmed.size());
   }
 
+  // Guards against refusing sound prompts because the address of the replica is also listed for an
+  // earlier replica whose entry has not lapsed yet: no replica started after the cut.
+  auto testOldListingAtTheAddressConfirmsNoCrash() -> void {
+    RecordUnconfirmedCrash(this->table, this->policy,
+                           {{"a", this->now}, "a:80", 5, MakePrompt({kDeadly})});
+    const auto take = [&](std::int64_t started_ms) {
+      Listing listing;
+      listing.id = "b";
+      listing.address = "a:80";
+      listing.started_ms = started_ms;
+      return TakeConfirmedCrashes(this->table, this->policy, listing, this->now + seconds(1))
+          .size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, take(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take(6));
+  }
+
   // Guards against memory that grows with the requests that are lost.
   auto testLossesAreBounded() -> void {
     for (std::uint64_t i = 0; i < 2 * this->policy.max_losses; ++i) {
