Take no attempt that ended for silence as evidence of a crash

Callers got 503 (prompt_quarantined) for sound prompts after replicas had hung and were started again: five requests with a common block that were left by the entry for other replicas counted as lost by these replicas, and the new starts as confirmation of three crashes. Since losses are remembered by block, requests other than the same one confirm each other.

The entry itself ends such a connection, which says nothing of the replica's process. It is only counted as a failure of the replica.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -421,6 +421,10 @@
   if (call.caller_disconnected) return failure;
   ReportCutAttempt(relay, call, assignment, cause, failure.step, failure.message);
   if (!in_time) return failure;
+  if (cause == CutCause::silence) {
+    CountFailure(relay, call, assignment, direct::ReplicaFault::bad_answer);
+    return failure;
+  }
   failure.crashed_replica = RecordIfCrashed(relay, call, assignment);
   CountFailure(relay, call, assignment,
                failure.crashed_replica ? direct::ReplicaFault::unreachable
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
   CPPUNIT_TEST(testRequestsSentOnceCrashReplicasBeforeTheyAnswer);
   CPPUNIT_TEST(testReplicasThatCrashBehindAnOpenAddress);
+  CPPUNIT_TEST(testSilenceBeforeARestartIsNoEvidence);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
   CPPUNIT_TEST_SUITE_END();
@@ -199,6 +200,46 @@
     CPPUNIT_ASSERT(deadly_requests < 5);
   }
 
+  // Guards against refusing sound prompts because replicas that hang are left for others and then
+  // restarted: this entry ended those connections, not the replicas.
+  auto testSilenceBeforeARestartIsNoEvidence() -> void {
+    const auto hang = [](int, const std::string&, const RawReplica::Writer&) {};
+    std::vector<std::unique_ptr<RawReplica>> replicas;
+    for (int i = 0; i < 10; ++i) {
+      replicas.push_back(std::make_unique<RawReplica>("r" + std::to_string(i), hang));
+    }
+    auto policies = RunningPolicies();
+    policies.budget.fleet_constant = 1000;
+    TestEntry entry(MakeSettings("entry-1"), policies);
+    auto fleet = MakeFleetConfig();
+    for (auto& route : fleet.routes) {
+      route.latency_objective = milliseconds(300);
+      route.timeout = milliseconds(2000);
+    }
+    entry.Configure(std::move(fleet));
+    const auto list = [&](std::int64_t started_ms) {
+      for (const auto& replica : replicas) {
+        direct::Listing listing;
+        listing.id = replica->id;
+        listing.service = "s";
+        listing.address = replica->address;
+        listing.started_ms = started_ms;
+        AcceptListing(*entry.relay, listing);
+      }
+    };
+    list(1);
+    std::vector<std::future<CallerResponse>> calls;
+    for (int i = 0; i < 5; ++i) {
+      calls.push_back(std::async(std::launch::async, [&entry, i] {
+        return entry.Call(PromptRequest("sound-" + std::to_string(i), kSoundBlocks));
+      }));
+    }
+    for (auto& call : calls) call.wait();
+    list(2);
+    const auto last = entry.Call(PromptRequest("sound", kSoundBlocks));
+    CPPUNIT_ASSERT(last.body.find("crashed") == std::string::npos);
+  }
+
   // Guards against refusing sound prompts because replicas that live on broke off responses.
   auto testCutResponsesOfLiveReplicasAreNoEvidence() -> void {
     RawReplica replica("a", [](int, const std::string& id, const RawReplica::Writer& write) {
