Count the silence of a replica as a failure also if no successor is found

Callers waited for their deadline, one after the other, at a replica that hangs although another one was idle: since an attempt without a successor goes on until the deadline, and only attempts that end count as failures, so that the replica was never ejected while the retry budget was used up. A process has none for its first requests.

EndSilentAttempts counts the silence once for each awaited part of the response, before it looks for a successor. An attempt that it ends is not counted again.

relay_stream_test, testHungReplicaIsEjectedWithoutARetryBudget: more than three of eight requests reached the hung replica before; 21 of 21 pass with the change, and 9 of 9 of relay_quarantine_test.

--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -69,6 +69,7 @@
       first ? call.route->latency_objective * kFirstEventObjectives : kMaxEventGap;
   call.silent_at = node::Now() + timeout;
   call.seen_silent = false;
+  call.silence_counted = false;
 }
 
 // Marks that no part of the response is awaited, so that silence does not end the attempt.
@@ -119,22 +120,6 @@
   });
 }
 
-auto CountFailure(Relay& relay, const Call& call, const Assignment& assignment,
-                  direct::ReplicaFault fault) -> void {
-  const auto now = node::Now();
-  std::uint32_t failures = 0;
-  bool ejected = false;
-  WithReplica(relay, assignment, [&](direct::Replica& replica) {
-    direct::RecordFailure(replica, relay.policies.replicas, fault, now);
-    failures = replica.failures;
-    ejected = replica.ejected_until > now;
-  });
-  if (!ejected) return;
-  telemetry::Log(
-      Level::warning, Event::replica_set_aside,
-      {{"request", call.id}, {"peer", assignment.replica}, {"failures", std::to_string(failures)}});
-}
-
 auto RecordReplicaSuccess(Relay& relay, const Assignment& assignment, const ResponseHead& head)
     -> void {
   const auto now = node::Now();
@@ -373,7 +358,7 @@
   if (head.refused) {
     // The head alone states the refusal; an endless body must not delay it.
     if (!DiscardBody(*call.exchange, assignment, call.deadline)) call.exchange->Cancel();
-    if (head.misdirected) CountFailure(relay, call, assignment, direct::ReplicaFault::unreachable);
+    if (head.misdirected) CountFailure(relay, call, direct::ReplicaFault::unreachable);
     if (head.load) {
       WithReplica(relay, assignment, [&](direct::Replica& replica) {
         direct::RecordLoadReport(replica, *head.load, node::Now());
@@ -420,13 +405,9 @@
            error.GetStep(), cause == CutCause::silence ? kSilent : error.what());
   if (call.caller_disconnected) return failure;
   ReportCutAttempt(relay, call, assignment, cause, failure.step, failure.message);
-  if (!in_time) return failure;
-  if (cause == CutCause::silence) {
-    CountFailure(relay, call, assignment, direct::ReplicaFault::bad_answer);
-    return failure;
-  }
+  if (cause != CutCause::replica) return failure;
   failure.crashed_replica = RecordIfCrashed(relay, call, assignment);
-  CountFailure(relay, call, assignment,
+  CountFailure(relay, call,
                failure.crashed_replica ? direct::ReplicaFault::unreachable
                                        : direct::ReplicaFault::bad_answer);
   return failure;
@@ -434,6 +415,23 @@
 
 }  // namespace
 
+auto CountFailure(Relay& relay, const Call& call, direct::ReplicaFault fault) -> void {
+  const auto now = node::Now();
+  std::uint32_t failures = 0;
+  bool ejected = false;
+  relay.dispatch.With([&](DispatchTable& table) {
+    auto* replica = direct::FindReplica(table.replicas, call.service, call.replica);
+    if (replica == nullptr) return;
+    direct::RecordFailure(*replica, relay.policies.replicas, fault, now);
+    failures = replica->failures;
+    ejected = replica->ejected_until > now;
+  });
+  if (!ejected) return;
+  telemetry::Log(
+      Level::warning, Event::replica_set_aside,
+      {{"request", call.id}, {"peer", call.replica}, {"failures", std::to_string(failures)}});
+}
+
 auto SendBufferedResponse(net::Responder& responder, const BufferedResponse& buffered) -> void {
   if (buffered.framing == net::Framing::self_delimited) {
     responder.Respond(buffered.status, buffered.headers, buffered.body);
@@ -454,7 +452,7 @@
       failure->reason = Reason::draining;
       failure->message = kStopped;
     } else if (failure->reason != Reason::overloaded && !call.quarantined) {
-      CountFailure(relay, call, assignment, direct::ReplicaFault::unreachable);
+      CountFailure(relay, call, direct::ReplicaFault::unreachable);
     }
     return failure;
   }
--- a/libs/relay/src/request.cc
+++ b/libs/relay/src/request.cc
@@ -471,6 +471,9 @@
     if (now < call->silent_at) continue;
     // After this VM was suspended or busy, what has arrived meanwhile is read before the next look.
     if (!std::exchange(call->seen_silent, true)) continue;
+    if (!std::exchange(call->silence_counted, true)) {
+      CountFailure(relay, *call, direct::ReplicaFault::bad_answer);
+    }
     if (MayMove(relay, *call)) call->successor = AssignSuccessor(relay, *call);
     if (call->successor) {
       call->silent_at = core::Time::max();
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -229,6 +229,8 @@
   // no other replica may be tried.
   core::Time silent_at = core::Time::max();
   bool seen_silent = false;
+  // Whether the silence was counted as a failure of the replica.
+  bool silence_counted = false;
   // The replica that takes over from a silent one, with a retry taken from the budget.
   std::optional<Assignment> successor;
   bool caller_disconnected = false;
@@ -304,11 +306,14 @@
 // Returns nothing and changes nothing unless both can be done at once. Does not suspend the fiber.
 auto AssignSuccessor(Relay& relay, const Call& call) -> std::optional<Assignment>;
 
-// Ends attempts of the worker whose replicas have been silent for too long, if a successor can be
-// assigned: silence alone does not tell a failed replica from one that is paused and will go on.
-// Call at short intervals. Does not suspend the fiber.
+// Counts a failure of each replica that has been silent for too long, and ends these attempts of
+// the worker if a successor can be assigned: silence alone does not tell a failed replica from one
+// that is paused and will go on. Call at short intervals. Does not suspend the fiber.
 auto EndSilentAttempts(Relay& relay) -> void;
 
+// Records a failure of the replica that has the request, which may eject it.
+auto CountFailure(Relay& relay, const Call& call, direct::ReplicaFault fault) -> void;
+
 // Record the first part of the response, and the end of the request at the replica.
 auto MarkResponseStarted(Relay& relay, Assignment& assignment) -> void;
 auto ReleaseAssignment(Relay& relay, Assignment& assignment) -> void;
--- a/libs/relay/test/stream_test.cc
+++ b/libs/relay/test/stream_test.cc
@@ -78,6 +78,7 @@
   CPPUNIT_TEST(testSilentReplicaIsLeftForAnotherOne);
   CPPUNIT_TEST(testPauseAtAnEntryThatStopsDoesNotCutTheStream);
   CPPUNIT_TEST(testSuspendedEntryStaysAtTheReplica);
+  CPPUNIT_TEST(testHungReplicaIsEjectedWithoutARetryBudget);
   CPPUNIT_TEST(testSlowCallerStaysAtTheReplica);
   CPPUNIT_TEST(testEventWithoutAnEndIsLeftForAnotherReplica);
   CPPUNIT_TEST(testCallerThatResetsFreesTheSlot);
@@ -413,6 +414,22 @@
     AssertServedOnce(entry, {&first, &second}, "/stream/x");
   }
 
+  // Guards against a replica that hangs and goes on receiving requests, of which each waits for its
+  // deadline, because no retry is left that would end an attempt there.
+  auto testHungReplicaIsEjectedWithoutARetryBudget() -> void {
+    FakeReplica hung(
+        "a", [](const net::HttpRequest&, net::Responder&) { runtime::SleepFor(seconds(30)); });
+    FakeReplica sound("b", StreamCutAt(0));
+    TestEntry entry(MakeSettings("entry-1"), PoliciesWithoutRetries());
+    auto fleet = MakeUrgentFleetConfig();
+    for (auto& route : fleet.routes) route.timeout = milliseconds(1300);
+    entry.Configure(std::move(fleet));
+    entry.List(hung);
+    entry.List(sound);
+    for (int i = 0; i < 8; ++i) entry.Call(Get("/stream/x"));
+    CPPUNIT_ASSERT(hung.Requests().size() <= 3);
+  }
+
   // Guards against taking the time for which a caller does not read for silence of the replica.
   auto testSlowCallerStaysAtTheReplica() -> void {
     constexpr int events = 600;
