--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -205,6 +205,7 @@
   auto testSilenceBeforeARestartIsNoEvidence() -> void {
     const auto hang = [](int, const std::string&, const RawReplica::Writer&) {};
     std::vector<std::unique_ptr<RawReplica>> replicas;
+    replicas.reserve(10);
     for (int i = 0; i < 10; ++i) {
       replicas.push_back(std::make_unique<RawReplica>("r" + std::to_string(i), hang));
     }
@@ -229,6 +230,7 @@
     };
     list(1);
     std::vector<std::future<CallerResponse>> calls;
+    calls.reserve(5);
     for (int i = 0; i < 5; ++i) {
       calls.push_back(std::async(std::launch::async, [&entry, i] {
         return entry.Call(PromptRequest("sound-" + std::to_string(i), kSoundBlocks));
