Confirm crashes only from listings that are in use

Found by review, by reading: a disputed listing could confirm a suspected crash, a stale one could hide the start that was known, and a new start that was listed during the check of the address was taken for the one at the cut. Listings now confirm after they were accepted, and the latest start is read before the check. No test shows the race; the tests of the relay pass.

--- a/libs/relay/src/feed.cc
+++ b/libs/relay/src/feed.cc
@@ -31,7 +31,8 @@
   LogListing(id, "", in_grace ? "missing" : "gone");
 }
 
-auto UpsertLocked(Relay& relay, DispatchTable& table, direct::Listing listing) -> void {
+// Applies a listing. Returns whether it is in use. Call with the table locked.
+auto UpsertLocked(Relay& relay, DispatchTable& table, direct::Listing listing) -> bool {
   const auto* existing = direct::FindReplica(table.replicas, listing.service, listing.id);
   const bool changed = existing == nullptr || existing->removed || !(existing->listing == listing);
   const auto service = listing.service;
@@ -40,12 +41,13 @@
   if (!direct::ApplyListing(table.replicas, relay.policies.disputes, std::move(listing),
                             node::Now())) {
     LogListing(id, service, "disputed");
-    return;
+    return false;
   }
   if (changed) {
     LogListing(id, service, core::Name(state));
     AssignWaiting(relay, table, service);
   }
+  return true;
 }
 
 }  // namespace
@@ -92,9 +94,9 @@
 }
 
 auto AcceptListing(Relay& relay, direct::Listing listing) -> void {
-  ConfirmCrashes(relay, {listing});
-  relay.dispatch.With(
-      [&](DispatchTable& table) { UpsertLocked(relay, table, std::move(listing)); });
+  const bool in_use = relay.dispatch.With(
+      [&](DispatchTable& table) { return UpsertLocked(relay, table, listing); });
+  if (in_use) ConfirmCrashes(relay, {listing});
 }
 
 auto AcceptDelisting(Relay& relay, const std::string& id) -> void {
@@ -105,20 +107,21 @@
 }
 
 auto ReplaceListings(Relay& relay, std::vector<direct::Listing> listings) -> void {
-  ConfirmCrashes(relay, listings);
+  std::vector<direct::Listing> in_use;
   relay.dispatch.With([&](DispatchTable& table) {
     std::set<std::string> missing;
     for (const auto& [id, service] : table.replicas.service_of) missing.insert(id);
     for (const auto& [id, dispute] : table.replicas.disputes) missing.insert(id);
     for (auto& listing : listings) {
       missing.erase(listing.id);
-      UpsertLocked(relay, table, std::move(listing));
+      if (UpsertLocked(relay, table, listing)) in_use.push_back(std::move(listing));
     }
     for (const auto& id : missing) {
       direct::DropDispute(table.replicas, id);
       DelistLocked(table, id);
     }
   });
+  ConfirmCrashes(relay, in_use);
 }
 
 auto RecordPlatformAnswer(Relay& relay, core::Duration time) -> void {
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -106,16 +106,13 @@
   WakePeers(relay);
 }
 
-// Keeps a suspected crash until a new start of the replica is listed.
-auto AwaitConfirmation(Relay& relay, const direct::Prompt& prompt,
-                       const direct::ReplicaCrash& crash, const Assignment& assignment) -> void {
-  relay.dispatch.With([&](DispatchTable& table) {
+// Returns the latest start of the replica that was listed, or nothing if it is not listed.
+auto FindLatestStart(Relay& relay, const Assignment& assignment) -> std::optional<std::int64_t> {
+  return relay.dispatch.With([&](DispatchTable& table) -> std::optional<std::int64_t> {
     const auto* replica =
         direct::FindReplica(table.replicas, assignment.service, assignment.replica);
-    if (replica == nullptr) return;
-    direct::RecordUnconfirmedCrash(
-        table.quarantine, relay.policies.quarantine,
-        {crash, assignment.address, replica->listing.started_ms, prompt});
+    if (replica == nullptr) return std::nullopt;
+    return replica->latest_start_ms;
   });
 }
 
@@ -175,8 +172,14 @@
                               crash.at)) {
     return false;
   }
+  // A new start may be listed during the check.
+  const auto started_ms = FindLatestStart(relay, assignment);
   if (!net::RefusesConnections(assignment.address, kCrashCheckTimeout)) {
-    AwaitConfirmation(relay, prompt, crash, assignment);
+    if (!started_ms) return false;
+    relay.dispatch.With([&](DispatchTable& table) {
+      direct::RecordUnconfirmedCrash(table.quarantine, relay.policies.quarantine,
+                                     {crash, assignment.address, *started_ms, prompt});
+    });
     return false;
   }
   RecordCrash(relay, prompt, crash);
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -336,7 +336,7 @@
 // the fiber for a round trip to the replica.
 auto RecordIfCrashed(Relay& relay, const Call& call, const Assignment& assignment) -> bool;
 
-// Records the suspected crashes that new listings confirm. Call before the listings are applied.
+// Records the suspected crashes that listings in use confirm.
 auto ConfirmCrashes(Relay& relay, const std::vector<direct::Listing>& listings) -> void;
 
 // Returns whether the request may be sent to another replica although it may have crashed one.
