--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -134,11 +134,16 @@
                           const Prompt& prompt, const UnansweredLoss& loss)
     -> std::optional<EarlierLoss>;
 
+// Returns whether the prompt has a block that it may share with others and that has no recent sound
+// response. A block that crashes replicas never has one, at any entry.
+auto HasUnprovenBlock(const QuarantineTable& table, const QuarantinePolicy& policy,
+                      const Prompt& prompt, core::Time now) -> bool;
+
 // Returns whether an attempt whose connection ended may have crashed its replica: its response had
-// just begun, or no response had and a request with one of its blocks had lost another replica
-// before.
+// just begun, or no response had and the prompt is suspicious: it has an unproven block, or a
+// request with one of its blocks had lost another replica before.
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
-                    bool lost_replica_before, core::Time cut_at) -> bool;
+                    bool is_suspicious, core::Time cut_at) -> bool;
 
 // Records a crash that a new start of the replica may confirm; beyond the limit the oldest is
 // dropped.
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -216,9 +216,17 @@
   return earlier;
 }
 
+auto HasUnprovenBlock(const QuarantineTable& table, const QuarantinePolicy& policy,
+                      const Prompt& prompt, core::Time now) -> bool {
+  const auto ids = ListBlockIds(prompt);
+  return std::any_of(ids.begin(), ids.end(), [&](std::uint64_t id) {
+    return id != ids.back() && CountRecentSound(table, policy, id, now) == 0;
+  });
+}
+
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
-                    bool lost_replica_before, core::Time cut_at) -> bool {
-  if (assignment.stage == AttemptStage::sent) return lost_replica_before;
+                    bool is_suspicious, core::Time cut_at) -> bool {
+  if (assignment.stage == AttemptStage::sent) return is_suspicious;
   return cut_at - assignment.head_received_at <= policy.max_crash_delay;
 }
 
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
   CPPUNIT_TEST(testLossesOfRequestsThatShareABlock);
+  CPPUNIT_TEST(testUnprovenBlocks);
   CPPUNIT_TEST(testLossesAreBounded);
   CPPUNIT_TEST(testNewStartConfirmsACrash);
   CPPUNIT_TEST(testOldListingAtTheAddressConfirmsNoCrash);
@@ -339,6 +340,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take(6));
   }
 
+  // Guards against one crash for each entry before a block that nobody got a response for is
+  // suspected, and against suspecting a request for the last block, which it alone has.
+  auto testUnprovenBlocks() -> void {
+    const auto prompt = MakePrompt({kCommon, kDeadly});
+    const auto is_unproven = [&](core::Duration at) {
+      return HasUnprovenBlock(this->table, this->policy, prompt, this->now + at);
+    };
+    RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now);
+    CPPUNIT_ASSERT(is_unproven(seconds(1)));
+    RecordSoundResponse(this->table, MakePrompt({kDeadly}), this->now);
+    CPPUNIT_ASSERT(!is_unproven(seconds(1)));
+    CPPUNIT_ASSERT(is_unproven(this->policy.sound_memory));
+    CPPUNIT_ASSERT(!HasUnprovenBlock(this->table, this->policy, MakePrompt({}), this->now));
+  }
+
   // Guards against memory that grows with the requests that are lost.
   auto testLossesAreBounded() -> void {
     for (std::uint64_t i = 0; i < 2 * this->policy.max_losses; ++i) {
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -162,13 +162,16 @@
   const auto& prompt = *call.head.prompt;
   const direct::ReplicaCrash crash{assignment.replica, node::Now()};
   std::optional<direct::EarlierLoss> earlier;
+  bool is_unproven = false;
   if (assignment.stage == direct::AttemptStage::sent) {
-    earlier = relay.dispatch.With([&](DispatchTable& table) {
-      return direct::RecordUnansweredLoss(table.quarantine, relay.policies.quarantine, prompt,
-                                          {crash, assignment.address});
+    const auto& policy = relay.policies.quarantine;
+    relay.dispatch.With([&](DispatchTable& table) {
+      is_unproven = direct::HasUnprovenBlock(table.quarantine, policy, prompt, crash.at);
+      earlier = direct::RecordUnansweredLoss(table.quarantine, policy, prompt,
+                                             {crash, assignment.address});
     });
   }
-  if (!direct::IsCrashSuspect(relay.policies.quarantine, assignment, earlier.has_value(),
+  if (!direct::IsCrashSuspect(relay.policies.quarantine, assignment, earlier || is_unproven,
                               crash.at)) {
     return false;
   }
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(testReplicaThatCrashesBeforeItAnswers);
   CPPUNIT_TEST(testRequestsSentOnceCrashReplicasBeforeTheyAnswer);
   CPPUNIT_TEST(testReplicasThatCrashBehindAnOpenAddress);
+  CPPUNIT_TEST(testRequestsSentOnceAtManyEntries);
   CPPUNIT_TEST(testSilenceBeforeARestartIsNoEvidence);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
@@ -200,6 +201,37 @@
     CPPUNIT_ASSERT(deadly_requests < 5);
   }
 
+  // Guards against requests of a route with one attempt that crash one replica for each entry: the
+  // users allow three after the fifth crash.
+  auto testRequestsSentOnceAtManyEntries() -> void {
+    std::vector<std::unique_ptr<RawReplica>> replicas;
+    std::vector<std::unique_ptr<TestEntry>> entries;
+    for (int i = 0; i < 16; ++i) {
+      replicas.push_back(std::make_unique<RawReplica>(
+          "r" + std::to_string(i),
+          [&replicas, i](int, const std::string&, const auto&) { replicas[i]->Crash(); }));
+    }
+    for (int i = 0; i < 10; ++i) {
+      auto settings = MakeSettings("entry-" + std::to_string(i));
+      if (i > 0) settings.seeds = {entries.front()->node.settings.peers};
+      entries.push_back(std::make_unique<TestEntry>(std::move(settings)));
+      entries.back()->Configure(MakeFleetConfig());
+      for (const auto& replica : replicas) entries.back()->List(*replica);
+    }
+    for (std::size_t i = 0; i < 24; ++i) {
+      entries[i % entries.size()]->Call(
+          PromptRequest("deadly-" + std::to_string(i), kDeadlyBlocks, "/stream-once/x"));
+      for (const auto& replica : replicas) {
+        if (!replica->HasCrashed()) continue;
+        for (const auto& entry : entries) AcceptDelisting(*entry->relay, replica->id);
+      }
+      // Longer than two entries take to tell each other.
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+    CPPUNIT_ASSERT(std::count_if(replicas.begin(), replicas.end(),
+                                 [](const auto& replica) { return replica->HasCrashed(); }) <= 8);
+  }
+
   // Guards against refusing sound prompts because replicas that hang are left for others and then
   // restarted: this entry ended those connections, not the replicas.
   auto testSilenceBeforeARestartIsNoEvidence() -> void {
