--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -172,6 +172,7 @@
     std::array<std::atomic<int>, 8> starts{};
     std::array<int, 8> listed{};
     std::array<std::string, 8> ids;
+    replicas.reserve(starts.size());
     for (std::size_t i = 0; i < starts.size(); ++i) {
       ids[i] = "r" + std::to_string(i);
       replicas.push_back(std::make_unique<RawReplica>(
@@ -206,6 +207,8 @@
   auto testRequestsSentOnceAtManyEntries() -> void {
     std::vector<std::unique_ptr<RawReplica>> replicas;
     std::vector<std::unique_ptr<TestEntry>> entries;
+    replicas.reserve(16);
+    entries.reserve(10);
     for (int i = 0; i < 16; ++i) {
       replicas.push_back(std::make_unique<RawReplica>(
           "r" + std::to_string(i),
--- a/tests/soak/check.cc
+++ b/tests/soak/check.cc
@@ -91,7 +91,8 @@
 
 // Whether the caller left at its deadline. One that waits much longer found the entry silent.
 auto LeftInTime(const CallRecord& call) -> bool {
-  return call.gave_up && call.ended_at - call.began_at <= call.deadline_ms * 1000 + kLeaveUs;
+  return call.gave_up &&
+         call.ended_at - call.began_at <= std::int64_t{call.deadline_ms} * 1000 + kLeaveUs;
 }
 
 // Whether the connection ended without any part of an answer, and no fault explains it.
