--- a/libs/relay/test/relay_test.cc
+++ b/libs/relay/test/relay_test.cc
@@ -15,6 +15,15 @@
   responder.Abort();
 }
 
+// Dialect that fails unexpectedly once a replica has answered.
+auto FailingDialect() -> Dialect {
+  auto dialect = TestDialect();
+  dialect.make_response_headers = [](const net::HttpResponseHead&) -> net::Headers {
+    throw std::bad_alloc();
+  };
+  return dialect;
+}
+
 class RelayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayTest);
   CPPUNIT_TEST(testWholeAnswerIsUnchanged);
@@ -58,11 +67,7 @@
   // request, because the handler ended by an exception that it does not expect.
   auto testUnexpectedExceptionIsAnswered() -> void {
     FakeReplica replica("a", RespondOk);
-    auto dialect = TestDialect();
-    dialect.make_response_headers = [](const net::HttpResponseHead&) -> net::Headers {
-      throw std::bad_alloc();
-    };
-    TestEntry entry(dialect);
+    TestEntry entry(FailingDialect());
     entry.Configure(MakeFleetConfig());
     entry.List(replica);
     const auto answer = entry.Call(Get("/once/x"));
@@ -78,11 +83,7 @@
   // unexpectedly, until the replica gets no requests any more.
   auto testUnexpectedExceptionReturnsCapacity() -> void {
     FakeReplica replica("a", RespondOk);
-    auto dialect = TestDialect();
-    dialect.make_response_headers = [](const net::HttpResponseHead&) -> net::Headers {
-      throw std::bad_alloc();
-    };
-    TestEntry entry(dialect);
+    TestEntry entry(FailingDialect());
     entry.Configure(MakeFleetConfig());
     entry.List(replica);
     // More than the replica has room for at once.
