--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -58,6 +58,13 @@
   Prompt prompt;
 };
 
+// Pieces of evidence that were dropped because their table was full.
+struct DroppedEvidence {
+  std::size_t crashes = 0;
+  std::size_t losses = 0;
+  std::size_t unconfirmed = 0;
+};
+
 // Suspected blocks, blocks with recent sound responses, and the last loss of a request with a block
 // since its last sound response, by id.
 struct QuarantineTable {
@@ -66,6 +73,7 @@
   std::unordered_map<std::uint64_t, UnansweredLoss> losses;
   // Oldest first.
   std::deque<UnconfirmedCrash> unconfirmed;
+  DroppedEvidence dropped;
 };
 
 struct QuarantinePolicy {
@@ -167,6 +175,10 @@
 // Returns the number of recent sound responses to prompts with the block.
 auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::size_t;
 
+// Return an estimate of the memory that evidence takes, in bytes.
+auto EstimateBytes(const CrashEvidence& evidence) -> std::size_t;
+auto EstimateBytes(const QuarantineTable& table) -> std::size_t;
+
 // Returns all evidence in the table, for an entry that has just started.
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
 
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -157,7 +157,9 @@
         return left.size() != right.size() ? left.size() < right.size()
                                            : left.back().at < right.back().at;
       });
-  if (least != table.blocks.end()) table.blocks.erase(least);
+  if (least == table.blocks.end()) return;
+  table.dropped.crashes += least->second.crashes.size();
+  table.blocks.erase(least);
 }
 
 // If more than `max_blocks` blocks have sound responses, drops a quarter of the limit and what is
@@ -182,9 +184,14 @@
   const auto oldest = std::min_element(
       table.losses.begin(), table.losses.end(),
       [](const auto& a, const auto& b) { return a.second.crash.at < b.second.crash.at; });
-  if (oldest != table.losses.end()) table.losses.erase(oldest);
+  if (oldest == table.losses.end()) return;
+  ++table.dropped.losses;
+  table.losses.erase(oldest);
 }
 
+// Memory of an element of a map or hash table beside its key and value.
+constexpr std::size_t kNodeBytes = 48;
+
 }  // namespace
 
 auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
@@ -233,7 +240,9 @@
 auto RecordUnconfirmedCrash(QuarantineTable& table, const QuarantinePolicy& policy,
                             UnconfirmedCrash crash) -> void {
   table.unconfirmed.push_back(std::move(crash));
-  if (table.unconfirmed.size() > policy.max_unconfirmed) table.unconfirmed.pop_front();
+  if (table.unconfirmed.size() <= policy.max_unconfirmed) return;
+  ++table.dropped.unconfirmed;
+  table.unconfirmed.pop_front();
 }
 
 auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
@@ -290,6 +299,23 @@
   return found == table.sound.end() ? 0 : found->second.count;
 }
 
+auto EstimateBytes(const CrashEvidence& evidence) -> std::size_t {
+  return sizeof(evidence) + evidence.prefix.size() * sizeof(std::uint64_t);
+}
+
+auto EstimateBytes(const QuarantineTable& table) -> std::size_t {
+  std::size_t bytes = table.sound.size() * (kNodeBytes + sizeof(SoundRecord)) +
+                      table.losses.size() * (kNodeBytes + sizeof(UnansweredLoss));
+  for (const auto& [block, suspicion] : table.blocks) {
+    bytes += kNodeBytes + sizeof(suspicion) + suspicion.crashes.size() * sizeof(ReplicaCrash) +
+             suspicion.prefix.size() * sizeof(std::uint64_t);
+  }
+  for (const auto& crash : table.unconfirmed) {
+    bytes += sizeof(crash) + crash.prompt.blocks.size() * sizeof(PrefixBlock);
+  }
+  return bytes;
+}
+
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence> {
   std::vector<CrashEvidence> evidence;
   for (const auto& [block, suspicion] : table.blocks) {
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 #include "filbertstair/core/hex.h"
 #include "state.h"
@@ -8,6 +10,7 @@
 
 using telemetry::Event;
 using telemetry::Level;
+using telemetry::Metric;
 
 // Time to find out whether a replica still accepts connections. A live one responds within the
 // round trip between two regions.
@@ -247,4 +250,24 @@
   ApplyQuarantines(relay, quarantined, ReportSource::peer);
 }
 
+auto MeasureEvidence(Relay& relay) -> void {
+  const auto [table_bytes, update_bytes, dropped] = relay.dispatch.With([](DispatchTable& table) {
+    std::size_t bytes = 0;
+    for (const auto& update : table.quarantine_updates) {
+      bytes += sizeof(update) + (update.evidence ? direct::EstimateBytes(*update.evidence) : 0);
+    }
+    return std::tuple(direct::EstimateBytes(table.quarantine), bytes,
+                      std::exchange(table.quarantine.dropped, {}));
+  });
+  auto& metrics = relay.node.metrics;
+  metrics.Set(Metric::crash_evidence_bytes, static_cast<double>(table_bytes), "table");
+  metrics.Set(Metric::crash_evidence_bytes, static_cast<double>(update_bytes), "updates");
+  const auto count = [&](std::string_view kind, std::size_t pieces) {
+    metrics.Count(Metric::crash_evidence_dropped, kind, static_cast<double>(pieces));
+  };
+  count("crash", dropped.crashes);
+  count("loss", dropped.losses);
+  count("unconfirmed", dropped.unconfirmed);
+}
+
 }  // namespace filbertstair::relay
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -224,6 +224,7 @@
     relay->node.metrics.Set(Metric::evacuated_domains, static_cast<double>(evacuated));
     relay->node.metrics.Set(Metric::quarantined_blocks,
                             static_cast<double>(CountQuarantinedBlocks(*relay)));
+    MeasureEvidence(*relay);
     SetBudgetGauges(*relay);
     SetColdGauge(*relay);
   };
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -388,6 +388,10 @@
 // Applies what another entry reports of suspected blocks.
 auto ApplyQuarantineUpdates(Relay& relay, const wire::EntryState& message) -> void;
 
+// Exports the memory that evidence on prompt blocks takes, and what was dropped since the last
+// call.
+auto MeasureEvidence(Relay& relay) -> void;
+
 // Accepts links from other entries on the calling worker.
 auto ListenPeers(const std::shared_ptr<Relay>& relay) -> void;
 
--- a/libs/telemetry/include/filbertstair/telemetry/metrics.h
+++ b/libs/telemetry/include/filbertstair/telemetry/metrics.h
@@ -36,6 +36,8 @@
   store_restorations,
   members,
   quarantined_blocks,
+  crash_evidence_bytes,
+  crash_evidence_dropped,
   retry_budget_used,
   retry_budget_refusals,
   sends_withheld,
@@ -55,7 +57,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<MetricInfo, 31> kMetrics{{
+inline constexpr std::array<MetricInfo, 33> kMetrics{{
     {Metric::requests, MetricKind::counter, "filbertstair_requests_total", "outcome",
      "Requests answered, by outcome"},
     {Metric::refusals, MetricKind::counter, "filbertstair_refusals_total", "reason",
@@ -102,6 +104,13 @@
      "Known processes, by state"},
     {Metric::quarantined_blocks, MetricKind::gauge, "filbertstair_quarantined_blocks", "",
      "Prompt blocks that are quarantined because replicas crashed under them"},
+    {Metric::crash_evidence_bytes, MetricKind::gauge, "filbertstair_crash_evidence_bytes", "holder",
+     "Estimated memory of what is known of crashes and prompt blocks, by holder: table, or updates "
+     "for other entries"},
+    {Metric::crash_evidence_dropped, MetricKind::counter,
+     "filbertstair_crash_evidence_dropped_total", "kind",
+     "Evidence on prompt blocks that was dropped because its table was full, by kind: crash, loss "
+     "or unconfirmed"},
     {Metric::retry_budget_used, MetricKind::gauge, "filbertstair_retry_budget_used_ratio",
      "service",
      "Retries of the last window as a share of those that the budget allows, by service"},
