Keep and report a crash once with its prompt, not once for each block

One request of legal size with a prompt of 2,646 blocks, and one crash of its replica, took the entry from 13 MB to over 150 MB within 0.5 s. The platform ends a process of 120 MB there, and ten requests that the entry had passed on to sound replicas were lost.

Cause: evidence was kept and reported for each block of the prompt with a list of all blocks before it, N(N + 1) / 2 numbers for one crash. The table, the updates for other entries and the message on each link held a copy each. Only the receiver limited the message, so that links broke and the next one built it again.

Evidence: with filbertstair_crash_evidence_bytes on the old logic, one crash under 2,648 blocks left 5.5 MB in the table and 17.7 MB of updates, and a message of 5,464,547 bytes was refused by the peer again and again.

Change: one record for each crash and prompt, which has each block once, with its place in the prompt as a number. A crash is held once and shared by the blocks that are suspected of it. The ids of a prompt are listed in N log N steps.

Why it works: what a crash leaves behind is proportional to the prompt, which the limit on headers bounds, and the number of records is limited as before.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -29,10 +30,10 @@
 // What is known against one prompt block.
 struct BlockSuspicion {
   // Crashes under prompts with the block that no sound response has offset yet, oldest first.
-  std::vector<ReplicaCrash> crashes;
-  // Blocks of such a prompt up to and including this one, in the prompt's order; empty if this is
-  // its last one.
-  std::vector<std::uint64_t> prefix;
+  // Shared by all blocks that are suspected of one.
+  std::vector<std::shared_ptr<const ReplicaCrash>> crashes;
+  // Number of blocks of such a prompt up to and including this one; 0 if this is its last one.
+  std::uint32_t depth = 0;
 };
 
 // Recent sound responses to prompts with a block.
@@ -69,6 +70,8 @@
 // since its last sound response, by id.
 struct QuarantineTable {
   std::map<std::uint64_t, BlockSuspicion> blocks;
+  // Crashes that blocks are suspected of, each once.
+  std::vector<std::shared_ptr<const ReplicaCrash>> crashes;
   std::unordered_map<std::uint64_t, SoundRecord> sound;
   std::unordered_map<std::uint64_t, UnansweredLoss> losses;
   // Oldest first.
@@ -113,16 +116,23 @@
   std::size_t max_losses = 1024;
 };
 
-// A crash as evidence against one block: the unit in which entries tell each other.
-struct CrashEvidence {
-  std::uint64_t block = 0;
-  ReplicaCrash crash;
-  // Blocks of the prompt up to and including `block`, in the prompt's order; empty for the last
-  // one.
-  std::vector<std::uint64_t> prefix;
+// A block that a crash is evidence against.
+struct SuspectBlock {
+  std::uint64_t id = 0;
+  // Number of blocks of its prompt up to and including this one; 0 for the last one.
+  std::uint32_t depth = 0;
   // Recent sound responses to prompts with the block at the entry that reports the evidence.
   // Callers of a block may all use one entry.
-  std::size_t sound = 0;
+  std::uint32_t sound = 0;
+
+  auto operator==(const SuspectBlock&) const -> bool = default;
+};
+
+// A crash as evidence against the blocks of prompts that it cut: the unit in which entries tell
+// each other. Takes memory in proportion to the number of blocks.
+struct CrashEvidence {
+  ReplicaCrash crash;
+  std::vector<SuspectBlock> blocks;
 };
 
 // Returns the ids of the prompt's blocks, each once and in the prompt's order. All but the last may
@@ -163,23 +173,23 @@
 auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
                           const Listing& listing, core::Time now) -> std::vector<UnconfirmedCrash>;
 
-// Returns the evidence that the crash of a replica under the prompt gives against each of its
-// blocks. The last one counts as well: a request may crash replicas by what it shares with none,
-// and come again.
-auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> std::vector<CrashEvidence>;
+// Returns the evidence that the crash of a replica under the prompt gives against its blocks. The
+// last one counts as well: a request may crash replicas by what it shares with none, and come
+// again.
+auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> CrashEvidence;
 
-// Adds evidence. Returns whether it was new.
+// Adds evidence. Returns the blocks that it is new for, with the sound responses in the table.
 auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
-                 const CrashEvidence& evidence) -> bool;
+                 const CrashEvidence& evidence) -> std::vector<SuspectBlock>;
 
 // Returns the number of recent sound responses to prompts with the block.
-auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::size_t;
+auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::uint32_t;
 
 // Return an estimate of the memory that evidence takes, in bytes.
 auto EstimateBytes(const CrashEvidence& evidence) -> std::size_t;
 auto EstimateBytes(const QuarantineTable& table) -> std::size_t;
 
-// Returns all evidence in the table, for an entry that has just started.
+// Returns all evidence in the table by crash, for an entry that has just started.
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence>;
 
 // Records that a response to the prompt went well, which offsets one crash of each of its blocks: a
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -8,10 +8,31 @@
 namespace filbertstair::direct {
 namespace {
 
+using SharedCrash = std::shared_ptr<const ReplicaCrash>;
+
 auto IsSameCrash(const ReplicaCrash& a, const ReplicaCrash& b, core::Duration window) -> bool {
   return a.replica == b.replica && std::chrono::abs(a.at - b.at) < window;
 }
 
+auto Contains(const std::vector<SharedCrash>& crashes, const SharedCrash& crash) -> bool {
+  return std::find(crashes.begin(), crashes.end(), crash) != crashes.end();
+}
+
+// Returns the table's copy of the crash, which all reports of it share.
+auto FindOrAddCrash(QuarantineTable& table, const QuarantinePolicy& policy,
+                    const ReplicaCrash& crash) -> SharedCrash {
+  const auto found = std::find_if(
+      table.crashes.begin(), table.crashes.end(),
+      [&](const auto& other) { return IsSameCrash(*other, crash, policy.same_crash_window); });
+  if (found != table.crashes.end()) return *found;
+  return table.crashes.emplace_back(std::make_shared<const ReplicaCrash>(crash));
+}
+
+// Removes the crashes that no block is suspected of any more.
+auto RemoveUnusedCrashes(QuarantineTable& table) -> void {
+  std::erase_if(table.crashes, [](const auto& crash) { return crash.use_count() == 1; });
+}
+
 auto IsRecent(const SoundRecord& record, const QuarantinePolicy& policy, core::Time now) -> bool {
   return now - record.last < policy.sound_memory;
 }
@@ -30,7 +51,7 @@
 // A suspected block as an explanation of crashes.
 struct Explanation {
   Quarantine quarantine;
-  const std::vector<ReplicaCrash>* crashes = nullptr;
+  const std::vector<SharedCrash>* crashes = nullptr;
   // Crashes that no other block explains better, from which the block counts as their cause.
   std::size_t required = 0;
   std::size_t sound = 0;
@@ -46,34 +67,32 @@
   std::vector<Explanation> out;
   for (const auto& [block, suspicion] : table.blocks) {
     const auto& crashes = suspicion.crashes;
-    const auto until = crashes.back().at + policy.quarantine_time;
+    const auto until = crashes.back()->at + policy.quarantine_time;
     if (crashes.size() < min_crashes || until <= now) continue;
     const auto sound = CountRecentSound(table, policy, block, now);
     const auto factor = sound > 0 ? policy.sound_block_factor : 1;
-    out.push_back({{block, crashes.size(), until},
-                   &crashes,
-                   min_crashes * factor,
-                   sound,
-                   suspicion.prefix.size()});
+    out.push_back(
+        {{block, crashes.size(), until}, &crashes, min_crashes * factor, sound, suspicion.depth});
   }
   return out;
 }
 
-auto Contains(const std::vector<ReplicaCrash>& crashes, const ReplicaCrash& crash,
-              core::Duration window) -> bool {
-  return std::any_of(crashes.begin(), crashes.end(),
-                     [&](const auto& other) { return IsSameCrash(crash, other, window); });
-}
-
 // Returns the crashes of the explanation that are not among `explained`.
-auto ListUnexplained(const Explanation& explanation, const std::vector<ReplicaCrash>& explained,
-                     core::Duration window) -> std::vector<ReplicaCrash> {
-  std::vector<ReplicaCrash> out;
+auto ListUnexplained(const Explanation& explanation, const std::vector<SharedCrash>& explained)
+    -> std::vector<SharedCrash> {
+  std::vector<SharedCrash> out;
   std::copy_if(explanation.crashes->begin(), explanation.crashes->end(), std::back_inserter(out),
-               [&](const auto& crash) { return !Contains(explained, crash, window); });
+               [&](const auto& crash) { return !Contains(explained, crash); });
   return out;
 }
 
+auto CountUnexplained(const Explanation& explanation, const std::vector<SharedCrash>& explained)
+    -> std::size_t {
+  const auto count = std::count_if(explanation.crashes->begin(), explanation.crashes->end(),
+                                   [&](const auto& crash) { return !Contains(explained, crash); });
+  return static_cast<std::size_t>(count);
+}
+
 auto StrengthOf(const Explanation& explanation, std::size_t unexplained) -> Strength {
   return {
       static_cast<std::ptrdiff_t>(unexplained) - static_cast<std::ptrdiff_t>(explanation.required),
@@ -84,31 +103,29 @@
 struct StrongestExplanations {
   std::vector<const Explanation*> equals;
   // Those of their crashes that were not explained before.
-  std::vector<ReplicaCrash> crashes;
+  std::vector<SharedCrash> crashes;
   Strength strength{};
 };
 
 // Returns the strongest of the explanations with enough crashes that are not explained yet, or
 // none.
 auto FindStrongest(const std::vector<Explanation>& explanations,
-                   const std::vector<ReplicaCrash>& explained, core::Duration window)
-    -> StrongestExplanations {
+                   const std::vector<SharedCrash>& explained) -> StrongestExplanations {
   StrongestExplanations best;
   for (const auto& explanation : explanations) {
-    auto crashes = ListUnexplained(explanation, explained, window);
-    const auto strength = StrengthOf(explanation, crashes.size());
-    if (crashes.size() < explanation.required) continue;
+    const auto unexplained = CountUnexplained(explanation, explained);
+    const auto strength = StrengthOf(explanation, unexplained);
+    if (unexplained < explanation.required) continue;
     if (!best.equals.empty() && strength < best.strength) continue;
-    if (best.equals.empty() || strength > best.strength) {
-      best = {{}, std::move(crashes), strength};
-    }
+    if (best.equals.empty() || strength > best.strength) best = {{}, {}, strength};
     best.equals.push_back(&explanation);
   }
+  if (best.equals.empty()) return best;
+  best.crashes = ListUnexplained(*best.equals.front(), explained);
   // Equally strong blocks with crashes of their own are further causes, found in a later round.
   std::erase_if(best.equals, [&](const auto* other) {
-    return !std::all_of(best.crashes.begin(), best.crashes.end(), [&](const auto& crash) {
-      return Contains(*other->crashes, crash, window);
-    });
+    return !std::all_of(best.crashes.begin(), best.crashes.end(),
+                        [&](const auto& crash) { return Contains(*other->crashes, crash); });
   });
   return best;
 }
@@ -119,9 +136,9 @@
     -> std::vector<Quarantine> {
   const auto explanations = ListExplanations(table, policy, min_crashes, now);
   std::vector<Quarantine> causes;
-  std::vector<ReplicaCrash> explained;
+  std::vector<SharedCrash> explained;
   while (true) {
-    const auto best = FindStrongest(explanations, explained, policy.same_crash_window);
+    const auto best = FindStrongest(explanations, explained);
     if (best.equals.empty()) return causes;
     explained.insert(explained.end(), best.crashes.begin(), best.crashes.end());
     const bool is_clear = best.equals.size() == 1 || std::get<0>(best.strength) > 0;
@@ -155,13 +172,34 @@
         const auto& left = a.second.crashes;
         const auto& right = b.second.crashes;
         return left.size() != right.size() ? left.size() < right.size()
-                                           : left.back().at < right.back().at;
+                                           : left.back()->at < right.back()->at;
       });
   if (least == table.blocks.end()) return;
   table.dropped.crashes += least->second.crashes.size();
   table.blocks.erase(least);
 }
 
+// Adds a crash to what is known against a block. Returns whether it was new.
+auto AddCrash(BlockSuspicion& suspicion, const QuarantinePolicy& policy, std::uint32_t depth,
+              const SharedCrash& crash) -> bool {
+  suspicion.depth = std::max(suspicion.depth, depth);
+  auto& crashes = suspicion.crashes;
+  if (Contains(crashes, crash)) return false;
+  const auto later = std::find_if(crashes.begin(), crashes.end(),
+                                  [&](const auto& other) { return other->at > crash->at; });
+  crashes.insert(later, crash);
+  if (crashes.size() > policy.max_crashes_per_block) crashes.erase(crashes.begin());
+  return true;
+}
+
+// Records the sound responses that another entry reports with evidence.
+auto RecordReportedSound(QuarantineTable& table, const SuspectBlock& block, core::Time at) -> void {
+  if (block.sound == 0) return;
+  auto& record = table.sound[block.id];
+  record.count = std::max<std::size_t>(record.count, block.sound);
+  record.last = std::max(record.last, at);
+}
+
 // If more than `max_blocks` blocks have sound responses, drops a quarter of the limit and what is
 // above it: the blocks with the fewest, of these the oldest.
 auto LimitSoundRecords(QuarantineTable& table, std::size_t max_blocks) -> void {
@@ -195,10 +233,17 @@
 }  // namespace
 
 auto ListBlockIds(const Prompt& prompt) -> std::vector<std::uint64_t> {
+  std::vector<std::pair<std::uint64_t, std::size_t>> places;
+  places.reserve(prompt.blocks.size());
+  for (const auto& block : prompt.blocks) places.emplace_back(block.id, places.size());
+  std::sort(places.begin(), places.end());
+  const auto is_same_id = [](const auto& a, const auto& b) { return a.first == b.first; };
+  places.erase(std::unique(places.begin(), places.end(), is_same_id), places.end());
+  std::sort(places.begin(), places.end(),
+            [](const auto& a, const auto& b) { return a.second < b.second; });
   std::vector<std::uint64_t> ids;
-  for (const auto& block : prompt.blocks) {
-    if (std::find(ids.begin(), ids.end(), block.id) == ids.end()) ids.push_back(block.id);
-  }
+  ids.reserve(places.size());
+  for (const auto& place : places) ids.push_back(place.first);
   return ids;
 }
 
@@ -261,54 +306,45 @@
   return confirmed;
 }
 
-auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash)
-    -> std::vector<CrashEvidence> {
-  const auto ids = ListBlockIds(prompt);
-  std::vector<CrashEvidence> evidence;
-  evidence.reserve(ids.size());
-  for (auto id = ids.begin(); id != ids.end(); ++id) {
-    evidence.push_back({*id, crash, {ids.begin(), id + 1}, 0});
-    if (*id == ids.back()) evidence.back().prefix.clear();
+auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> CrashEvidence {
+  CrashEvidence evidence{crash, {}};
+  for (const auto id : ListBlockIds(prompt)) {
+    evidence.blocks.push_back({id, static_cast<std::uint32_t>(evidence.blocks.size() + 1), 0});
   }
+  if (!evidence.blocks.empty()) evidence.blocks.back().depth = 0;
   return evidence;
 }
 
 auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
-                 const CrashEvidence& evidence) -> bool {
-  if (!table.blocks.contains(evidence.block) && table.blocks.size() >= policy.max_blocks) {
-    DropLeastSuspected(table);
-  }
-  auto& suspicion = table.blocks[evidence.block];
-  auto& crashes = suspicion.crashes;
-  if (evidence.prefix.size() > suspicion.prefix.size()) suspicion.prefix = evidence.prefix;
-  if (evidence.sound > 0) {
-    auto& record = table.sound[evidence.block];
-    record.count = std::max(record.count, evidence.sound);
-    record.last = std::max(record.last, evidence.crash.at);
+                 const CrashEvidence& evidence) -> std::vector<SuspectBlock> {
+  const auto crash = FindOrAddCrash(table, policy, evidence.crash);
+  std::vector<SuspectBlock> added;
+  for (const auto& block : evidence.blocks) {
+    RecordReportedSound(table, block, evidence.crash.at);
+    if (!table.blocks.contains(block.id) && table.blocks.size() >= policy.max_blocks) {
+      DropLeastSuspected(table);
+    }
+    if (!AddCrash(table.blocks[block.id], policy, block.depth, crash)) continue;
+    added.push_back({block.id, block.depth, CountSound(table, block.id)});
   }
-  if (Contains(crashes, evidence.crash, policy.same_crash_window)) return false;
-  const auto later = std::find_if(crashes.begin(), crashes.end(),
-                                  [&](const auto& crash) { return crash.at > evidence.crash.at; });
-  crashes.insert(later, evidence.crash);
-  if (crashes.size() > policy.max_crashes_per_block) crashes.erase(crashes.begin());
-  return true;
+  return added;
 }
 
-auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::size_t {
+auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::uint32_t {
   const auto found = table.sound.find(block);
-  return found == table.sound.end() ? 0 : found->second.count;
+  return found == table.sound.end() ? 0 : static_cast<std::uint32_t>(found->second.count);
 }
 
 auto EstimateBytes(const CrashEvidence& evidence) -> std::size_t {
-  return sizeof(evidence) + evidence.prefix.size() * sizeof(std::uint64_t);
+  return sizeof(evidence) + evidence.blocks.size() * sizeof(SuspectBlock);
 }
 
 auto EstimateBytes(const QuarantineTable& table) -> std::size_t {
   std::size_t bytes = table.sound.size() * (kNodeBytes + sizeof(SoundRecord)) +
-                      table.losses.size() * (kNodeBytes + sizeof(UnansweredLoss));
+                      table.losses.size() * (kNodeBytes + sizeof(UnansweredLoss)) +
+                      table.crashes.size() * (sizeof(SharedCrash) + sizeof(ReplicaCrash));
   for (const auto& [block, suspicion] : table.blocks) {
-    bytes += kNodeBytes + sizeof(suspicion) + suspicion.crashes.size() * sizeof(ReplicaCrash) +
-             suspicion.prefix.size() * sizeof(std::uint64_t);
+    bytes += kNodeBytes + sizeof(suspicion) + suspicion.crashes.size() * sizeof(SharedCrash);
   }
   for (const auto& crash : table.unconfirmed) {
     bytes += sizeof(crash) + crash.prompt.blocks.size() * sizeof(PrefixBlock);
@@ -317,13 +353,15 @@
 }
 
 auto ListEvidence(const QuarantineTable& table) -> std::vector<CrashEvidence> {
-  std::vector<CrashEvidence> evidence;
+  std::map<SharedCrash, CrashEvidence> by_crash;
   for (const auto& [block, suspicion] : table.blocks) {
-    for (const auto& crash : suspicion.crashes) {
-      evidence.push_back({block, crash, suspicion.prefix, CountSound(table, block)});
-    }
+    const SuspectBlock suspect{block, suspicion.depth, CountSound(table, block)};
+    for (const auto& crash : suspicion.crashes) by_crash[crash].blocks.push_back(suspect);
   }
-  return evidence;
+  std::vector<CrashEvidence> out;
+  out.reserve(by_crash.size());
+  for (auto& [crash, evidence] : by_crash) out.push_back({*crash, std::move(evidence.blocks)});
+  return out;
 }
 
 auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
@@ -367,8 +405,9 @@
 auto RemoveOldEvidence(QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
     -> void {
   std::erase_if(table.blocks, [&](const auto& item) {
-    return now - item.second.crashes.back().at > policy.forget_after;
+    return now - item.second.crashes.back()->at > policy.forget_after;
   });
+  RemoveUnusedCrashes(table);
   std::erase_if(table.losses,
                 [&](const auto& item) { return now - item.second.crash.at > policy.loss_memory; });
   std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
--- a/libs/direct/test/quarantine_property_test.cc
+++ b/libs/direct/test/quarantine_property_test.cc
@@ -58,9 +58,7 @@
         if (crashes == 1 && !sound.contains(beside)) twin = beside;
         if (twin != beside) twin = 0;
         for (const auto& lost : {prompt, neighbor}) {
-          for (const auto& evidence : CollectEvidence(lost, crash)) {
-            AddEvidence(random_table, this->policy, evidence);
-          }
+          AddEvidence(random_table, this->policy, CollectEvidence(lost, crash));
         }
       }
     });
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -183,10 +183,8 @@
     RecordSoundResponse(peer, MakePrompt({kCommon, kOther}), this->now);
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
-      for (const auto& evidence :
-           CollectEvidence(MakePrompt({kCommon, kOther}), {replica, this->now})) {
-        AddEvidence(peer, this->policy, evidence);
-      }
+      AddEvidence(peer, this->policy,
+                  CollectEvidence(MakePrompt({kCommon, kOther}), {replica, this->now}));
     }
     for (const auto& evidence : ListEvidence(peer)) {
       AddEvidence(this->table, this->policy, evidence);
@@ -374,10 +372,10 @@
     }
     QuarantineTable copy;
     for (const auto& evidence : ListEvidence(this->table)) {
-      CPPUNIT_ASSERT(AddEvidence(copy, this->policy, evidence));
+      CPPUNIT_ASSERT(AddEvidence(copy, this->policy, evidence) == evidence.blocks);
     }
     for (const auto& evidence : ListEvidence(this->table)) {
-      CPPUNIT_ASSERT(!AddEvidence(copy, this->policy, evidence));
+      CPPUNIT_ASSERT(AddEvidence(copy, this->policy, evidence).empty());
     }
     const auto prompt = MakePrompt({kCommon, kDeadly});
     CPPUNIT_ASSERT(FindQuarantine(copy, this->policy, prompt, this->now));
@@ -395,9 +393,7 @@
 
  private:
   auto Crash(const Prompt& prompt, const std::string& replica, core::Duration after) -> void {
-    for (const auto& evidence : CollectEvidence(prompt, {replica, this->now + after})) {
-      AddEvidence(this->table, this->policy, evidence);
-    }
+    AddEvidence(this->table, this->policy, CollectEvidence(prompt, {replica, this->now + after}));
   }
 
   auto Find(const Prompt& prompt, core::Duration after) const -> std::optional<Quarantine> {
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -19,8 +19,7 @@
 constexpr std::size_t kMaxQuarantineUpdates = 1024;
 // Limits on what a peer may report of one crash.
 constexpr core::Duration kMaxCrashAge = std::chrono::hours(1);
-constexpr std::size_t kMaxPrefixBlocks = 64;
-constexpr std::size_t kMaxSoundCount = 1'000'000;
+constexpr std::uint32_t kMaxSoundCount = 1'000'000;
 
 // A block that has just been quarantined.
 struct NewQuarantine {
@@ -32,13 +31,13 @@
   const auto& suspicion = quarantine.suspicion;
   std::string replicas;
   for (const auto& crash : suspicion.crashes) {
-    replicas += (replicas.empty() ? "" : ",") + crash.replica;
+    replicas += (replicas.empty() ? "" : ",") + crash->replica;
   }
   telemetry::Log(Level::error, Event::block_quarantined,
                  {{"block", core::FormatHex(quarantine.block)},
                   {"crashes", std::to_string(suspicion.crashes.size())},
                   {"replicas", replicas},
-                  {"prefix", core::FormatHexList(suspicion.prefix)},
+                  {"depth", std::to_string(suspicion.depth)},
                   {"source", core::Name(source)}});
 }
 
@@ -97,12 +96,10 @@
     -> void {
   const auto quarantined = relay.dispatch.With([&](DispatchTable& table) {
     return FindNewQuarantines(relay, table, [&] {
-      for (const auto& evidence : direct::CollectEvidence(prompt, crash)) {
-        if (!direct::AddEvidence(table.quarantine, relay.policies.quarantine, evidence)) continue;
-        auto reported = evidence;
-        reported.sound = direct::CountSound(table.quarantine, evidence.block);
-        AppendUpdate(table, {.evidence = std::move(reported)});
-      }
+      auto blocks = direct::AddEvidence(table.quarantine, relay.policies.quarantine,
+                                        direct::CollectEvidence(prompt, crash));
+      if (blocks.empty()) return;
+      AppendUpdate(table, {direct::CrashEvidence{crash, std::move(blocks)}, {}});
     });
   });
   ApplyQuarantines(relay, quarantined, ReportSource::replica);
@@ -119,19 +116,23 @@
   });
 }
 
-auto ToRow(const direct::CrashEvidence& evidence, core::Time now) -> wire::BlockCrash {
-  return {evidence.block, evidence.crash.replica,
-          std::max(now - evidence.crash.at, core::Duration{}), evidence.prefix,
-          static_cast<std::uint32_t>(std::min<std::size_t>(evidence.sound, kMaxSoundCount))};
+auto ToRow(const direct::CrashEvidence& evidence, core::Time now) -> wire::PromptCrash {
+  wire::PromptCrash row{
+      evidence.crash.replica, std::max(now - evidence.crash.at, core::Duration{}), {}};
+  row.blocks.reserve(evidence.blocks.size());
+  for (const auto& block : evidence.blocks) {
+    row.blocks.push_back({block.id, block.depth, std::min(block.sound, kMaxSoundCount)});
+  }
+  return row;
 }
 
-auto ToEvidence(const wire::BlockCrash& row, core::Time now) -> direct::CrashEvidence {
+auto ToEvidence(const wire::PromptCrash& row, core::Time now) -> direct::CrashEvidence {
   direct::CrashEvidence evidence{
-      row.block,
-      {row.replica, now - std::clamp(row.age, core::Duration{}, kMaxCrashAge)},
-      row.prefix,
-      std::min<std::size_t>(row.sound, kMaxSoundCount)};
-  if (evidence.prefix.size() > kMaxPrefixBlocks) evidence.prefix.resize(kMaxPrefixBlocks);
+      {row.replica, now - std::clamp(row.age, core::Duration{}, kMaxCrashAge)}, {}};
+  evidence.blocks.reserve(row.blocks.size());
+  for (const auto& block : row.blocks) {
+    evidence.blocks.push_back({block.id, block.depth, std::min(block.sound, kMaxSoundCount)});
+  }
   return evidence;
 }
 
@@ -206,10 +207,10 @@
 auto RecordSoundResponse(Relay& relay, const Call& call) -> void {
   if (!call.head.prompt) return;
   const bool changed = relay.dispatch.With([&](DispatchTable& table) {
-    const auto blocks =
-        direct::RecordSoundResponse(table.quarantine, *call.head.prompt, node::Now());
-    for (const auto block : blocks) AppendUpdate(table, {.evidence = {}, .sound_block = block});
-    return !blocks.empty();
+    auto blocks = direct::RecordSoundResponse(table.quarantine, *call.head.prompt, node::Now());
+    if (blocks.empty()) return false;
+    AppendUpdate(table, {{}, std::move(blocks)});
+    return true;
   });
   if (changed) WakePeers(relay);
 }
@@ -227,11 +228,9 @@
   const auto unsent = std::min<std::uint64_t>(table.quarantine_update_count - *sent_count, size);
   for (auto i = size - unsent; i < size; ++i) {
     const auto& update = table.quarantine_updates[i];
-    if (update.evidence) {
-      message.crashes.push_back(ToRow(*update.evidence, now));
-    } else {
-      message.sound_blocks.push_back(update.sound_block);
-    }
+    if (update.evidence) message.crashes.push_back(ToRow(*update.evidence, now));
+    message.sound_blocks.insert(message.sound_blocks.end(), update.sound_blocks.begin(),
+                                update.sound_blocks.end());
   }
   sent_count = table.quarantine_update_count;
 }
@@ -254,7 +253,8 @@
   const auto [table_bytes, update_bytes, dropped] = relay.dispatch.With([](DispatchTable& table) {
     std::size_t bytes = 0;
     for (const auto& update : table.quarantine_updates) {
-      bytes += sizeof(update) + (update.evidence ? direct::EstimateBytes(*update.evidence) : 0);
+      bytes += sizeof(update) + update.sound_blocks.size() * sizeof(std::uint64_t) +
+               (update.evidence ? direct::EstimateBytes(*update.evidence) : 0);
     }
     return std::tuple(direct::EstimateBytes(table.quarantine), bytes,
                       std::exchange(table.quarantine.dropped, {}));
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -82,10 +82,10 @@
 enum class ReportSource { list, replica, peer };
 
 // What this entry has learnt of suspected prompt blocks, for its peers: a crash as evidence against
-// a block, or else a sound response to a prompt with `sound_block`.
+// blocks, or else the suspected blocks that a sound response speaks for.
 struct QuarantineUpdate {
   std::optional<direct::CrashEvidence> evidence;
-  std::uint64_t sound_block = 0;
+  std::vector<std::uint64_t> sound_blocks;
 };
 
 // Max-min share of the service that this entry admits, in units of recent service, cached until
--- a/libs/relay/test/fixture.h
+++ b/libs/relay/test/fixture.h
@@ -48,6 +48,12 @@
       for (const char id : blocks) {
         head.prompt->blocks.push_back({static_cast<std::uint64_t>(id - '0'), 1});
       }
+      // Number of further shared blocks, whose ids are spread over the whole range.
+      const std::string fillers(net::FindHeader(request.headers, "Filler-Blocks"));
+      constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+      for (std::uint64_t i = fillers.empty() ? 0 : std::stoull(fillers); i > 0; --i) {
+        head.prompt->blocks.push_back({i * multiplier, 1});
+      }
       // The last block is the request's own.
       head.prompt->blocks.push_back({std::hash<std::string>()(head.request_id) | (1ull << 32), 1});
     }
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 
 #include "fixture.h"
 
@@ -68,6 +69,22 @@
   return request;
 }
 
+// A request whose prompt has `fillers` shared blocks after the given ones.
+auto LongPromptRequest(const std::string& id, const std::string& blocks, int fillers)
+    -> net::HttpRequest {
+  auto request = PromptRequest(id, blocks);
+  request.headers.emplace_back("Filler-Blocks", std::to_string(fillers));
+  return request;
+}
+
+// Returns the value of a metric of the entry, or nothing if it is not exported.
+auto ReadMetric(TestEntry& entry, const std::string& name) -> std::optional<double> {
+  const auto text = "\n" + entry.Call(Get("/metrics"), true).body;
+  const auto found = text.find("\n" + name + " ");
+  if (found == std::string::npos) return std::nullopt;
+  return std::stod(text.substr(found + name.size() + 2));
+}
+
 class QuarantineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantineTest);
   CPPUNIT_TEST(testPromptThatCrashesReplicasIsHeldBack);
@@ -80,6 +97,8 @@
   CPPUNIT_TEST(testSilenceBeforeARestartIsNoEvidence);
   CPPUNIT_TEST(testCutResponsesOfLiveReplicasAreNoEvidence);
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
+  CPPUNIT_TEST(testCrashUnderALongPromptTakesLittleMemory);
+  CPPUNIT_TEST(testDeadlyBlockOfLongPromptsIsHeldBack);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -319,6 +338,62 @@
     CPPUNIT_ASSERT(!is_suspected("1") && is_suspected("3"));
   }
 
+  // Guards against evidence that grows with the square of the prompt: one crash would take an entry
+  // over its memory, and its message to each other entry over the limit on messages.
+  auto testCrashUnderALongPromptTakesLittleMemory() -> void {
+    constexpr int blocks = 2646;
+    constexpr double max_bytes_per_block = 256;
+    FragileReplicas replicas(1);
+    TestEntry first;
+    TestEntry second(LinkedTo(first));
+    for (auto* entry : {&first, &second}) {
+      entry->Configure(MakeFleetConfig());
+      replicas.ListAt(*entry);
+    }
+    first.Call(LongPromptRequest("deadly-1", kDeadlyBlocks, blocks));
+    double bytes = 0;
+    for (const auto* holder : {"table", "updates"}) {
+      const auto held = ReadMetric(
+          first, "filbertstair_crash_evidence_bytes{holder=\"" + std::string(holder) + "\"}");
+      CPPUNIT_ASSERT(held && *held > 0);
+      bytes += *held;
+    }
+    CPPUNIT_ASSERT(bytes < blocks * max_bytes_per_block);
+    const auto knows_crash = [&] {
+      return second.Call(Get("/status"), true).body.find("\"crashes\":1") != std::string::npos;
+    };
+    const auto deadline = std::chrono::steady_clock::now() + seconds(5);
+    while (!knows_crash() && std::chrono::steady_clock::now() < deadline) {
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(knows_crash());
+  }
+
+  // Guards against a deadly block that is never held back because its prompts have more blocks than
+  // are remembered of a crash.
+  auto testDeadlyBlockOfLongPromptsIsHeldBack() -> void {
+    constexpr int blocks = 700;
+    FragileReplicas replicas(10);
+    TestEntry first;
+    TestEntry second(LinkedTo(first));
+    for (auto* entry : {&first, &second}) {
+      entry->Configure(MakeFleetConfig());
+      replicas.ListAt(*entry);
+    }
+    for (int i = 0; i < 8; ++i) {
+      auto& entry = i % 2 == 0 ? first : second;
+      entry.Call(LongPromptRequest("deadly-" + std::to_string(i), kDeadlyBlocks, blocks));
+      const auto sound =
+          entry.Call(LongPromptRequest("sound-" + std::to_string(i), kSoundBlocks, blocks));
+      CPPUNIT_ASSERT_EQUAL(200, sound.status);
+      // Longer than two entries take to tell each other.
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+    CPPUNIT_ASSERT(replicas.CountCrashed() < 5);
+    CPPUNIT_ASSERT_EQUAL(503,
+                         first.Call(LongPromptRequest("deadly-9", kDeadlyBlocks, blocks)).status);
+  }
+
  private:
   static auto LinkedTo(const TestEntry& entry) -> settings::Settings {
     auto settings = MakeSettings("entry-2");
--- a/libs/wire/include/filbertstair/wire/control.h
+++ b/libs/wire/include/filbertstair/wire/control.h
@@ -142,16 +142,23 @@
   std::uint32_t tokens = 0;
 };
 
-// Crash of a replica as evidence against a prompt block.
-struct BlockCrash {
-  std::uint64_t block = 0;
+// Prompt block that the crash of a replica is evidence against.
+struct SuspectBlock {
+  std::uint64_t id = 0;
+  // Number of blocks of its prompt up to and including this one; 0 for the last one.
+  std::uint32_t depth = 0;
+  // Recent sound responses of the sender to prompts with the block.
+  std::uint32_t sound = 0;
+
+  auto operator==(const SuspectBlock&) const -> bool = default;
+};
+
+// Crash of a replica as evidence against the blocks of prompts that it cut.
+struct PromptCrash {
   std::string replica;
   // Time since the crash.
   core::Duration age{};
-  // Blocks of a prompt that lost its response in the crash, up to and including `block`.
-  std::vector<std::uint64_t> prefix;
-  // Recent sound responses of the sender to prompts with the block.
-  std::uint32_t sound = 0;
+  std::vector<SuspectBlock> blocks;
 };
 
 // Start of a replica that has said that it leaves.
@@ -176,7 +183,7 @@
   std::vector<CachedPrefixBlock> cached_blocks;
   // Crashes that the sender observed, and suspected blocks that a sound response to the sender
   // speaks for, once per response. A new link starts with all crashes that the sender knows of.
-  std::vector<BlockCrash> crashes;
+  std::vector<PromptCrash> crashes;
   std::vector<std::uint64_t> sound_blocks;
   std::vector<LeavingReplica> leaving;
   // Remaining time in microseconds for which the sender's configuration counts as confirmed.
--- a/libs/wire/src/control.cc
+++ b/libs/wire/src/control.cc
@@ -124,11 +124,13 @@
   }
   for (const auto& row : from.crashes) {
     auto* out = to.add_crashes();
-    out->set_block(row.block);
     out->set_replica(row.replica);
     out->set_age_us(static_cast<std::uint64_t>(row.age.count()));
-    for (const auto block : row.prefix) out->add_common(block);
-    out->set_sound(row.sound);
+    for (const auto& block : row.blocks) {
+      out->add_blocks(block.id);
+      out->add_depths(block.depth);
+      out->add_sound(block.sound);
+    }
   }
   for (const auto block : from.sound_blocks) to.add_sound_blocks(block);
   for (const auto& row : from.leaving) {
@@ -188,6 +190,19 @@
           from.draining()};
 }
 
+auto ToStruct(const pb::PromptCrash& from, const std::string& peer) -> PromptCrash {
+  const auto size = from.blocks_size();
+  if (from.depths_size() != size || from.sound_size() != size) {
+    throw core::Error(core::Step::decode, peer, "crash with lists of different lengths");
+  }
+  PromptCrash to{from.replica(), ToDuration(from.age_us()), {}};
+  to.blocks.reserve(static_cast<std::size_t>(size));
+  for (int i = 0; i < size; ++i) {
+    to.blocks.push_back({from.blocks(i), from.depths(i), from.sound(i)});
+  }
+  return to;
+}
+
 auto ToStruct(const pb::EntryState& from, const std::string& peer) -> EntryState {
   EntryState to;
   to.address = from.address();
@@ -202,13 +217,7 @@
   for (const auto& row : from.kept()) {
     to.cached_blocks.push_back({row.replica(), row.key(), row.tokens()});
   }
-  for (const auto& row : from.crashes()) {
-    to.crashes.push_back({row.block(),
-                          row.replica(),
-                          ToDuration(row.age_us()),
-                          {row.common().begin(), row.common().end()},
-                          row.sound()});
-  }
+  for (const auto& row : from.crashes()) to.crashes.push_back(ToStruct(row, peer));
   for (const auto& row : from.leaving()) {
     to.leaving.push_back({row.replica(), row.started_ms()});
   }
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -64,7 +64,7 @@
     state.replicas = {{"r", 1, 2}};
     state.accounts = {{"s", "w", 3, true}};
     state.cached_blocks = {{"r", 4, 5}};
-    state.crashes = {{7, "r", std::chrono::seconds(3), {6, 7}, 5}};
+    state.crashes = {{"r", std::chrono::seconds(3), {{6, 1, 5}, {7, 0, 0}}}};
     state.sound_blocks = {8, 8};
     state.leaving = {{"r", 9}};
     state.lease_us = 6;
@@ -82,11 +82,9 @@
     CPPUNIT_ASSERT(account.service == "s" && account.workspace == "w" && account.used == 3);
     CPPUNIT_ASSERT(account.waiting);
     const auto& crash = copy.crashes.at(0);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, crash.block);
     CPPUNIT_ASSERT_EQUAL(std::string("r"), crash.replica);
     CPPUNIT_ASSERT(crash.age == std::chrono::seconds(3));
-    CPPUNIT_ASSERT(state.crashes.at(0).prefix == crash.prefix);
-    CPPUNIT_ASSERT_EQUAL(5u, crash.sound);
+    CPPUNIT_ASSERT(state.crashes.at(0).blocks == crash.blocks);
     CPPUNIT_ASSERT(state.sound_blocks == copy.sound_blocks);
     CPPUNIT_ASSERT(state.leaving == copy.leaving);
     const auto& part = copy.cached_blocks.at(0);
