Keep evidence against all blocks of prompts that are as long as a header allows

A block that crashes replicas, in prompts of 700 blocks, was never held back: 42 crashes of 32 requests in 22 s, 30 requests at replicas later than contact-ms after the fifth crash, where three are allowed.

Cause: the table of suspected blocks had room for 512. To make room it dropped, of the blocks with one crash, the one with the smallest id, so evidence against the deadly block was dropped in the call that added it.

Change: the table holds 16,384 pieces of evidence. When it is full it drops blocks with a sound response first, then those with the fewest crashes, then the oldest, of equal ones a random choice, once for each report. /status lists at most 256 suspected blocks and counts them all.

Why it works: several crashes under the longest prompts have room, and a deadly block, which no response ever clears, is dropped after those that are known to be sound. Neither the place of a block nor its id decides.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -104,7 +104,10 @@
   // Time for which an unanswered loss is remembered for the next one.
   core::Duration loss_memory = std::chrono::minutes(10);
   std::size_t max_crashes_per_block = 8;
-  std::size_t max_blocks = 512;
+  // Pieces of evidence in the table, each a crash against a block. Beyond that the blocks that are
+  // least suspected are dropped. Several crashes under prompts that fill a header of 16 KiB, with
+  // some 2,700 blocks, have room.
+  std::size_t max_evidence = 16384;
   // Blocks whose sound responses are remembered, of about 60 bytes each. Beyond that a quarter is
   // dropped, the least popular first: scanning them takes processor time from requests.
   std::size_t max_sound_blocks = 4096;
@@ -178,10 +181,16 @@
 // again.
 auto CollectEvidence(const Prompt& prompt, const ReplicaCrash& crash) -> CrashEvidence;
 
-// Adds evidence. Returns the blocks that it is new for, with the sound responses in the table.
+// Adds evidence. Returns the blocks that it is new for, with the sound responses in the table. If
+// the table is full, drops the blocks with a sound response first, then those with the fewest
+// crashes, then those whose last crash is oldest; of equal ones a random choice, so that
+// neither the place of a block in its prompt nor its id decides.
 auto AddEvidence(QuarantineTable& table, const QuarantinePolicy& policy,
                  const CrashEvidence& evidence) -> std::vector<SuspectBlock>;
 
+// Returns the number of pieces of evidence in the table, each a crash against a block.
+auto CountEvidence(const QuarantineTable& table) -> std::size_t;
+
 // Returns the number of recent sound responses to prompts with the block.
 auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::uint32_t;
 
@@ -218,6 +227,17 @@
 auto ListQuarantines(const QuarantineTable& table, const QuarantinePolicy& policy, core::Time now)
     -> std::vector<Quarantine>;
 
+// A suspected block as operators see it.
+struct Suspect {
+  std::uint64_t block = 0;
+  std::size_t crashes = 0;
+  bool is_quarantined = false;
+};
+
+// Returns at most `count` suspected blocks: the quarantined ones, then those with most crashes.
+auto ListSuspects(const QuarantineTable& table, const QuarantinePolicy& policy, std::size_t count,
+                  core::Time now) -> std::vector<Suspect>;
+
 // Returns why a prompt must not be sent to a replica, or nothing if it may be.
 auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
                     const Prompt& prompt, core::Time now) -> std::optional<Quarantine>;
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -164,19 +165,47 @@
   return found == causes.end() ? std::nullopt : std::optional(*found);
 }
 
-// Makes a place for another block: drops the one with the fewest crashes, of these the one whose
-// last crash is oldest.
-auto DropLeastSuspected(QuarantineTable& table) -> void {
-  const auto least =
-      std::min_element(table.blocks.begin(), table.blocks.end(), [](const auto& a, const auto& b) {
-        const auto& left = a.second.crashes;
-        const auto& right = b.second.crashes;
-        return left.size() != right.size() ? left.size() < right.size()
-                                           : left.back()->at < right.back()->at;
-      });
-  if (least == table.blocks.end()) return;
-  table.dropped.crashes += least->second.crashes.size();
-  table.blocks.erase(least);
+// Returns a number that looks random, from the block and the time of its last event.
+auto RandomRank(std::uint64_t block, core::Time last) -> std::uint64_t {
+  constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+  auto mixed = (block ^ static_cast<std::uint64_t>(last.time_since_epoch().count())) * multiplier;
+  mixed = (mixed ^ (mixed >> 32)) * multiplier;
+  return mixed ^ (mixed >> 32);
+}
+
+// A suspected block in the order in which full tables drop them, the first one first.
+struct SuspicionRank {
+  bool is_unproven = false;
+  std::size_t crashes = 0;
+  core::Time last{};
+  std::uint64_t random = 0;
+  std::uint64_t block = 0;
+
+  auto operator<=>(const SuspicionRank&) const = default;
+};
+
+// Drops the least suspected blocks until at most `max_evidence` pieces of evidence remain.
+auto LimitEvidence(QuarantineTable& table, std::size_t max_evidence) -> void {
+  const auto pieces = CountEvidence(table);
+  if (pieces <= max_evidence) return;
+  std::vector<SuspicionRank> ranks;
+  ranks.reserve(table.blocks.size());
+  for (const auto& [block, suspicion] : table.blocks) {
+    const auto last = suspicion.crashes.back()->at;
+    ranks.push_back({!table.sound.contains(block), suspicion.crashes.size(), last,
+                     RandomRank(block, last), block});
+  }
+  // Each block has at least one piece, so at most as many blocks as there are pieces too many are
+  // dropped.
+  const auto excess = pieces - max_evidence;
+  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(excess, ranks.size()));
+  std::partial_sort(ranks.begin(), end, ranks.end());
+  std::size_t dropped = 0;
+  for (auto rank = ranks.begin(); rank != end && dropped < excess; ++rank) {
+    dropped += rank->crashes;
+    table.blocks.erase(rank->block);
+  }
+  table.dropped.crashes += dropped;
 }
 
 // Adds a crash to what is known against a block. Returns whether it was new.
@@ -321,15 +350,19 @@
   std::vector<SuspectBlock> added;
   for (const auto& block : evidence.blocks) {
     RecordReportedSound(table, block, evidence.crash.at);
-    if (!table.blocks.contains(block.id) && table.blocks.size() >= policy.max_blocks) {
-      DropLeastSuspected(table);
-    }
     if (!AddCrash(table.blocks[block.id], policy, block.depth, crash)) continue;
     added.push_back({block.id, block.depth, CountSound(table, block.id)});
   }
+  LimitEvidence(table, policy.max_evidence);
   return added;
 }
 
+auto CountEvidence(const QuarantineTable& table) -> std::size_t {
+  std::size_t pieces = 0;
+  for (const auto& [block, suspicion] : table.blocks) pieces += suspicion.crashes.size();
+  return pieces;
+}
+
 auto CountSound(const QuarantineTable& table, std::uint64_t block) -> std::uint32_t {
   const auto found = table.sound.find(block);
   return found == table.sound.end() ? 0 : static_cast<std::uint32_t>(found->second.count);
@@ -392,6 +425,24 @@
   return ExplainCrashes(table, policy, policy.crashes_to_quarantine, Ambiguity::release, now);
 }
 
+auto ListSuspects(const QuarantineTable& table, const QuarantinePolicy& policy, std::size_t count,
+                  core::Time now) -> std::vector<Suspect> {
+  std::set<std::uint64_t> quarantined;
+  for (const auto& item : ListQuarantines(table, policy, now)) quarantined.insert(item.block);
+  std::vector<Suspect> suspects;
+  suspects.reserve(table.blocks.size());
+  for (const auto& [block, suspicion] : table.blocks) {
+    suspects.push_back({block, suspicion.crashes.size(), quarantined.contains(block)});
+  }
+  const auto end = suspects.begin() + static_cast<std::ptrdiff_t>(std::min(count, suspects.size()));
+  std::partial_sort(suspects.begin(), end, suspects.end(), [](const auto& a, const auto& b) {
+    return std::tie(b.is_quarantined, b.crashes, a.block) <
+           std::tie(a.is_quarantined, a.crashes, b.block);
+  });
+  suspects.erase(end, suspects.end());
+  return suspects;
+}
+
 auto FindQuarantine(const QuarantineTable& table, const QuarantinePolicy& policy,
                     const Prompt& prompt, core::Time now) -> std::optional<Quarantine> {
   return FindCause(table, policy, prompt, policy.crashes_to_quarantine, Ambiguity::release, now);
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(testOldListingAtTheAddressConfirmsNoCrash);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
   CPPUNIT_TEST(testTableIsBounded);
+  CPPUNIT_TEST(testDeadlyBlockIsFoundInLongPrompts);
+  CPPUNIT_TEST(testSoundBlocksMakeRoomForUnprovenOnes);
   CPPUNIT_TEST_SUITE_END();
 
   const QuarantinePolicy policy{};
@@ -382,16 +384,68 @@
     CPPUNIT_ASSERT(!FindQuarantine(copy, this->policy, MakePrompt({kCommon, kOther}), this->now));
   }
 
+  // Guards against memory that grows with the crashes; a block with several of them is kept.
   auto testTableIsBounded() -> void {
+    QuarantinePolicy small;
+    small.max_evidence = 512;
+    const auto crash = [&](const Prompt& prompt, const std::string& replica) {
+      AddEvidence(this->table, small, CollectEvidence(prompt, {replica, this->now}));
+    };
+    for (const auto* replica : {"a", "b", "c"}) crash(MakePrompt({kDeadly}), replica);
+    for (std::uint64_t id = 100; id < 2000; ++id) crash(MakePrompt({id}), "x");
+    CPPUNIT_ASSERT_EQUAL(small.max_evidence, CountEvidence(this->table));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
+  }
+
+  // Guards against a deadly block that is forgotten in the crash that showed it, since its prompts
+  // have more blocks than are remembered: wherever it stands in them, and whatever its id.
+  auto testDeadlyBlockIsFoundInLongPrompts() -> void {
+    for (const std::size_t blocks : {700, 2700}) {
+      for (const std::size_t place : {std::size_t{0}, std::size_t{1}, blocks / 2, blocks - 1}) {
+        for (const std::uint64_t deadly : {std::uint64_t{2}, ~std::uint64_t{0}}) {
+          this->table = {};
+          const auto prompt = MakeLongPrompt(blocks, place, deadly);
+          RecordSoundResponse(this->table, MakeLongPrompt(blocks, blocks, 0), this->now);
+          for (const auto* replica : {"a", "b", "c"}) this->Crash(prompt, replica, seconds(0));
+          const auto found = this->Find(prompt, seconds(0));
+          CPPUNIT_ASSERT(found);
+          CPPUNIT_ASSERT_EQUAL(deadly, found->block);
+          CPPUNIT_ASSERT(!this->Find(MakeLongPrompt(blocks, blocks, 0), seconds(0)));
+        }
+      }
+    }
+  }
+
+  // Guards against forgetting a deadly block because its replicas also run long prompts, whose
+  // blocks are known to be sound.
+  auto testSoundBlocksMakeRoomForUnprovenOnes() -> void {
+    QuarantinePolicy small;
+    small.max_evidence = 1000;
+    const auto sound = MakeLongPrompt(900, 900, 0);
+    RecordSoundResponse(this->table, sound, this->now);
     for (const auto* replica : {"a", "b", "c"}) {
-      this->Crash(MakePrompt({kDeadly}), replica, seconds(0));
+      const ReplicaCrash crash{replica, this->now};
+      AddEvidence(this->table, small, CollectEvidence(MakePrompt({kDeadly}), crash));
+      AddEvidence(this->table, small, CollectEvidence(sound, crash));
+      CPPUNIT_ASSERT(CountEvidence(this->table) <= small.max_evidence);
     }
-    for (std::uint64_t id = 100; id < 2000; ++id) this->Crash(MakePrompt({id}), "x", seconds(1));
-    CPPUNIT_ASSERT_EQUAL(this->policy.max_blocks, this->table.blocks.size());
-    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(0)));
   }
 
  private:
+  // Returns a prompt of that many shared blocks, which all such prompts share, with `deadly` added
+  // before the one at `place`, if there is one.
+  static auto MakeLongPrompt(std::size_t blocks, std::size_t place, std::uint64_t deadly)
+      -> Prompt {
+    constexpr std::uint64_t multiplier = 0x9e3779b97f4a7c15;
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i < blocks; ++i) {
+      if (i == place) ids.push_back(deadly);
+      ids.push_back((i + 1) * multiplier);
+    }
+    return MakePrompt(ids);
+  }
+
   auto Crash(const Prompt& prompt, const std::string& replica, core::Duration after) -> void {
     AddEvidence(this->table, this->policy, CollectEvidence(prompt, {replica, this->now + after}));
   }
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -25,6 +25,8 @@
 constexpr core::Duration kUsageInterval = std::chrono::seconds(1);
 // Connections for each further MB: one with a request in progress takes about 47 KB, including its
 // fiber, the connection to the replica and the received data.
+// Maximum suspected prompt blocks in /status.
+constexpr std::size_t kMaxListedBlocks = 256;
 constexpr std::size_t kConnectionsPerMb = 16;
 // Maximum body size before a configuration states a limit.
 constexpr std::uint64_t kDefaultMaxBodyBytes = std::uint64_t{8} << 20;
@@ -151,17 +153,14 @@
     status["evacuated_domains"] = boost::json::array(evacuated.begin(), evacuated.end());
     status["uses_cold_replicas"] = table.replicas.cold.members.enabled;
     status["cold_split_entries"] = table.replicas.cold.members.others.size() + 1;
-    const auto quarantines =
-        direct::ListQuarantines(table.quarantine, relay.policies.quarantine, now);
     boost::json::array blocks;
-    for (const auto& item : table.quarantine.blocks) {
-      const bool quarantined =
-          std::any_of(quarantines.begin(), quarantines.end(),
-                      [&](const auto& quarantine) { return quarantine.block == item.first; });
-      blocks.push_back({{"block", core::FormatHex(item.first)},
-                        {"crashes", item.second.crashes.size()},
-                        {"quarantined", quarantined}});
+    for (const auto& item :
+         direct::ListSuspects(table.quarantine, relay.policies.quarantine, kMaxListedBlocks, now)) {
+      blocks.push_back({{"block", core::FormatHex(item.block)},
+                        {"crashes", item.crashes},
+                        {"quarantined", item.is_quarantined}});
     }
+    status["suspected_block_count"] = table.quarantine.blocks.size();
     status["suspected_blocks"] = std::move(blocks);
     boost::json::array accounts;
     for (const auto& [service, queue] : table.queues) {
