Remember the unanswered losses of all blocks of a long prompt

What callers see: on routes with one attempt, replicas that end before they answer show a deadly block only by the last loss of each block. With prompts of thousands of blocks it was never suspected.

The table had room for 1,024 blocks; a prompt of 2,700 replaced all others and most of its own, which are all equally old.

Change: room for 8,192 blocks, which share the loss of their prompt. The oldest are dropped, once for each loss where the table was searched once for each block.

Result: direct.quarantine_test testLossesOfLongPromptsAreRemembered failed before and passes now.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -73,7 +73,7 @@
   // Crashes that blocks are suspected of, each once.
   std::vector<std::shared_ptr<const ReplicaCrash>> crashes;
   std::unordered_map<std::uint64_t, SoundRecord> sound;
-  std::unordered_map<std::uint64_t, UnansweredLoss> losses;
+  std::unordered_map<std::uint64_t, std::shared_ptr<const UnansweredLoss>> losses;
   // Oldest first.
   std::deque<UnconfirmedCrash> unconfirmed;
   DroppedEvidence dropped;
@@ -115,8 +115,9 @@
   // ended. A restart takes some seconds, and the platform lists it up to a second later.
   core::Duration confirm_within = std::chrono::seconds(15);
   std::size_t max_unconfirmed = 256;
-  // Blocks whose last loss is remembered; beyond that the oldest is dropped.
-  std::size_t max_losses = 1024;
+  // Blocks whose last loss is remembered; beyond that the oldest ones are dropped. The last losses
+  // of prompts that fill a header of 16 KiB, with some 2,700 blocks each, have room.
+  std::size_t max_losses = 8192;
 };
 
 // A block that a crash is evidence against.
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -245,15 +245,27 @@
   std::for_each(items.begin(), end, [&](const Item& item) { table.sound.erase(item.second); });
 }
 
-// Makes a place for the loss of another block: drops the oldest one.
-auto MakeRoomForLoss(QuarantineTable& table, std::size_t max_losses) -> void {
-  if (table.losses.size() < max_losses) return;
-  const auto oldest = std::min_element(
-      table.losses.begin(), table.losses.end(),
-      [](const auto& a, const auto& b) { return a.second.crash.at < b.second.crash.at; });
-  if (oldest == table.losses.end()) return;
-  ++table.dropped.losses;
-  table.losses.erase(oldest);
+// Drops the oldest losses until at most `max_losses` remain; of those at one time a random choice,
+// as the blocks of a prompt are lost together.
+auto LimitLosses(QuarantineTable& table, std::size_t max_losses) -> void {
+  if (table.losses.size() <= max_losses) return;
+  struct Rank {
+    core::Time at{};
+    std::uint64_t random = 0;
+    std::uint64_t block = 0;
+
+    auto operator<=>(const Rank&) const = default;
+  };
+  std::vector<Rank> ranks;
+  ranks.reserve(table.losses.size());
+  for (const auto& [block, loss] : table.losses) {
+    ranks.push_back({loss->crash.at, RandomRank(block, loss->crash.at), block});
+  }
+  const auto excess = table.losses.size() - max_losses;
+  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(excess);
+  std::nth_element(ranks.begin(), end, ranks.end());
+  std::for_each(ranks.begin(), end, [&](const Rank& rank) { table.losses.erase(rank.block); });
+  table.dropped.losses += excess;
 }
 
 // Memory of an element of a map or hash table beside its key and value.
@@ -283,17 +295,16 @@
   for (const auto& block : prompt.blocks) {
     const auto found = table.losses.find(block.id);
     if (found == table.losses.end()) continue;
-    const auto& [crash, address] = found->second;
+    const auto& crash = found->second->crash;
     if (crash.replica == loss.crash.replica || loss.crash.at - crash.at > policy.loss_memory) {
       continue;
     }
-    if (!earlier || crash.at > earlier->loss.crash.at) earlier = {found->second, {}};
+    if (!earlier || crash.at > earlier->loss.crash.at) earlier = {*found->second, {}};
     if (crash == earlier->loss.crash) earlier->shared.blocks.push_back(block);
   }
-  for (const auto id : ListBlockIds(prompt)) {
-    if (!table.losses.contains(id)) MakeRoomForLoss(table, policy.max_losses);
-    table.losses[id] = loss;
-  }
+  const auto shared = std::make_shared<const UnansweredLoss>(loss);
+  for (const auto& block : prompt.blocks) table.losses[block.id] = shared;
+  LimitLosses(table, policy.max_losses);
   return earlier;
 }
 
@@ -374,7 +385,7 @@
 
 auto EstimateBytes(const QuarantineTable& table) -> std::size_t {
   std::size_t bytes = table.sound.size() * (kNodeBytes + sizeof(SoundRecord)) +
-                      table.losses.size() * (kNodeBytes + sizeof(UnansweredLoss)) +
+                      table.losses.size() * (kNodeBytes + sizeof(table.losses.begin()->second)) +
                       table.crashes.size() * (sizeof(SharedCrash) + sizeof(ReplicaCrash));
   for (const auto& [block, suspicion] : table.blocks) {
     bytes += kNodeBytes + sizeof(suspicion) + suspicion.crashes.size() * sizeof(SharedCrash);
@@ -460,7 +471,7 @@
   });
   RemoveUnusedCrashes(table);
   std::erase_if(table.losses,
-                [&](const auto& item) { return now - item.second.crash.at > policy.loss_memory; });
+                [&](const auto& item) { return now - item.second->crash.at > policy.loss_memory; });
   std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
   LimitSoundRecords(table, policy.max_sound_blocks);
 }
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(testLossesOfRequestsThatShareABlock);
   CPPUNIT_TEST(testUnprovenBlocks);
   CPPUNIT_TEST(testLossesAreBounded);
+  CPPUNIT_TEST(testLossesOfLongPromptsAreRemembered);
   CPPUNIT_TEST(testNewStartConfirmsACrash);
   CPPUNIT_TEST(testOldListingAtTheAddressConfirmsNoCrash);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
@@ -367,6 +368,22 @@
     CPPUNIT_ASSERT(this->table.losses.empty());
   }
 
+  // Guards against a deadly block that is never suspected since its replicas end before they answer
+  // and its prompts have more blocks than are remembered of a loss.
+  auto testLossesOfLongPromptsAreRemembered() -> void {
+    for (const std::size_t place : {0, 1, 1350, 2699}) {
+      this->table = {};
+      const auto lose = [&](const std::string& replica, const Prompt& prompt, core::Duration at) {
+        return RecordUnansweredLoss(this->table, this->policy, prompt,
+                                    {{replica, this->now + at}, replica + ":80"});
+      };
+      CPPUNIT_ASSERT(!lose("a", MakeLongPrompt(2700, place, kDeadly), seconds(0)));
+      const auto earlier = lose("b", MakePrompt({kDeadly}), seconds(1));
+      CPPUNIT_ASSERT(earlier);
+      CPPUNIT_ASSERT(ListBlockIds(earlier->shared) == std::vector<std::uint64_t>{kDeadly});
+    }
+  }
+
   // Guards against an entry that starts anew and sends what the others hold back.
   auto testEvidenceOfATableReproducesIt() -> void {
     for (const auto* replica : {"a", "b", "c"}) {
