Bound the prompts of crashes that wait for confirmation by their blocks

What callers see: a wave of cut attempts with long prompts takes an entry of a small VM closer to its memory limit.

Up to 256 unconfirmed crashes each keep the prompt of their attempt, whose size nothing limited: 11 MB with 2,700 blocks each.

Change: they keep at most 65,536 blocks together, 1 MB; the oldest are dropped.

Result: direct.quarantine_test testUnconfirmedCrashesOfLongPromptsAreBounded failed before and passes now.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -115,6 +115,8 @@
   // ended. A restart takes some seconds, and the platform lists it up to a second later.
   core::Duration confirm_within = std::chrono::seconds(15);
   std::size_t max_unconfirmed = 256;
+  // Blocks of their prompts, of 16 bytes each.
+  std::size_t max_unconfirmed_blocks = 65536;
   // Blocks whose last loss is remembered; beyond that the oldest ones are dropped. The last losses
   // of prompts that fill a header of 16 KiB, with some 2,700 blocks each, have room.
   std::size_t max_losses = 8192;
@@ -167,7 +169,7 @@
 auto IsCrashSuspect(const QuarantinePolicy& policy, const Assignment& assignment,
                     bool is_suspicious, core::Time cut_at) -> bool;
 
-// Records a crash that a new start of the replica may confirm; beyond the limit the oldest is
+// Records a crash that a new start of the replica may confirm; beyond the limits the oldest are
 // dropped.
 auto RecordUnconfirmedCrash(QuarantineTable& table, const QuarantinePolicy& policy,
                             UnconfirmedCrash crash) -> void;
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -1,7 +1,9 @@
 #include "filbertstair/direct/quarantine.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
+#include <numeric>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -268,6 +270,12 @@
   table.dropped.losses += excess;
 }
 
+auto CountUnconfirmedBlocks(const QuarantineTable& table) -> std::size_t {
+  return std::transform_reduce(table.unconfirmed.begin(), table.unconfirmed.end(), std::size_t{0},
+                               std::plus<>(),
+                               [](const auto& crash) { return crash.prompt.blocks.size(); });
+}
+
 // Memory of an element of a map or hash table beside its key and value.
 constexpr std::size_t kNodeBytes = 48;
 
@@ -325,9 +333,14 @@
 auto RecordUnconfirmedCrash(QuarantineTable& table, const QuarantinePolicy& policy,
                             UnconfirmedCrash crash) -> void {
   table.unconfirmed.push_back(std::move(crash));
-  if (table.unconfirmed.size() <= policy.max_unconfirmed) return;
-  ++table.dropped.unconfirmed;
-  table.unconfirmed.pop_front();
+  const auto is_full = [&] {
+    return table.unconfirmed.size() > policy.max_unconfirmed ||
+           CountUnconfirmedBlocks(table) > policy.max_unconfirmed_blocks;
+  };
+  while (table.unconfirmed.size() > 1 && is_full()) {
+    ++table.dropped.unconfirmed;
+    table.unconfirmed.pop_front();
+  }
 }
 
 auto TakeConfirmedCrashes(QuarantineTable& table, const QuarantinePolicy& policy,
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(testLossesOfLongPromptsAreRemembered);
   CPPUNIT_TEST(testNewStartConfirmsACrash);
   CPPUNIT_TEST(testOldListingAtTheAddressConfirmsNoCrash);
+  CPPUNIT_TEST(testUnconfirmedCrashesOfLongPromptsAreBounded);
   CPPUNIT_TEST(testEvidenceOfATableReproducesIt);
   CPPUNIT_TEST(testTableIsBounded);
   CPPUNIT_TEST(testDeadlyBlockIsFoundInLongPrompts);
@@ -341,6 +342,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, take(6));
   }
 
+  // Guards against memory that grows with the prompts of cut attempts whose replicas may have
+  // ended; the latest one is kept.
+  auto testUnconfirmedCrashesOfLongPromptsAreBounded() -> void {
+    constexpr std::size_t max_bytes = std::size_t{2} << 20;
+    const auto prompt = MakeLongPrompt(2700, 2700, 0);
+    for (std::size_t i = 0; i < this->policy.max_unconfirmed; ++i) {
+      RecordUnconfirmedCrash(this->table, this->policy, {{"a", this->now}, "a:80", 5, prompt});
+    }
+    CPPUNIT_ASSERT(EstimateBytes(this->table) < max_bytes);
+    CPPUNIT_ASSERT(!this->table.unconfirmed.empty());
+  }
+
   // Guards against one crash for each entry before a block that nobody got a response for is
   // suspected, and against suspecting a request for the last block, which it alone has.
   auto testUnprovenBlocks() -> void {
