Send all evidence on a link that missed updates about suspected blocks

What callers see: a block that crashed replicas at one entry goes on crashing them at another one.

Change: a link that needs updates which are no longer retained sends all evidence, as a new one does. The retained updates have a limit on their blocks, too.

Result: relay.quarantine_test testLinkThatMissedUpdatesGetsAllEvidence failed before and passes now. testAllEvidenceFitsIntoAMessage shows that all evidence of a full table takes less than 1 MiB.

--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -15,8 +15,10 @@
 // Time to find out whether a replica still accepts connections. A live one responds within the
 // round trip between two regions.
 constexpr std::chrono::milliseconds kCrashCheckTimeout{400};
-// Sound responses that are retained until all links have reported them.
+// Updates that are retained until all links have reported them, and the blocks in them, of at most
+// 16 bytes each.
 constexpr std::size_t kMaxQuarantineUpdates = 1024;
+constexpr std::size_t kMaxUpdateBlocks = 16384;
 // Limits on what a peer may report of one crash.
 constexpr core::Duration kMaxCrashAge = std::chrono::hours(1);
 constexpr std::uint32_t kMaxSoundCount = 1'000'000;
@@ -63,11 +65,19 @@
   return added;
 }
 
+auto CountBlocks(const QuarantineUpdate& update) -> std::size_t {
+  return update.sound_blocks.size() + (update.evidence ? update.evidence->blocks.size() : 0);
+}
+
 auto AppendUpdate(DispatchTable& table, QuarantineUpdate update) -> void {
-  table.quarantine_updates.push_back(std::move(update));
+  auto& updates = table.quarantine_updates;
+  table.quarantine_update_blocks += CountBlocks(update);
+  updates.push_back(std::move(update));
   ++table.quarantine_update_count;
-  if (table.quarantine_updates.size() > kMaxQuarantineUpdates) {
-    table.quarantine_updates.pop_front();
+  while (updates.size() > 1 && (updates.size() > kMaxQuarantineUpdates ||
+                                table.quarantine_update_blocks > kMaxUpdateBlocks)) {
+    table.quarantine_update_blocks -= CountBlocks(updates.front());
+    updates.pop_front();
   }
 }
 
@@ -218,21 +228,21 @@
 auto CollectQuarantineUpdates(const DispatchTable& table, std::optional<std::uint64_t>& sent_count,
                               wire::EntryState& message) -> void {
   const auto now = node::Now();
-  if (!sent_count) {
+  const auto& updates = table.quarantine_updates;
+  const auto count = table.quarantine_update_count;
+  const auto before = std::exchange(sent_count, count);
+  if (!before || count - *before > updates.size()) {
     for (const auto& evidence : direct::ListEvidence(table.quarantine)) {
       message.crashes.push_back(ToRow(evidence, now));
     }
-    sent_count = table.quarantine_update_count;
+    return;
   }
-  const auto size = table.quarantine_updates.size();
-  const auto unsent = std::min<std::uint64_t>(table.quarantine_update_count - *sent_count, size);
-  for (auto i = size - unsent; i < size; ++i) {
-    const auto& update = table.quarantine_updates[i];
+  for (auto i = updates.size() - (count - *before); i < updates.size(); ++i) {
+    const auto& update = updates[i];
     if (update.evidence) message.crashes.push_back(ToRow(*update.evidence, now));
     message.sound_blocks.insert(message.sound_blocks.end(), update.sound_blocks.begin(),
                                 update.sound_blocks.end());
   }
-  sent_count = table.quarantine_update_count;
 }
 
 auto ApplyQuarantineUpdates(Relay& relay, const wire::EntryState& message) -> void {
--- a/libs/relay/src/state.h
+++ b/libs/relay/src/state.h
@@ -118,6 +118,8 @@
   // The latest updates to report to other entries, and the number of all that were ever added.
   std::deque<QuarantineUpdate> quarantine_updates;
   std::uint64_t quarantine_update_count = 0;
+  // Number of blocks in the updates.
+  std::size_t quarantine_update_blocks = 0;
   // Until this time a replica that is missing from the platform's list is kept, as it may be
   // missing only because the list was unavailable.
   core::Time delist_grace_until{};
@@ -380,8 +382,9 @@
 // Records that a response to the request went well.
 auto RecordSoundResponse(Relay& relay, const Call& call) -> void;
 
-// Adds to the message what a link has not been sent yet of the suspected blocks. `sent_count` is
-// empty for a new link and updated.
+// Adds to the message what a link has not been sent yet of the suspected blocks: all evidence, if
+// updates that the link needs are no longer retained. `sent_count` is empty for a new link and
+// updated.
 auto CollectQuarantineUpdates(const DispatchTable& table, std::optional<std::uint64_t>& sent_count,
                               wire::EntryState& message) -> void;
 
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -99,6 +99,8 @@
   CPPUNIT_TEST(testSoundPlainResponsesOffsetCrashes);
   CPPUNIT_TEST(testCrashUnderALongPromptTakesLittleMemory);
   CPPUNIT_TEST(testDeadlyBlockOfLongPromptsIsHeldBack);
+  CPPUNIT_TEST(testLinkThatMissedUpdatesGetsAllEvidence);
+  CPPUNIT_TEST(testAllEvidenceFitsIntoAMessage);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -394,6 +396,48 @@
                          first.Call(LongPromptRequest("deadly-9", kDeadlyBlocks, blocks)).status);
   }
 
+  // Guards against a crash that another entry never hears of because too many updates came after it
+  // before its link sent the next message.
+  auto testLinkThatMissedUpdatesGetsAllEvidence() -> void {
+    constexpr std::uint64_t retained = 10;
+    DispatchTable table;
+    const direct::Prompt prompt{"m", 10, 10, {{1, 1}, {3, 1}, {4, 1}}};
+    direct::AddEvidence(table.quarantine, {}, direct::CollectEvidence(prompt, {"r1", node::Now()}));
+    std::optional<std::uint64_t> sent_count = 0;
+    table.quarantine_update_count = retained + 1;
+    for (std::uint64_t i = 0; i < retained; ++i) table.quarantine_updates.push_back({{}, {5}});
+    wire::EntryState message;
+    CollectQuarantineUpdates(table, sent_count, message);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, message.crashes.size());
+    CPPUNIT_ASSERT_EQUAL(prompt.blocks.size(), message.crashes.front().blocks.size());
+    CPPUNIT_ASSERT_EQUAL(table.quarantine_update_count, sent_count.value());
+  }
+
+  // Guards against a full table of evidence that no other entry accepts: a link takes messages of
+  // up to 4 MiB, of which other state needs a part.
+  auto testAllEvidenceFitsIntoAMessage() -> void {
+    constexpr std::size_t max_bytes = std::size_t{1} << 20;
+    constexpr std::uint64_t blocks = 2700;
+    constexpr std::uint64_t crashes = 20;
+    DispatchTable table;
+    const direct::QuarantinePolicy policy;
+    for (std::uint64_t crash = 0; crash < crashes; ++crash) {
+      direct::Prompt prompt{"m", 10, 10, {}};
+      for (std::uint64_t i = 0; i < blocks; ++i)
+        prompt.blocks.push_back({crash / 4 * blocks + i, 1});
+      direct::AddEvidence(
+          table.quarantine, policy,
+          direct::CollectEvidence(prompt, {"replica-" + std::to_string(crash), node::Now()}));
+    }
+    const auto pieces = direct::CountEvidence(table.quarantine);
+    CPPUNIT_ASSERT(pieces <= policy.max_evidence);
+    CPPUNIT_ASSERT(pieces > policy.max_evidence - policy.max_crashes_per_block);
+    std::optional<std::uint64_t> sent_count;
+    wire::EntryState message;
+    CollectQuarantineUpdates(table, sent_count, message);
+    CPPUNIT_ASSERT(wire::Encode(message).size() < max_bytes);
+  }
+
  private:
   static auto LinkedTo(const TestEntry& entry) -> settings::Settings {
     auto settings = MakeSettings("entry-2");
