Forget the sound responses to suspected blocks last

What callers see: sound prompts are refused with prompt_quarantined in place of those that crash replicas.

Of blocks with the same crashes the one furthest from the beginning of its prompts is then held back, deadly or not.

Change: records of suspected blocks are dropped after all others.

Result: direct.quarantine_test testSoundRecordsOfSuspectsAreKept failed before and passes now.

--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -232,19 +232,27 @@
 }
 
 // If more than `max_blocks` blocks have sound responses, drops a quarter of the limit and what is
-// above it: the blocks with the fewest, of these the oldest.
+// above it: blocks that are not suspected first, then those with the fewest responses, then the
+// oldest.
 auto LimitSoundRecords(QuarantineTable& table, std::size_t max_blocks) -> void {
   if (table.sound.size() <= max_blocks) return;
-  using Item = std::pair<SoundRecord, std::uint64_t>;
-  std::vector<Item> items;
-  items.reserve(table.sound.size());
-  for (const auto& [block, record] : table.sound) items.emplace_back(record, block);
-  const auto dropped = items.size() - (max_blocks - max_blocks / 4);
-  const auto end = items.begin() + static_cast<std::ptrdiff_t>(dropped);
-  std::nth_element(items.begin(), end, items.end(), [](const Item& a, const Item& b) {
-    return std::tie(a.first.count, a.first.last) < std::tie(b.first.count, b.first.last);
-  });
-  std::for_each(items.begin(), end, [&](const Item& item) { table.sound.erase(item.second); });
+  struct Rank {
+    bool is_suspected = false;
+    std::size_t count = 0;
+    core::Time last{};
+    std::uint64_t block = 0;
+
+    auto operator<=>(const Rank&) const = default;
+  };
+  std::vector<Rank> ranks;
+  ranks.reserve(table.sound.size());
+  for (const auto& [block, record] : table.sound) {
+    ranks.push_back({table.blocks.contains(block), record.count, record.last, block});
+  }
+  const auto dropped = ranks.size() - (max_blocks - max_blocks / 4);
+  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(dropped);
+  std::nth_element(ranks.begin(), end, ranks.end());
+  std::for_each(ranks.begin(), end, [&](const Rank& rank) { table.sound.erase(rank.block); });
 }
 
 // Drops the oldest losses until at most `max_losses` remain; of those at one time a random choice,
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(testTwoDeadlyBlocksAreBothFound);
   CPPUNIT_TEST(testBlocksThatAreAlikeTakeOneMoreCrash);
   CPPUNIT_TEST(testSoundRecordsAreBounded);
+  CPPUNIT_TEST(testSoundRecordsOfSuspectsAreKept);
   CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
@@ -245,6 +246,24 @@
     CPPUNIT_ASSERT(this->table.sound.empty());
   }
 
+  // Guards against holding back a sound block in place of a deadly one because responses to long
+  // prompts, with blocks that are asked for more often, made the table forget that it is sound.
+  auto testSoundRecordsOfSuspectsAreKept() -> void {
+    const auto prompt = MakePrompt({kDeadly, kOther});
+    this->Crash(prompt, "a", seconds(0));
+    this->Crash(prompt, "b", seconds(0));
+    RecordSoundResponse(this->table, MakePrompt({kOther}), this->now);
+    this->Crash(prompt, "c", seconds(1));
+    const auto popular =
+        MakeLongPrompt(2 * this->policy.max_sound_blocks, 2 * this->policy.max_sound_blocks, 0);
+    for (int i = 0; i < 3; ++i) RecordSoundResponse(this->table, popular, this->now);
+    RemoveOldEvidence(this->table, this->policy, this->now);
+    CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_blocks);
+    CPPUNIT_ASSERT(this->table.sound.contains(kOther));
+    CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
+    CPPUNIT_ASSERT(!this->Find(MakePrompt({kOther}), seconds(1)));
+  }
+
   // Guards against one request that crashes replica after replica by its own retries.
   auto testRetriesStopBeforeTheQuarantine() -> void {
     const auto prompt = MakePrompt({kDeadly});
