Limit the blocks of a prompt in a log line

Seen: the line of event 404 (attempt_cut) printed every block of the prompt, 17 bytes each, so that one caller's header of 16 KiB made a line of some 45 KB. The same cause as in docs/incidents/long-prompt-memory.md: a size that a caller chooses. Change: the first 16 blocks, and how many follow. Test: core.hex_test testLongListsAreCut; the argument is new, so there is no run of it that failed before.

--- a/libs/core/include/filbertstair/core/hex.h
+++ b/libs/core/include/filbertstair/core/hex.h
@@ -1,9 +1,12 @@
 #ifndef FILBERTSTAIR_CORE_HEX_H_
 #define FILBERTSTAIR_CORE_HEX_H_
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -17,13 +20,17 @@
   return {digits.begin(), end};
 }
 
-// Formats the numbers in hexadecimal, separated by commas.
-inline auto FormatHexList(const std::vector<std::uint64_t>& numbers) -> std::string {
+// Formats the first `max_count` numbers in hexadecimal, separated by commas, and how many are left
+// out, as in "1,a,+3".
+inline auto FormatHexList(const std::vector<std::uint64_t>& numbers,
+                          std::size_t max_count = std::numeric_limits<std::size_t>::max())
+    -> std::string {
   std::string text;
-  for (const auto number : numbers) {
-    if (!text.empty()) text += ',';
-    text += FormatHex(number);
+  for (std::size_t i = 0; i < std::min(numbers.size(), max_count); ++i) {
+    if (i > 0) text += ',';
+    text += FormatHex(numbers[i]);
   }
+  if (numbers.size() > max_count) text += ",+" + std::to_string(numbers.size() - max_count);
   return text;
 }
 
--- a/libs/core/test/hex_test.cc
+++ b/libs/core/test/hex_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(HexTest);
   CPPUNIT_TEST(testNumbers);
   CPPUNIT_TEST(testLists);
+  CPPUNIT_TEST(testLongListsAreCut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -26,6 +27,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string(""), FormatHexList({}));
     CPPUNIT_ASSERT_EQUAL(std::string("1,a"), FormatHexList({1, 10}));
   }
+
+  // Guards against log lines as long as a request's header.
+  auto testLongListsAreCut() -> void {
+    CPPUNIT_ASSERT_EQUAL(std::string("1,2"), FormatHexList({1, 2}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::string("1,2,+3"), FormatHexList({1, 2, 3, 4, 5}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), FormatHexList({}, 0));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HexTest);
--- a/libs/relay/src/attempt.cc
+++ b/libs/relay/src/attempt.cc
@@ -46,6 +46,8 @@
 constexpr core::Duration kMaxDiscardTime = std::chrono::milliseconds(80);
 // Pieces of up to 16 KB that are still read after the deadline.
 constexpr int kMaxLateReads = 16;
+// Maximum blocks of a prompt in a log line; a header may name thousands.
+constexpr std::size_t kMaxLoggedBlocks = 16;
 
 auto Fail(Reason reason, Outcome outcome, Step step, std::string message) -> Failure {
   return {reason, outcome, step, std::move(message)};
@@ -165,7 +167,7 @@
        {"stage", core::Name(assignment.stage)},
        {"head_age_ms",
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(head_age).count())},
-       {"blocks", core::FormatHexList(blocks)},
+       {"blocks", core::FormatHexList(blocks, kMaxLoggedBlocks)},
        {"error", message}});
 }
 
