--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -154,15 +154,16 @@
 auto FindCause(const QuarantineTable& table, const QuarantinePolicy& policy, const Prompt& prompt,
                std::size_t min_crashes, Ambiguity ambiguity, core::Time now)
     -> std::optional<Quarantine> {
-  const auto blocks = ListBlockIds(prompt);
-  const bool is_suspected = std::any_of(blocks.begin(), blocks.end(), [&](std::uint64_t block) {
-    const auto found = table.blocks.find(block);
-    return found != table.blocks.end() && found->second.crashes.size() >= min_crashes;
-  });
+  const bool is_suspected =
+      std::any_of(prompt.blocks.begin(), prompt.blocks.end(), [&](const auto& block) {
+        const auto found = table.blocks.find(block.id);
+        return found != table.blocks.end() && found->second.crashes.size() >= min_crashes;
+      });
   if (!is_suspected) return std::nullopt;
   const auto causes = ExplainCrashes(table, policy, min_crashes, ambiguity, now);
   const auto found = std::find_if(causes.begin(), causes.end(), [&](const auto& cause) {
-    return std::find(blocks.begin(), blocks.end(), cause.block) != blocks.end();
+    return std::any_of(prompt.blocks.begin(), prompt.blocks.end(),
+                       [&](const auto& block) { return block.id == cause.block; });
   });
   return found == causes.end() ? std::nullopt : std::optional(*found);
 }
--- a/libs/direct/test/quarantine_property_test.cc
+++ b/libs/direct/test/quarantine_property_test.cc
@@ -1,7 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <cstdint>
+#include <random>
 #include <set>
+#include <vector>
 
 #include "filbertstair/direct/quarantine.h"
 #include "make_prompt.h"
@@ -14,6 +17,7 @@
 class QuarantinePropertyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuarantinePropertyTest);
   CPPUNIT_TEST(testDeadlyBlocksAreFoundAmongRandomTraffic);
+  CPPUNIT_TEST(testDeadlyBlocksAreFoundInLongPrompts);
   CPPUNIT_TEST_SUITE_END();
 
   const QuarantinePolicy policy{};
@@ -64,6 +68,48 @@
     });
     CPPUNIT_ASSERT(held);
   }
+
+  // Guards against deadly blocks that are never held back in prompts as long as a header of 16 KiB
+  // allows, wherever the block stands and whatever its id is.
+  auto testDeadlyBlocksAreFoundInLongPrompts() -> void {
+    const bool held = rc::check([&] {
+      constexpr std::size_t max_part = 1300;
+      QuarantineTable random_table;
+      std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+      const auto add_blocks = [&](std::vector<std::uint64_t> blocks, std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) blocks.push_back(random());
+        return blocks;
+      };
+      const auto beginning = add_blocks({}, *rc::gen::inRange<std::size_t>(1, max_part));
+      const auto tail = *rc::gen::inRange<std::size_t>(1, max_part);
+      const auto place = *rc::gen::inRange<std::size_t>(0, beginning.size() + tail);
+      const auto deadly = *rc::gen::arbitrary<std::uint64_t>();
+      const auto make_deadly_prompt = [&] {
+        auto blocks = add_blocks(beginning, tail);
+        blocks.insert(blocks.begin() + static_cast<std::ptrdiff_t>(place), deadly);
+        return MakePrompt(blocks);
+      };
+      for (std::size_t crashes = 0; crashes < this->policy.crashes_to_quarantine; ++crashes) {
+        const core::Time at{milliseconds(1000 * (crashes + 1))};
+        const auto prompt = make_deadly_prompt();
+        RC_ASSERT(!FindQuarantine(random_table, this->policy, prompt, at));
+        const ReplicaCrash crash{std::to_string(crashes), at};
+        const auto neighbor = MakePrompt(add_blocks(beginning, tail));
+        for (const auto& lost : {prompt, neighbor}) {
+          AddEvidence(random_table, this->policy, CollectEvidence(lost, crash));
+        }
+        const auto sound = MakePrompt(add_blocks(beginning, tail));
+        RC_ASSERT(!FindQuarantine(random_table, this->policy, sound, at));
+        RecordSoundResponse(random_table, sound, at);
+      }
+      const core::Time end{milliseconds(5000)};
+      const auto found = FindQuarantine(random_table, this->policy, make_deadly_prompt(), end);
+      RC_ASSERT(found.has_value());
+      RC_ASSERT(found->block == deadly);
+      RC_ASSERT(random_table.dropped.crashes == std::size_t{0});
+    });
+    CPPUNIT_ASSERT(held);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuarantinePropertyTest);
--- a/libs/relay/src/relay.cc
+++ b/libs/relay/src/relay.cc
@@ -25,9 +25,9 @@
 constexpr core::Duration kUsageInterval = std::chrono::seconds(1);
 // Connections for each further MB: one with a request in progress takes about 47 KB, including its
 // fiber, the connection to the replica and the received data.
+constexpr std::size_t kConnectionsPerMb = 16;
 // Maximum suspected prompt blocks in /status.
 constexpr std::size_t kMaxListedBlocks = 256;
-constexpr std::size_t kConnectionsPerMb = 16;
 // Maximum body size before a configuration states a limit.
 constexpr std::uint64_t kDefaultMaxBodyBytes = std::uint64_t{8} << 20;
 
