--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -184,7 +184,7 @@
   std::uint64_t random = 0;
   std::uint64_t block = 0;
 
-  auto operator<=>(const SuspicionRank&) const = default;
+  auto operator<=>(const SuspicionRank&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 // Drops the least suspected blocks until at most `max_evidence` pieces of evidence remain.
@@ -243,7 +243,7 @@
     core::Time last{};
     std::uint64_t block = 0;
 
-    auto operator<=>(const Rank&) const = default;
+    auto operator<=>(const Rank&) const = default;  // NOLINT(modernize-use-nullptr)
   };
   std::vector<Rank> ranks;
   ranks.reserve(table.sound.size());
@@ -265,7 +265,7 @@
     std::uint64_t random = 0;
     std::uint64_t block = 0;
 
-    auto operator<=>(const Rank&) const = default;
+    auto operator<=>(const Rank&) const = default;  // NOLINT(modernize-use-nullptr)
   };
   std::vector<Rank> ranks;
   ranks.reserve(table.losses.size());
--- a/libs/relay/test/quarantine_test.cc
+++ b/libs/relay/test/quarantine_test.cc
@@ -423,8 +423,9 @@
     const direct::QuarantinePolicy policy;
     for (std::uint64_t crash = 0; crash < crashes; ++crash) {
       direct::Prompt prompt{"m", 10, 10, {}};
-      for (std::uint64_t i = 0; i < blocks; ++i)
+      for (std::uint64_t i = 0; i < blocks; ++i) {
         prompt.blocks.push_back({crash / 4 * blocks + i, 1});
+      }
       direct::AddEvidence(
           table.quarantine, policy,
           direct::CollectEvidence(prompt, {"replica-" + std::to_string(crash), node::Now()}));
