--- a/bench/quarantine_costs.cc
+++ b/bench/quarantine_costs.cc
@@ -80,7 +80,7 @@
   const auto prompt = MakePrompt(1, state.range(0));
   for (auto _ : state) {
     benchmark::DoNotOptimize(
-        RecordSoundResponse(table, prompt, core::Time(std::chrono::seconds(10))));
+        RecordSoundResponse(table, policy, prompt, core::Time(std::chrono::seconds(10))));
   }
 }
 BENCHMARK(RecordSound)->Arg(3)->Arg(700)->Arg(2646);
--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -108,9 +108,12 @@
   // least suspected are dropped. Several crashes under prompts that fill a header of 16 KiB, with
   // some 2,700 blocks, have room.
   std::size_t max_evidence = 16384;
-  // Blocks whose sound responses are remembered, of about 60 bytes each. Beyond that a quarter is
-  // dropped, the least popular first: scanning them takes processor time from requests.
+  // Blocks whose sound responses are remembered, of about 60 bytes each. RemoveOldEvidence drops a
+  // quarter beyond that, the least popular first: scanning them takes processor time from requests.
   std::size_t max_sound_blocks = 4096;
+  // Blocks whose sound responses are remembered between two calls of RemoveOldEvidence. Beyond that
+  // they are dropped at once in the same way.
+  std::size_t max_sound_burst = 16384;
   // Time after a cut attempt within which a new start of its replica shows that the replica had
   // ended. A restart takes some seconds, and the platform lists it up to a second later.
   core::Duration confirm_within = std::chrono::seconds(15);
@@ -208,8 +211,8 @@
 // block that crashes replicas has no such response. Remembers it for the blocks that may be shared,
 // and forgets their unanswered losses.
 // Returns the blocks whose suspicion changed.
-auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
-    -> std::vector<std::uint64_t>;
+auto RecordSoundResponse(QuarantineTable& table, const QuarantinePolicy& policy,
+                         const Prompt& prompt, core::Time now) -> std::vector<std::uint64_t>;
 
 // Offsets the oldest crash of a block. Returns whether there was one.
 auto OffsetCrash(QuarantineTable& table, std::uint64_t block) -> bool;
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -232,11 +232,9 @@
   record.last = std::max(record.last, at);
 }
 
-// If more than `max_blocks` blocks have sound responses, drops a quarter of the limit and what is
-// above it: blocks that are not suspected first, then those with the fewest responses, then the
-// oldest.
-auto LimitSoundRecords(QuarantineTable& table, std::size_t max_blocks) -> void {
-  if (table.sound.size() <= max_blocks) return;
+// Drops a quarter of the blocks that may have sound responses, and what is above that number:
+// blocks that are not suspected first, then those with the fewest responses, then the oldest.
+auto DropSoundRecords(QuarantineTable& table, const QuarantinePolicy& policy) -> void {
   struct Rank {
     bool is_suspected = false;
     std::size_t count = 0;
@@ -250,7 +248,7 @@
   for (const auto& [block, record] : table.sound) {
     ranks.push_back({table.blocks.contains(block), record.count, record.last, block});
   }
-  const auto dropped = ranks.size() - (max_blocks - max_blocks / 4);
+  const auto dropped = ranks.size() - policy.max_sound_blocks / 4 * 3;
   const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(dropped);
   std::nth_element(ranks.begin(), end, ranks.end());
   std::for_each(ranks.begin(), end, [&](const Rank& rank) { table.sound.erase(rank.block); });
@@ -387,6 +385,7 @@
     added.push_back({block.id, block.depth, CountSound(table, block.id)});
   }
   LimitEvidence(table, policy.max_evidence);
+  if (table.sound.size() > policy.max_sound_burst) DropSoundRecords(table, policy);
   return added;
 }
 
@@ -430,8 +429,8 @@
   return out;
 }
 
-auto RecordSoundResponse(QuarantineTable& table, const Prompt& prompt, core::Time now)
-    -> std::vector<std::uint64_t> {
+auto RecordSoundResponse(QuarantineTable& table, const QuarantinePolicy& policy,
+                         const Prompt& prompt, core::Time now) -> std::vector<std::uint64_t> {
   auto ids = ListBlockIds(prompt);
   for (const auto id : ids) {
     if (id == ids.back()) break;
@@ -439,6 +438,7 @@
     ++record.count;
     record.last = now;
   }
+  if (table.sound.size() > policy.max_sound_burst) DropSoundRecords(table, policy);
   for (const auto id : ids) table.losses.erase(id);
   std::erase_if(ids, [&](std::uint64_t id) { return !OffsetCrash(table, id); });
   return ids;
@@ -495,7 +495,7 @@
   std::erase_if(table.losses,
                 [&](const auto& item) { return now - item.second->crash.at > policy.loss_memory; });
   std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
-  LimitSoundRecords(table, policy.max_sound_blocks);
+  if (table.sound.size() > policy.max_sound_blocks) DropSoundRecords(table, policy);
 }
 
 }  // namespace filbertstair::direct
--- a/libs/direct/test/quarantine_property_test.cc
+++ b/libs/direct/test/quarantine_property_test.cc
@@ -48,7 +48,7 @@
         RC_ASSERT(is_deadly || !quarantine || (crashes > 3 && twin == middle));
         if (quarantine) continue;
         if (!is_deadly) {
-          RecordSoundResponse(random_table, prompt, at);
+          RecordSoundResponse(random_table, this->policy, prompt, at);
           sound.insert(middle);
           if (twin == middle) twin = 0;
           continue;
@@ -100,7 +100,7 @@
         }
         const auto sound = MakePrompt(add_blocks(beginning, tail));
         RC_ASSERT(!FindQuarantine(random_table, this->policy, sound, at));
-        RecordSoundResponse(random_table, sound, at);
+        RecordSoundResponse(random_table, this->policy, sound, at);
       }
       const core::Time end{milliseconds(5000)};
       const auto found = FindQuarantine(random_table, this->policy, make_deadly_prompt(), end);
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(testBlocksThatAreAlikeTakeOneMoreCrash);
   CPPUNIT_TEST(testSoundRecordsAreBounded);
   CPPUNIT_TEST(testSoundRecordsOfSuspectsAreKept);
+  CPPUNIT_TEST(testSoundRecordsAreBoundedBetweenSweeps);
   CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
@@ -69,7 +70,7 @@
   // Guards against a single request that crashes replicas and is repeated by its caller, and
   // against refusing others for the blocks that they share with it.
   auto testRequestThatIsRepeatedIsHeldBackAlone() -> void {
-    RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kOther}), this->now);
     const auto repeated = MakePrompt({kCommon, kOther});
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(repeated, replica, seconds(0));
@@ -103,7 +104,7 @@
     CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon}), seconds(0)));
     // Once the shared block is known to be sound, the deadly one is held back alone.
     for (int i = 0; i < 4; ++i) {
-      RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+      RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kOther}), this->now);
     }
     CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(0)));
   }
@@ -119,14 +120,15 @@
   auto testPopularBlockIsOffsetBySoundResponses() -> void {
     for (int i = 0; i < 20; ++i) {
       this->Crash(MakePrompt({kCommon, kOther}), std::to_string(i), seconds(i));
-      RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now + seconds(i));
+      RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kOther}),
+                          this->now + seconds(i));
       CPPUNIT_ASSERT(!this->Find(MakePrompt({kCommon, kOther}), seconds(i)));
     }
   }
 
   // Guards against refusing what is asked for most when several replicas lose power at once.
   auto testRackFailureQuarantinesNoPopularBlock() -> void {
-    RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon}), this->now);
     for (int i = 0; i < 5; ++i) {
       this->Crash(MakePrompt({kCommon}), std::to_string(i), milliseconds(100));
     }
@@ -140,7 +142,8 @@
   // left in common but the block that all have.
   auto testBlockOfABatchIsNotHeldWithADeadlyOne() -> void {
     for (int i = 0; i < 40; ++i) {
-      RecordSoundResponse(this->table, MakePrompt({kCommon, 10u + i % 20}), this->now);
+      RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, 10u + i % 20}),
+                          this->now);
     }
     RemoveOldEvidence(this->table, this->policy, this->now + seconds(15));
     for (const auto* replica : {"a", "b", "c"}) {
@@ -156,7 +159,7 @@
   // Guards against holding back a block for crashes that another block explains as well, and for
   // one more that has another cause.
   auto testFewestBlocksExplainTheCrashes() -> void {
-    RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kOther}), this->now);
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(MakePrompt({kCommon, kOther}), replica, seconds(0));
       this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
@@ -171,7 +174,7 @@
   // Guards against holding back a sound request, in place of the deadly block, that was repeated
   // and cut in each of the crashes.
   auto testSoundRequestRepeatedAtEachCrash() -> void {
-    RecordSoundResponse(this->table, MakePrompt({kCommon, kOther}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kOther}), this->now);
     const auto repeated = MakePrompt({kCommon, kOther});
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(repeated, replica, seconds(0));
@@ -185,7 +188,7 @@
   // be sound, as all of its callers use them.
   auto testPeersTellWhichBlocksAreSound() -> void {
     QuarantineTable peer;
-    RecordSoundResponse(peer, MakePrompt({kCommon, kOther}), this->now);
+    RecordSoundResponse(peer, this->policy, MakePrompt({kCommon, kOther}), this->now);
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
       AddEvidence(peer, this->policy,
@@ -199,7 +202,7 @@
   }
 
   auto testTwoDeadlyBlocksAreBothFound() -> void {
-    RecordSoundResponse(this->table, MakePrompt({kCommon, 20}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, 20}), this->now);
     for (const auto* replica : {"a", "b", "c"}) {
       this->Crash(MakePrompt({kCommon, kDeadly}), replica, seconds(0));
       this->Crash(MakePrompt({kCommon, kOther}), replica, seconds(5));
@@ -226,16 +229,17 @@
     CPPUNIT_ASSERT(this->Find(MakePrompt({kDeadly}), seconds(1)));
     CPPUNIT_ASSERT(!this->Find(MakePrompt({kOther}), seconds(1)));
     // A sound response tells them apart as well.
-    RecordSoundResponse(apart, MakePrompt({kCommon, kOther}), this->now);
+    RecordSoundResponse(apart, this->policy, MakePrompt({kCommon, kOther}), this->now);
     CPPUNIT_ASSERT(FindQuarantine(apart, this->policy, MakePrompt({kDeadly}), this->now));
     CPPUNIT_ASSERT(!FindQuarantine(apart, this->policy, MakePrompt({kOther}), this->now));
   }
 
   // Guards against memory that grows with the blocks that callers send; popular ones are kept.
   auto testSoundRecordsAreBounded() -> void {
-    for (int i = 0; i < 4; ++i) RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now);
+    for (int i = 0; i < 4; ++i)
+      RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon}), this->now);
     for (std::uint64_t id = 100; id < 100 + 2 * this->policy.max_sound_blocks; ++id) {
-      RecordSoundResponse(this->table, MakePrompt({id}), this->now);
+      RecordSoundResponse(this->table, this->policy, MakePrompt({id}), this->now);
     }
     RemoveOldEvidence(this->table, this->policy, this->now);
     CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_blocks);
@@ -252,11 +256,11 @@
     const auto prompt = MakePrompt({kDeadly, kOther});
     this->Crash(prompt, "a", seconds(0));
     this->Crash(prompt, "b", seconds(0));
-    RecordSoundResponse(this->table, MakePrompt({kOther}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kOther}), this->now);
     this->Crash(prompt, "c", seconds(1));
     const auto popular =
         MakeLongPrompt(2 * this->policy.max_sound_blocks, 2 * this->policy.max_sound_blocks, 0);
-    for (int i = 0; i < 3; ++i) RecordSoundResponse(this->table, popular, this->now);
+    for (int i = 0; i < 3; ++i) RecordSoundResponse(this->table, this->policy, popular, this->now);
     RemoveOldEvidence(this->table, this->policy, this->now);
     CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_blocks);
     CPPUNIT_ASSERT(this->table.sound.contains(kOther));
@@ -264,6 +268,27 @@
     CPPUNIT_ASSERT(!this->Find(MakePrompt({kOther}), seconds(1)));
   }
 
+  // Guards against a burst of long prompts, or another entry's reports, that take memory without a
+  // bound until the next sweep.
+  auto testSoundRecordsAreBoundedBetweenSweeps() -> void {
+    constexpr std::uint64_t blocks = 2700;
+    for (int i = 0; i < 3; ++i) {
+      RecordSoundResponse(this->table, this->policy, MakePrompt({kOther}), this->now);
+    }
+    CrashEvidence reported{{"a", this->now}, {}};
+    std::uint64_t id = 1000;
+    for (int i = 0; i < 10; ++i) {
+      std::vector<std::uint64_t> ids(blocks);
+      for (auto& block : ids) block = ++id;
+      RecordSoundResponse(this->table, this->policy, MakePrompt(ids), this->now);
+      CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_burst);
+      for (const auto block : ids) reported.blocks.push_back({block << 32, 0, 1});
+    }
+    CPPUNIT_ASSERT(this->table.sound.contains(kOther));
+    AddEvidence(this->table, this->policy, reported);
+    CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_burst);
+  }
+
   // Guards against one request that crashes replica after replica by its own retries.
   auto testRetriesStopBeforeTheQuarantine() -> void {
     const auto prompt = MakePrompt({kDeadly});
@@ -306,12 +331,13 @@
     };
     CPPUNIT_ASSERT(!lose("a", seconds(0)));
     CPPUNIT_ASSERT(!lose("a", seconds(1)));
-    RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now + seconds(1));
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon}), this->now + seconds(1));
     const auto earlier = lose("b", seconds(2));
     CPPUNIT_ASSERT(earlier);
     CPPUNIT_ASSERT_EQUAL(std::string("a:80"), earlier->loss.address);
     CPPUNIT_ASSERT(ListBlockIds(earlier->shared) == std::vector<std::uint64_t>{kDeadly});
-    RecordSoundResponse(this->table, MakePrompt({kCommon, kDeadly}), this->now + seconds(3));
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon, kDeadly}),
+                        this->now + seconds(3));
     CPPUNIT_ASSERT(!lose("c", seconds(4)));
     CPPUNIT_ASSERT(!lose("d", seconds(5) + this->policy.loss_memory));
   }
@@ -380,9 +406,9 @@
     const auto is_unproven = [&](core::Duration at) {
       return HasUnprovenBlock(this->table, this->policy, prompt, this->now + at);
     };
-    RecordSoundResponse(this->table, MakePrompt({kCommon}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon}), this->now);
     CPPUNIT_ASSERT(is_unproven(seconds(1)));
-    RecordSoundResponse(this->table, MakePrompt({kDeadly}), this->now);
+    RecordSoundResponse(this->table, this->policy, MakePrompt({kDeadly}), this->now);
     CPPUNIT_ASSERT(!is_unproven(seconds(1)));
     CPPUNIT_ASSERT(is_unproven(this->policy.sound_memory));
     CPPUNIT_ASSERT(!HasUnprovenBlock(this->table, this->policy, MakePrompt({}), this->now));
@@ -454,7 +480,8 @@
         for (const std::uint64_t deadly : {std::uint64_t{2}, ~std::uint64_t{0}}) {
           this->table = {};
           const auto prompt = MakeLongPrompt(blocks, place, deadly);
-          RecordSoundResponse(this->table, MakeLongPrompt(blocks, blocks, 0), this->now);
+          RecordSoundResponse(this->table, this->policy, MakeLongPrompt(blocks, blocks, 0),
+                              this->now);
           for (const auto* replica : {"a", "b", "c"}) this->Crash(prompt, replica, seconds(0));
           const auto found = this->Find(prompt, seconds(0));
           CPPUNIT_ASSERT(found);
@@ -471,7 +498,7 @@
     QuarantinePolicy small;
     small.max_evidence = 1000;
     const auto sound = MakeLongPrompt(900, 900, 0);
-    RecordSoundResponse(this->table, sound, this->now);
+    RecordSoundResponse(this->table, this->policy, sound, this->now);
     for (const auto* replica : {"a", "b", "c"}) {
       const ReplicaCrash crash{replica, this->now};
       AddEvidence(this->table, small, CollectEvidence(MakePrompt({kDeadly}), crash));
--- a/libs/relay/src/quarantine.cc
+++ b/libs/relay/src/quarantine.cc
@@ -217,7 +217,8 @@
 auto RecordSoundResponse(Relay& relay, const Call& call) -> void {
   if (!call.head.prompt) return;
   const bool changed = relay.dispatch.With([&](DispatchTable& table) {
-    auto blocks = direct::RecordSoundResponse(table.quarantine, *call.head.prompt, node::Now());
+    auto blocks = direct::RecordSoundResponse(table.quarantine, relay.policies.quarantine,
+                                              *call.head.prompt, node::Now());
     if (blocks.empty()) return false;
     AppendUpdate(table, {{}, std::move(blocks)});
     return true;
