--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -236,8 +236,9 @@
 
   // Guards against memory that grows with the blocks that callers send; popular ones are kept.
   auto testSoundRecordsAreBounded() -> void {
-    for (int i = 0; i < 4; ++i)
+    for (int i = 0; i < 4; ++i) {
       RecordSoundResponse(this->table, this->policy, MakePrompt({kCommon}), this->now);
+    }
     for (std::uint64_t id = 100; id < 100 + 2 * this->policy.max_sound_blocks; ++id) {
       RecordSoundResponse(this->table, this->policy, MakePrompt({id}), this->now);
     }
--- a/libs/wire/test/control_test.cc
+++ b/libs/wire/test/control_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "filbertstair/core/error.h"
+
 namespace filbertstair::wire {
 namespace {
 
@@ -18,6 +20,7 @@
   CPPUNIT_TEST(testService);
   CPPUNIT_TEST(testConfiguration);
   CPPUNIT_TEST(testEntryState);
+  CPPUNIT_TEST(testCrashWithUnequalListsIsRefused);
   CPPUNIT_TEST(testOddDurations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +94,18 @@
     CPPUNIT_ASSERT(part.replica == "r" && part.key == 4 && part.tokens == 5);
   }
 
+  // Guards against reading beyond the shorter one of the lists that describe a crash's blocks.
+  auto testCrashWithUnequalListsIsRefused() -> void {
+    EntryState state;
+    state.crashes = {{"r", std::chrono::seconds(3), {{6, 100, 101}}}};
+    auto bytes = Encode(ControlMessage(state));
+    // Field 5 (sound), one byte, 101; changed into a field 6, which is unknown.
+    const auto sound = bytes.find("\x2a\x01\x65");
+    CPPUNIT_ASSERT(sound != std::string::npos);
+    bytes[sound] = '\x32';
+    CPPUNIT_ASSERT_THROW(DecodeControl(bytes, "peer"), core::Error);
+  }
+
   // Guards against durations from a peer that overflow when they are added to a time.
   auto testOddDurations() -> void {
     constexpr auto bound = core::Duration(std::chrono::years(10));
