Keep sound responses and losses of prompt blocks in ordered maps

A response to a prompt of 2,646 blocks whose ids all fall into one bucket took 73 ms of processor time instead of 0.16 ms, with the dispatch table locked; over a second at an entry of 0.068 cores.

Change: std::map, whose lookups take log N steps for any ids.

--- a/libs/direct/include/filbertstair/direct/quarantine.h
+++ b/libs/direct/include/filbertstair/direct/quarantine.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "filbertstair/core/types.h"
@@ -67,13 +66,13 @@
 };
 
 // Suspected blocks, blocks with recent sound responses, and the last loss of a request with a block
-// since its last sound response, by id.
+// since its last sound response, by id. No hash tables: callers choose the ids.
 struct QuarantineTable {
   std::map<std::uint64_t, BlockSuspicion> blocks;
   // Crashes that blocks are suspected of, each once.
   std::vector<std::shared_ptr<const ReplicaCrash>> crashes;
-  std::unordered_map<std::uint64_t, SoundRecord> sound;
-  std::unordered_map<std::uint64_t, std::shared_ptr<const UnansweredLoss>> losses;
+  std::map<std::uint64_t, SoundRecord> sound;
+  std::map<std::uint64_t, std::shared_ptr<const UnansweredLoss>> losses;
   // Oldest first.
   std::deque<UnconfirmedCrash> unconfirmed;
   DroppedEvidence dropped;
--- a/libs/direct/test/quarantine_test.cc
+++ b/libs/direct/test/quarantine_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 #include "make_prompt.h"
 
 namespace filbertstair::direct {
@@ -33,6 +35,7 @@
   CPPUNIT_TEST(testSoundRecordsAreBounded);
   CPPUNIT_TEST(testSoundRecordsOfSuspectsAreKept);
   CPPUNIT_TEST(testSoundRecordsAreBoundedBetweenSweeps);
+  CPPUNIT_TEST(testChosenIdsTakeNoMoreTime);
   CPPUNIT_TEST(testRetriesStopBeforeTheQuarantine);
   CPPUNIT_TEST(testQuarantineEndsAndReturnsWithOneCrash);
   CPPUNIT_TEST(testSuspectsAreThoseWhoseResponseJustBegan);
@@ -290,6 +293,32 @@
     CPPUNIT_ASSERT(this->table.sound.size() <= this->policy.max_sound_burst);
   }
 
+  // Guards against a caller that chooses ids which all fall into one bucket of a hash table, so
+  // that each response takes time with the square of its prompt while the dispatch table is locked.
+  auto testChosenIdsTakeNoMoreTime() -> void {
+    constexpr double max_factor = 20;
+    // Buckets that the standard library's hash table of as many records has.
+    constexpr std::uint64_t buckets = 20753;
+    const auto measure = [&](std::uint64_t step) {
+      QuarantineTable filled;
+      Prompt prompt;
+      std::uint64_t id = 0;
+      for (int i = 0; i < 5; ++i) {
+        prompt.blocks.clear();
+        while (prompt.blocks.size() < 2646) prompt.blocks.push_back({++id * step, 16});
+        RecordSoundResponse(filled, this->policy, prompt, this->now);
+      }
+      auto best = std::chrono::steady_clock::duration::max();
+      for (int i = 0; i < 5; ++i) {
+        const auto start = std::chrono::steady_clock::now();
+        RecordSoundResponse(filled, this->policy, prompt, this->now);
+        best = std::min(best, std::chrono::steady_clock::now() - start);
+      }
+      return std::chrono::duration<double>(best);
+    };
+    CPPUNIT_ASSERT(measure(buckets) < max_factor * measure(1));
+  }
+
   // Guards against one request that crashes replica after replica by its own retries.
   auto testRetriesStopBeforeTheQuarantine() -> void {
     const auto prompt = MakePrompt({kDeadly});
