Share the dropping of lowest-ranked records, and check their limit in one place

DropSoundRecords and LimitLosses built ranks, selected and erased in the same way, each with a rank struct of its own, and the limit on sound records was compared at three calls. EraseLowest does the first, LimitSoundRecords the second again. No change of behaviour: the ranks compare in the same order and the limits are the same.

In bench/quarantine_costs a cast that did nothing goes, and <chrono> is included.

--- a/bench/quarantine_costs.cc
+++ b/bench/quarantine_costs.cc
@@ -1,6 +1,7 @@
 // Processor time that the quarantine takes from a request, by the number of blocks in its prompt.
 #include <benchmark/benchmark.h>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -53,7 +54,7 @@
   const QuarantinePolicy policy{.crashes_to_stop_retries = 1};
   const auto table = MakeTable(policy, state.range(0));
   auto prompt = MakePrompt(1, state.range(0) - 1);
-  prompt.blocks.push_back(MakePrompt(std::uint64_t{kCrashes} << 32, 1).blocks.front());
+  prompt.blocks.push_back(MakePrompt(kCrashes << 32, 1).blocks.front());
   const core::Time now(std::chrono::seconds(10));
   for (auto _ : state) benchmark::DoNotOptimize(MayRetryAfterCrash(table, policy, prompt, now));
 }
--- a/libs/direct/src/quarantine.cc
+++ b/libs/direct/src/quarantine.cc
@@ -6,6 +6,7 @@
 #include <numeric>
 #include <set>
 #include <tuple>
+#include <type_traits>
 #include <utility>
 
 namespace filbertstair::direct {
@@ -232,48 +233,39 @@
   record.last = std::max(record.last, at);
 }
 
-// Drops a quarter of the blocks that may have sound responses, and what is above that number:
-// blocks that are not suspected first, then those with the fewest responses, then the oldest.
-auto DropSoundRecords(QuarantineTable& table, const QuarantinePolicy& policy) -> void {
-  struct Rank {
-    bool is_suspected = false;
-    std::size_t count = 0;
-    core::Time last{};
-    std::uint64_t block = 0;
+// Erases the `count` elements with the lowest ranks. `rank` is called with a key and its value.
+template <typename Table, typename Rank>
+auto EraseLowest(Table& table, std::size_t count, const Rank& rank) -> void {
+  using Key = typename Table::key_type;
+  using Item = std::pair<std::invoke_result_t<Rank, Key, typename Table::mapped_type>, Key>;
+  std::vector<Item> items;
+  items.reserve(table.size());
+  for (const auto& [key, value] : table) items.emplace_back(rank(key, value), key);
+  const auto end = items.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(items.begin(), end, items.end());
+  std::for_each(items.begin(), end, [&](const Item& item) { table.erase(item.second); });
+}
 
-    auto operator<=>(const Rank&) const = default;  // NOLINT(modernize-use-nullptr)
-  };
-  std::vector<Rank> ranks;
-  ranks.reserve(table.sound.size());
-  for (const auto& [block, record] : table.sound) {
-    ranks.push_back({table.blocks.contains(block), record.count, record.last, block});
-  }
-  const auto dropped = ranks.size() - policy.max_sound_blocks / 4 * 3;
-  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(dropped);
-  std::nth_element(ranks.begin(), end, ranks.end());
-  std::for_each(ranks.begin(), end, [&](const Rank& rank) { table.sound.erase(rank.block); });
+// If more than `max_blocks` blocks have sound responses, drops all but three quarters of the
+// policy's limit: blocks that are not suspected first, then those with the fewest responses, then
+// the oldest.
+auto LimitSoundRecords(QuarantineTable& table, const QuarantinePolicy& policy,
+                       std::size_t max_blocks) -> void {
+  if (table.sound.size() <= max_blocks) return;
+  EraseLowest(table.sound, table.sound.size() - policy.max_sound_blocks / 4 * 3,
+              [&](std::uint64_t block, const SoundRecord& record) {
+                return std::tuple(table.blocks.contains(block), record.count, record.last);
+              });
 }
 
 // Drops the oldest losses until at most `max_losses` remain; of those at one time a random choice,
 // as the blocks of a prompt are lost together.
 auto LimitLosses(QuarantineTable& table, std::size_t max_losses) -> void {
   if (table.losses.size() <= max_losses) return;
-  struct Rank {
-    core::Time at{};
-    std::uint64_t random = 0;
-    std::uint64_t block = 0;
-
-    auto operator<=>(const Rank&) const = default;  // NOLINT(modernize-use-nullptr)
-  };
-  std::vector<Rank> ranks;
-  ranks.reserve(table.losses.size());
-  for (const auto& [block, loss] : table.losses) {
-    ranks.push_back({loss->crash.at, RandomRank(block, loss->crash.at), block});
-  }
   const auto excess = table.losses.size() - max_losses;
-  const auto end = ranks.begin() + static_cast<std::ptrdiff_t>(excess);
-  std::nth_element(ranks.begin(), end, ranks.end());
-  std::for_each(ranks.begin(), end, [&](const Rank& rank) { table.losses.erase(rank.block); });
+  EraseLowest(table.losses, excess, [](std::uint64_t block, const auto& loss) {
+    return std::pair(loss->crash.at, RandomRank(block, loss->crash.at));
+  });
   table.dropped.losses += excess;
 }
 
@@ -283,7 +275,7 @@
                                [](const auto& crash) { return crash.prompt.blocks.size(); });
 }
 
-// Memory of an element of a map or hash table beside its key and value.
+// Memory of an element of a map beside its key and value.
 constexpr std::size_t kNodeBytes = 48;
 
 }  // namespace
@@ -385,7 +377,7 @@
     added.push_back({block.id, block.depth, CountSound(table, block.id)});
   }
   LimitEvidence(table, policy.max_evidence);
-  if (table.sound.size() > policy.max_sound_burst) DropSoundRecords(table, policy);
+  LimitSoundRecords(table, policy, policy.max_sound_burst);
   return added;
 }
 
@@ -438,7 +430,7 @@
     ++record.count;
     record.last = now;
   }
-  if (table.sound.size() > policy.max_sound_burst) DropSoundRecords(table, policy);
+  LimitSoundRecords(table, policy, policy.max_sound_burst);
   for (const auto id : ids) table.losses.erase(id);
   std::erase_if(ids, [&](std::uint64_t id) { return !OffsetCrash(table, id); });
   return ids;
@@ -495,7 +487,7 @@
   std::erase_if(table.losses,
                 [&](const auto& item) { return now - item.second->crash.at > policy.loss_memory; });
   std::erase_if(table.sound, [&](const auto& item) { return !IsRecent(item.second, policy, now); });
-  if (table.sound.size() > policy.max_sound_blocks) DropSoundRecords(table, policy);
+  LimitSoundRecords(table, policy, policy.max_sound_blocks);
 }
 
 }  // namespace filbertstair::direct
