--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -8,6 +8,7 @@
 #include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -21,6 +22,10 @@
 
 // Check-in interval of the replicas; an entry is removed after three of silence.
 constexpr Ms kCheckIn{1200};
+// Time for which the store keeps its history, and about the size of a page.
+constexpr std::chrono::seconds kRetention{20};
+constexpr std::size_t kPageBytes = std::size_t{1} << 20;
+constexpr int kPageItems = 500;
 
 // Lines with the time since the start, in a file and on standard output.
 class Record {
@@ -156,6 +161,8 @@
     const std::lock_guard lock(this->mutex);
     this->items = this->copy;
     this->revision = this->copy_revision;
+    std::erase_if(this->history,
+                  [this](const auto& change) { return change.first > this->revision; });
     for (auto& [key, item] : this->items) {
       if (key.starts_with("servers/")) item.expires = Clock::now() + 3 * kCheckIn;
     }
@@ -171,7 +178,8 @@
         "era " + std::to_string(this->era) + ", revision " + std::to_string(this->revision) + ":";
     for (const auto& [key, item] : this->items) {
       if (!key.starts_with(prefix) || item.deleted) continue;
-      out += "\n            " + key + " at " + std::to_string(item.revision) + " " + item.data;
+      out += "\n            " + key + " at " + std::to_string(item.revision) + " " +
+             item.data.substr(0, 2000);
     }
     return out;
   }
@@ -183,7 +191,12 @@
     item.data = data;
     item.content = content;
     item.deleted = false;
+    this->ChangeLocked(item);
+  }
+
+  auto ChangeLocked(Item& item) -> void {
     item.revision = ++this->revision;
+    this->history.emplace_back(this->revision, Clock::now());
     this->changed.notify_all();
   }
 
@@ -191,13 +204,16 @@
     while (true) {
       SleepMs(20);
       const std::lock_guard lock(this->mutex);
+      while (!this->history.empty() && this->history.front().second < Clock::now() - kRetention) {
+        this->forgotten = this->history.front().first;
+        this->history.pop_front();
+      }
       if (this->away) continue;
       for (auto& [key, item] : this->items) {
         if (item.deleted || item.expires > Clock::now()) continue;
         item.deleted = true;
-        item.revision = ++this->revision;
+        this->ChangeLocked(item);
         this->record.Note("store: " + key + " is removed, its replica was silent");
-        this->changed.notify_all();
       }
     }
   }
@@ -210,16 +226,29 @@
            EncodeBase64(item.data) + "\"}";
   }
 
-  auto List(const std::string& prefix, std::uint64_t after, bool with_deleted) -> std::string {
+  // Returns all that has changed under the prefix after a revision.
+  auto ListChanges(const std::string& prefix, std::uint64_t after) -> std::string {
     std::string out;
     for (const auto& [key, item] : this->items) {
       if (!key.starts_with(prefix) || item.revision <= after) continue;
-      if (item.deleted && !with_deleted) continue;
       out += (out.empty() ? "" : ",") + Format(key, item);
     }
     return out;
   }
 
+  // Returns a page of the items under the prefix after a key.
+  auto ListPage(const std::string& prefix, const std::string& after) -> std::string {
+    std::string out;
+    int count = 0;
+    for (auto entry = this->items.upper_bound(after); entry != this->items.end(); ++entry) {
+      const auto& [key, item] = *entry;
+      if (!key.starts_with(prefix) || item.deleted) continue;
+      if (out.size() > kPageBytes || count == kPageItems) return out + "],\"truncated\":true";
+      out += (count++ > 0 ? "," : "") + Format(key, item);
+    }
+    return out + "],\"truncated\":false";
+  }
+
   auto Answer(const std::string& target, std::string& status) -> std::string {
     std::unique_lock lock(this->mutex);
     const auto at = [this] { return ",\"at\":" + std::to_string(this->revision) + "}"; };
@@ -235,7 +264,7 @@
     }
     const auto prefix = QueryOf(target, "path-prefix");
     if (target.starts_with("/api/kv-range?")) {
-      return "{\"entries\":[" + this->List(prefix, 0, false) + "],\"truncated\":false" + at();
+      return "{\"entries\":[" + this->ListPage(prefix, QueryOf(target, "after")) + at();
     }
     const auto after = std::stoull("0" + QueryOf(target, "after"));
     const auto until = Clock::now() + Ms(std::stoll("0" + QueryOf(target, "wait-timeout-ms")));
@@ -245,11 +274,11 @@
         status = "";
         return "";
       }
-      if (after > this->revision) {
+      if (after > this->revision || after < this->forgotten) {
         status = "410 Gone";
         return "{}";
       }
-      const auto events = this->List(prefix, after, true);
+      const auto events = this->ListChanges(prefix, after);
       if (!events.empty() || Clock::now() >= until) return "{\"events\":[" + events + "]" + at();
       this->changed.wait_until(lock, until);
     }
@@ -279,6 +308,9 @@
   std::condition_variable changed;
   std::map<std::string, Item> items;
   std::uint64_t revision = 10;
+  // Changes that a watch can still begin after, and the last one before them.
+  std::deque<std::pair<std::uint64_t, Clock::time_point>> history;
+  std::uint64_t forgotten = 0;
   std::uint64_t era = 0;
   bool away = false;
   std::map<std::string, Item> copy;
