--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -101,6 +101,8 @@
     std::string data;
     // What of the data makes it another entry: all but `call-seq`.
     std::string content;
+    // The data in base64.
+    std::string encoded;
     std::uint64_t revision = 0;
     bool deleted = false;
     // Time at which the entry of a silent replica is removed.
@@ -190,6 +192,7 @@
     auto& item = this->items[key];
     item.data = data;
     item.content = content;
+    item.encoded = EncodeBase64(data);
     item.deleted = false;
     this->ChangeLocked(item);
   }
@@ -218,12 +221,15 @@
     }
   }
 
-  static auto Format(const std::string& key, const Item& item) -> std::string {
+  static auto AppendItem(std::string& out, const std::string& key, const Item& item) -> void {
     const auto revision = std::to_string(item.revision);
-    const auto name = "{\"key\":\"" + key + "\",\"revision\":" + revision;
-    if (item.deleted) return name + ",\"deleted\":true}";
-    return name + ",\"created\":" + revision + ",\"lease-id\":0,\"data\":\"" +
-           EncodeBase64(item.data) + "\"}";
+    out.append("{\"key\":\"").append(key).append("\",\"revision\":").append(revision);
+    if (item.deleted) {
+      out += ",\"deleted\":true}";
+      return;
+    }
+    out.append(",\"created\":").append(revision);
+    out.append(",\"lease-id\":0,\"data\":\"").append(item.encoded).append("\"}");
   }
 
   // Returns all that has changed under the prefix after a revision.
@@ -231,7 +237,8 @@
     std::string out;
     for (const auto& [key, item] : this->items) {
       if (!key.starts_with(prefix) || item.revision <= after) continue;
-      out += (out.empty() ? "" : ",") + Format(key, item);
+      if (!out.empty()) out += ",";
+      AppendItem(out, key, item);
     }
     return out;
   }
@@ -244,7 +251,8 @@
       const auto& [key, item] = *entry;
       if (!key.starts_with(prefix) || item.deleted) continue;
       if (out.size() > kPageBytes || count == kPageItems) return out + "],\"truncated\":true";
-      out += (count++ > 0 ? "," : "") + Format(key, item);
+      if (count++ > 0) out += ",";
+      AppendItem(out, key, item);
     }
     return out + "],\"truncated\":false";
   }
@@ -258,7 +266,8 @@
         status = "404 Not Found";
         return "{}";
       }
-      auto text = Format(found->first, found->second);
+      std::string text;
+      AppendItem(text, found->first, found->second);
       text.pop_back();
       return text + at();
     }
@@ -513,12 +522,12 @@
     return false;
   }
 
-  // Resident memory in KB; 0 if there is no process.
-  auto MemoryKb() const -> std::int64_t {
+  // Peak of the resident memory in KB; 0 if there is no process.
+  auto PeakMemoryKb() const -> std::int64_t {
     std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
     std::string line;
     while (std::getline(status, line)) {
-      if (line.starts_with("VmRSS:")) return std::stoll(line.substr(6));
+      if (line.starts_with("VmHWM:")) return std::stoll(line.substr(6));
     }
     return 0;
   }
