--- a/review/standins-3/crowded.cc
+++ b/review/standins-3/crowded.cc
@@ -71,9 +71,9 @@
   SleepMs(3000);
   if (lab.trouble) {
     const std::string garbage(kValueBytes, '\xff');
-    for (int i = 1; i <= kForeign; ++i) {
-      store.Put("servers/other-" + std::to_string(i), garbage);
-    }
+    std::vector<std::string> keys;
+    for (int i = 1; i <= kForeign; ++i) keys.push_back("servers/other-" + std::to_string(i));
+    store.PutAll(keys, garbage);
     record.Note("another writer has written " + std::to_string(kForeign) + " entries of " +
                 std::to_string(kValueBytes) + " bytes");
   }
--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -125,6 +125,12 @@
     this->PutLocked(key, data, data);
   }
 
+  // Writes the value under several keys at one moment.
+  auto PutAll(const std::vector<std::string>& keys, const std::string& data) -> void {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& key : keys) this->PutLocked(key, data, data);
+  }
+
   // A replica's check-in: the entry changes when more than `call-seq` changes. Returns false if the
   // store is away.
   auto CheckIn(const std::string& id, const std::string& data, const std::string& content) -> bool {
